--- /dev/null
+++ b/src/net/log.h
@@ -0,0 +1,48 @@
+#ifndef FOXTAILSPREAD_NET_LOG_H_
+#define FOXTAILSPREAD_NET_LOG_H_
+
+/// @file
+/// Numbered events written to the log through log4cxx, one line of JSON each.
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "foxtailspread/events.h"
+
+namespace foxtailspread {
+
+/// One named value of an event.
+struct log_field {
+  std::string_view name;
+  std::variant<std::string_view, int64_t, double> value;
+};
+
+/// Where the log goes and what is left out of it.
+struct log_settings {
+  std::string file{};  ///< Standard error when empty.
+  event_level least = event_level::kInfo;
+  std::string program{};  ///< Added to each line.
+};
+
+/// Opens the log. Call once, before the first event; without it, events go to
+/// standard error from the level info on.
+void OpenLog(const log_settings& settings);
+
+/// Writes one event. Values are escaped: a line break in what a caller sent
+/// cannot forge a line of the log.
+///
+/// @code
+/// LogEvent(event_id::kListening, {{"address", address}});
+/// @endcode
+void LogEvent(event_id id, std::initializer_list<log_field> fields = {});
+
+/// Returns the line that LogEvent writes, without the time.
+std::string FormatEvent(const event_definition& event, std::string_view program,
+                        std::initializer_list<log_field> fields);
+
+}  // namespace foxtailspread
+
+#endif  // FOXTAILSPREAD_NET_LOG_H_
