--- a/include/foxtailspread/config.h
+++ b/include/foxtailspread/config.h
@@ -60,9 +60,9 @@
   /// class: a new steward then waits out the former one's last deadline.
   bool targets_check_grants = false;
   urgency default_urgency = urgency::kOrdinary;
-  int slots = 3;          ///< Requests that one target runs at once.
-  int connections = 50;   ///< Connections that one target accepts.
-  int buckets = 256;      ///< Parts of the key space; fixed for its lifetime.
+  int slots = 3;         ///< Requests that one target runs at once.
+  int connections = 50;  ///< Connections that one target accepts.
+  int buckets = 256;     ///< Parts of the key space; fixed for its lifetime.
   duration default_deadline{std::chrono::seconds{2}};
   duration max_deadline{std::chrono::seconds{30}};
   /// Weight of evening out load against leaving buckets where they are, 0..1:
@@ -86,8 +86,8 @@
 struct rule_config {
   std::string organisation;
   std::string service = "*";
-  double share = 1.0;       ///< Guaranteed part, relative to other shares.
-  int max_queued = 256;     ///< Requests that may wait at one steward.
+  double share = 1.0;    ///< Guaranteed part, relative to other shares.
+  int max_queued = 256;  ///< Requests that may wait at one steward.
   urgency most_urgent = urgency::kUrgent;  ///< Highest class it may claim.
 };
 
@@ -111,10 +111,10 @@
   std::vector<organisation_config> organisations;
   std::vector<rule_config> rules;
   std::vector<preset_config> presets;
-  std::string preset;            ///< The name of the one in force.
-  std::string preset_by;         ///< Who switched to it.
-  std::string preset_why;        ///< The reason that was given.
-  std::string preset_at;         ///< When, as ISO 8601 in UTC.
+  std::string preset;      ///< The name of the one in force.
+  std::string preset_by;   ///< Who switched to it.
+  std::string preset_why;  ///< The reason that was given.
+  std::string preset_at;   ///< When, as ISO 8601 in UTC.
 
   /// Returns the service, organisation or preset of that name, or nullptr.
   /// The pointer is valid while this object is unchanged.
