Parse, check and write the configuration

Fields are read with their ranges, then everything that concerns more than one field is checked: dangling names, names, addresses and tokens given twice, a rule for a service that its organisation may not call. A newer format is told apart before its unknown fields could pass for slips.

Seen failing with each mechanism taken out in turn: known-name check (half renames, preset in force), uniqueness (shared token, equal targets), the format check, the rule check, and errors let out as exceptions (damaged text).

--- a/include/foxtailspread/config.h
+++ b/include/foxtailspread/config.h
@@ -36,11 +36,24 @@
   kPooled,  ///< Any target of the service serves any key.
 };
 
+/// Returns "keyed" or "pooled".
+std::string_view ToString(placement_kind value);
+
+/// Parses the names that ToString returns.
+result<placement_kind> ParsePlacement(std::string_view text);
+
+/// Checks that `text` can name a host, zone, service, organisation, target or
+/// preset: 1 to 64 of a-z, 0-9, ".", "_" and "-", the first a letter or digit.
+/// Names become parts of the platform's keys, which allow no more than that.
+status CheckName(std::string_view text);
+
 /// One key-owning server of a service.
 struct target_config {
   std::string name;     ///< Unique within the deployment.
   std::string address;  ///< "IP:port".
   std::string zone;     ///< The availability zone it stands in.
+
+  bool operator==(const target_config&) const = default;
 };
 
 /// A service-level objective: the part of requests that must be answered
@@ -48,6 +61,8 @@
 struct objective_config {
   double target = 0.99;
   duration latency{std::chrono::milliseconds{8}};
+
+  bool operator==(const objective_config&) const = default;
 };
 
 /// One service that organisations call.
@@ -70,6 +85,8 @@
   double balance_weight = 0.5;
   objective_config objective;
   std::vector<target_config> targets;
+
+  bool operator==(const service_config&) const = default;
 };
 
 /// One organisation and how it is recognised.
@@ -80,6 +97,8 @@
   std::vector<std::string> token_digests;
   /// The services it may call; empty means none.
   std::vector<std::string> services;
+
+  bool operator==(const organisation_config&) const = default;
 };
 
 /// The rule of one organisation for one service ("*" for all its services).
@@ -89,6 +108,8 @@
   double share = 1.0;    ///< Guaranteed part, relative to other shares.
   int max_queued = 256;  ///< Requests that may wait at one steward.
   urgency most_urgent = urgency::kUrgent;  ///< Highest class it may claim.
+
+  bool operator==(const rule_config&) const = default;
 };
 
 /// Adjustments that hold while a preset is in force.
@@ -98,6 +119,8 @@
   double archive_share = 0.2;   ///< Part of the slots that archive may hold.
   double retry_budget = 0.1;    ///< Retries per first attempt.
   bool allow_rebalance = true;  ///< False keeps buckets where they are.
+
+  bool operator==(const preset_config&) const = default;
 };
 
 /// The whole configuration. `version` is the platform's revision and never
@@ -115,6 +138,9 @@
   std::string preset_by;   ///< Who switched to it.
   std::string preset_why;  ///< The reason that was given.
   std::string preset_at;   ///< When, as ISO 8601 in UTC.
+  /// The mark of the write that put this text in place. A writer whose answer
+  /// was lost finds its own mark here and knows that the write took effect.
+  std::string mark;
 
   /// Returns the service, organisation or preset of that name, or nullptr.
   /// The pointer is valid while this object is unchanged.
@@ -127,12 +153,17 @@
   /// the organisation's "*", else the default rule.
   rule_config RuleFor(std::string_view organisation,
                       std::string_view service) const;
+
+  bool operator==(const deployment_config&) const = default;
 };
 
 /// Parses and checks a configuration in JSON with comments. Unknown fields,
 /// dangling references, duplicate names and values out of range are errors
 /// that name the path and the remedy.
 ///
+/// A newer format gives kNewerFormat: whoever has a good configuration goes on
+/// with that one.
+///
 /// @code
 /// result<deployment_config> config = ParseConfig(text);
 /// if (!config) std::cerr << config.error().Message();
--- a/include/foxtailspread/json_reader.h
+++ b/include/foxtailspread/json_reader.h
@@ -116,6 +116,11 @@
 
  private:
   const nlohmann::json* Find(std::string_view name);
+  const nlohmann::json* FindTyped(std::string_view name,
+                                  std::string_view wanted,
+                                  bool (nlohmann::json::*is_wanted)()
+                                      const noexcept);
+  const nlohmann::json* FindString(std::string_view name);
   const nlohmann::json* FindList(std::string_view name);
   bool AcceptInteger(std::string_view name, const nlohmann::json& value,
                      number_bounds<int64_t> bounds);
@@ -149,14 +154,10 @@
 template <typename T, typename Parse>
 void object_reader::ReadWord(std::string_view name, T& out,
                              const Parse& parse) {
-  const nlohmann::json* found = Find(name);
+  const nlohmann::json* found = FindString(name);
   if (found == nullptr) {
     return;
   }
-  if (!found->is_string()) {
-    WrongType(name, "a string", *found);
-    return;
-  }
   const result<T> parsed = parse(found->get_ref<const std::string&>());
   if (parsed) {
     out = parsed.value();
--- a/include/foxtailspread/nearest_name.h
+++ b/include/foxtailspread/nearest_name.h
@@ -10,8 +10,9 @@
 
 namespace foxtailspread {
 
-/// Returns the entry of `known` with the fewest edits to `name`, or "" if none
-/// is near enough to be a likely slip. The view refers to `known`.
+/// Returns the entry of `known` with the fewest edits to `name`, else one that
+/// extends it or is extended by it, or "" if none is likely to be meant. The
+/// view refers to `known`.
 ///
 /// @code
 /// NearestName("slotz", known);  // "slots"
--- a/src/core/json_reader.cc
+++ b/src/core/json_reader.cc
@@ -197,15 +197,25 @@
   return found == value_->end() ? nullptr : &*found;
 }
 
-const json* object_reader::FindList(std::string_view name) {
+const json* object_reader::FindTyped(std::string_view name,
+                                     std::string_view wanted,
+                                     bool (json::*is_wanted)() const noexcept) {
   const json* found = Find(name);
-  if (found != nullptr && !found->is_array()) {
-    WrongType(name, "a list in brackets", *found);
+  if (found != nullptr && !(found->*is_wanted)()) {
+    WrongType(name, wanted, *found);
     return nullptr;
   }
   return found;
 }
 
+const json* object_reader::FindString(std::string_view name) {
+  return FindTyped(name, "a string", &json::is_string);
+}
+
+const json* object_reader::FindList(std::string_view name) {
+  return FindTyped(name, "a list in brackets", &json::is_array);
+}
+
 void object_reader::Require(std::initializer_list<std::string_view> names) {
   for (const std::string_view name : names) {
     if (value_->is_object() && !value_->contains(name)) {
@@ -222,27 +232,17 @@
 }
 
 void object_reader::Read(std::string_view name, bool& out) {
-  const json* found = Find(name);
-  if (found == nullptr) {
-    return;
-  }
-  if (!found->is_boolean()) {
-    WrongType(name, "true or false", *found);
-    return;
+  const json* found = FindTyped(name, "true or false", &json::is_boolean);
+  if (found != nullptr) {
+    out = found->get<bool>();
   }
-  out = found->get<bool>();
 }
 
 void object_reader::Read(std::string_view name, std::string& out) {
-  const json* found = Find(name);
-  if (found == nullptr) {
-    return;
+  const json* found = FindString(name);
+  if (found != nullptr) {
+    out = found->get_ref<const std::string&>();
   }
-  if (!found->is_string()) {
-    WrongType(name, "a string", *found);
-    return;
-  }
-  out = found->get_ref<const std::string&>();
 }
 
 void object_reader::Read(std::string_view name, std::vector<std::string>& out) {
@@ -265,14 +265,10 @@
 
 void object_reader::Read(std::string_view name, double& out,
                          number_bounds<double> bounds) {
-  const json* found = Find(name);
+  const json* found = FindTyped(name, "a number", &json::is_number);
   if (found == nullptr) {
     return;
   }
-  if (!found->is_number()) {
-    WrongType(name, "a number", *found);
-    return;
-  }
   const auto value = found->get<double>();
   if (value < bounds.low || value > bounds.high) {
     Fail(error_code::kOutOfRange, name, NumberText(value) + " is out of range",
@@ -284,14 +280,11 @@
 
 void object_reader::ReadMilliseconds(std::string_view name, duration& out,
                                      number_bounds<duration> bounds) {
-  const json* found = Find(name);
+  const json* found =
+      FindTyped(name, "a number of milliseconds", &json::is_number);
   if (found == nullptr) {
     return;
   }
-  if (!found->is_number()) {
-    WrongType(name, "a number of milliseconds", *found);
-    return;
-  }
   const double microseconds =
       found->get<double>() * kMicrosecondsPerMillisecond;
   const auto low = static_cast<double>(bounds.low.count());
--- a/src/core/nearest_name.cc
+++ b/src/core/nearest_name.cc
@@ -11,6 +11,7 @@
 constexpr size_t kLongestCompared = 64;
 constexpr size_t kLongestPrinted = 80;
 constexpr size_t kMostListed = 12;
+constexpr size_t kShortestStem = 3;
 
 size_t EditDistance(std::string_view from, std::string_view to) {
   std::vector<size_t> row(to.size() + 1);
@@ -27,6 +28,13 @@
   return row.back();
 }
 
+/// Whether one is the other with something appended, as in "signing-v2".
+bool Extends(std::string_view one, std::string_view other) {
+  const std::string_view shorter = one.size() < other.size() ? one : other;
+  return shorter.size() >= kShortestStem &&
+         (one.starts_with(other) || other.starts_with(one));
+}
+
 }  // namespace
 
 std::string_view NearestName(std::string_view name,
@@ -46,7 +54,13 @@
       nearest = candidate;
     }
   }
-  return nearest;
+  if (!nearest.empty()) {
+    return nearest;
+  }
+  const auto extended = std::find_if(
+      known.begin(), known.end(),
+      [name](const std::string& other) { return Extends(name, other); });
+  return extended == known.end() ? std::string_view() : *extended;
 }
 
 std::string KnownNameRemedy(std::string_view name,
