--- a/include/foxtailspread/config.h
+++ b/include/foxtailspread/config.h
@@ -47,6 +47,9 @@
 /// Names become parts of the platform's keys, which allow no more than that.
 status CheckName(std::string_view text);
 
+/// Checks that `text` is a SHA-256 digest in lower-case hex.
+status CheckTokenDigest(std::string_view text);
+
 /// One key-owning server of a service.
 struct target_config {
   std::string name;     ///< Unique within the deployment.
--- a/include/foxtailspread/json_reader.h
+++ b/include/foxtailspread/json_reader.h
@@ -114,6 +114,10 @@
   /// is the usual cause of a missing one.
   status Finish();
 
+  /// Returns the first error and lets fields pass that were not asked for, for
+  /// a first look at a document that is read whole later.
+  status FinishPartly() const;
+
  private:
   const nlohmann::json* Find(std::string_view name);
   const nlohmann::json* FindTyped(std::string_view name,
--- a/src/core/config.cc
+++ b/src/core/config.cc
@@ -10,6 +10,7 @@
 
 constexpr std::string_view kAnyService = "*";
 constexpr size_t kLongestName = 64;
+constexpr size_t kDigestLength = 64;
 
 template <typename T>
 const T* FindByName(const std::vector<T>& items, std::string_view name) {
@@ -43,6 +44,10 @@
   return IsLetterOrDigit(c) || c == '.' || c == '_' || c == '-';
 }
 
+bool IsHexDigit(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+}
+
 }  // namespace
 
 std::string_view ToString(urgency value) {
@@ -83,6 +88,16 @@
                "or digit"};
 }
 
+status CheckTokenDigest(std::string_view text) {
+  if (text.size() == kDigestLength &&
+      std::all_of(text.begin(), text.end(), IsHexDigit)) {
+    return OkStatus();
+  }
+  return error{error_code::kMalformed, "", "is no SHA-256 digest",
+               "write the 64 lower-case hex digits that sha256sum prints for "
+               "the token; never the token itself"};
+}
+
 const service_config* deployment_config::FindService(
     std::string_view name) const {
   return FindByName(services, name);
--- a/src/core/config_check.cc
+++ b/src/core/config_check.cc
@@ -10,7 +10,6 @@
 namespace foxtailspread {
 namespace {
 
-constexpr size_t kDigestLength = 64;
 constexpr std::string_view kAnyService = "*";
 
 std::string ItemPath(std::string_view list, size_t index) {
@@ -31,14 +30,6 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-bool IsDigest(std::string_view text) {
-  const auto is_hex = [](char c) {
-    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
-  };
-  return text.size() == kDigestLength &&
-         std::all_of(text.begin(), text.end(), is_hex);
-}
-
 /// Collects the first error over all checks of one configuration.
 class reference_checker {
  public:
@@ -175,11 +166,7 @@
                     const std::string& path) {
     for (size_t i = 0; i < organisation.token_digests.size(); ++i) {
       const std::string place = ItemPath(path + ".token_digests", i);
-      if (!IsDigest(organisation.token_digests[i])) {
-        Fail(error_code::kMalformed, place, "is no SHA-256 digest",
-             "write the 64 lower-case hex digits that sha256sum prints for "
-             "the token; never the token itself");
-      }
+      Take(place, CheckTokenDigest(organisation.token_digests[i]));
       // One token for two organisations would let the first in the list answer
       // for both, and show one organisation's keys to the other.
       Unique(digests_, place, organisation.token_digests[i], "this digest");
--- a/src/core/config_parse.cc
+++ b/src/core/config_parse.cc
@@ -128,10 +128,7 @@
                  "upgrade this program, or write format " +
                      std::to_string(kConfigFormat)};
   }
-  const status read = reader.Finish();
-  const bool only_other_fields =
-      !read && read.error().code == error_code::kUnknownField;
-  return only_other_fields ? OkStatus() : read;
+  return reader.FinishPartly();
 }
 
 }  // namespace
--- a/src/core/json_reader.cc
+++ b/src/core/json_reader.cc
@@ -328,6 +328,10 @@
       }
     }
   }
+  return FinishPartly();
+}
+
+status object_reader::FinishPartly() const {
   if (first_error_) {
     return *first_error_;
   }
