Decide at the steward which request runs where and when

Every request of a range passes through one host, so that exact slots, one queue and shares between organisations need no exchange between hosts. A dispatcher composes a fair queue, a table of targets (ramp-up, ejection, silence), a retry budget and a guard against content that crashes targets.

The property test was seen failing with one slot too many allowed, with an at-most-once request repeated after a break, with attempt serials not counted up, and with the outcome not run said after a cancelled attempt.

--- /dev/null
+++ b/include/foxtailspread/dispatcher-inl.h
@@ -0,0 +1,857 @@
+#ifndef FOXTAILSPREAD_DISPATCHER_INL_H_
+#define FOXTAILSPREAD_DISPATCHER_INL_H_
+
+/// @file
+/// The bodies of basic_dispatcher. Include it to use a picker of one's own;
+/// the one with the default picker is compiled into the library.
+
+#include <algorithm>
+#include <cmath>
+
+#include "foxtailspread/dispatcher.h"
+
+namespace foxtailspread {
+
+namespace dispatch_internal {
+
+inline constexpr size_t kFirstIdBuckets = 1024;
+inline constexpr int kSerialBits = 32;
+
+inline duration Microseconds(double us) {
+  return duration(static_cast<int64_t>(std::ceil(us)));
+}
+
+}  // namespace dispatch_internal
+
+template <target_picker picker>
+basic_dispatcher<picker>::basic_dispatcher(placement_kind placement,
+                                           int buckets, picker choose)
+    : placement_(placement),
+      picker_(std::move(choose)),
+      id_buckets_(dispatch_internal::kFirstIdBuckets),
+      targets_(placement),
+      by_id_(typename request_index::bucket_traits(id_buckets_.data(),
+                                                   id_buckets_.size())),
+      owners_(static_cast<size_t>(buckets), int16_t{kNoTarget}),
+      rules_(1),
+      queued_(1) {}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::SetTargets(
+    std::span<const target_config> targets, int slots, int connections) {
+  targets_.Set(targets, std::min(slots, connections));
+  for (int i = 0; i < targets_.Size(); ++i) {
+    ApplyShares(targets_.At(i).queue);
+  }
+  changed_ = true;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::SetPolicy(
+    const preset_config& preset, std::span<const organisation_rule> rules) {
+  preset_ = preset;
+  rules_.assign(rules.begin(), rules.end());
+  queued_.resize(std::max(queued_.size(), rules_.size()));
+  ApplyShares(pooled_queue_);
+  for (int i = 0; i < targets_.Size(); ++i) {
+    ApplyShares(targets_.At(i).queue);
+  }
+  changed_ = true;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::ApplyShares(fair_queue& queue) {
+  for (size_t i = 0; i < rules_.size(); ++i) {
+    queue.SetShare(static_cast<int32_t>(i), rules_[i].share);
+  }
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::SetOwner(int32_t bucket, target_index owner) {
+  owners_[static_cast<size_t>(bucket)] = static_cast<int16_t>(owner);
+  changed_ = true;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::SetKeyOwner(uint64_t key_hash,
+                                           target_index owner) {
+  key_owners_[key_hash] = owner;
+  changed_ = true;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::ClearKeyOwner(uint64_t key_hash) {
+  key_owners_.erase(key_hash);
+  changed_ = true;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::SetTargetUsability(target_index target,
+                                                  target_usability usability,
+                                                  time_point now) {
+  targets_.SetUsability(target, usability, now);
+  changed_ = true;
+}
+
+template <target_picker picker>
+target_index basic_dispatcher<picker>::OwnerOf(int32_t bucket,
+                                               uint64_t key_hash) const {
+  target_index owner = owners_[static_cast<size_t>(bucket)];
+  if (!key_owners_.empty()) {
+    const auto found = key_owners_.find(key_hash);
+    owner = found == key_owners_.end() ? owner : found->second;
+  }
+  return owner != kNoTarget && targets_.Usable(owner) ? owner : kNoTarget;
+}
+
+template <target_picker picker>
+const organisation_rule& basic_dispatcher<picker>::RuleOf(
+    int32_t organisation) const {
+  static const organisation_rule default_rule;
+  const auto index = static_cast<size_t>(organisation);
+  return index < rules_.size() ? rules_[index] : default_rule;
+}
+
+template <target_picker picker>
+fair_queue& basic_dispatcher<picker>::QueueOf(target_index target) {
+  return target == kNoTarget ? pooled_queue_ : targets_.At(target).queue;
+}
+
+// Admission.
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Submit(const dispatch_request& request,
+                                      time_point now, decisions& out) {
+  counters_.submitted++;
+  if (changed_) {
+    ApplyChanges(now, out);
+  }
+  dispatch_request admitted = request;
+  admitted.level =
+      std::max(request.level, RuleOf(request.organisation).most_urgent);
+  if (const std::optional<refusal> refused = Refuse(admitted, now)) {
+    counters_.refused++;
+    counters_.finished++;
+    out.emplace_back(finish_request{request.request_id,
+                                    dispatch_outcome::kNotRun, refused->reason,
+                                    refused->retry_after});
+    return;
+  }
+  live_request& live = Allocate(admitted);
+  Place(live, /*front=*/false, now);
+  Dispatch(live.queued_at, now, out);
+}
+
+template <target_picker picker>
+std::optional<typename basic_dispatcher<picker>::refusal>
+basic_dispatcher<picker>::Refuse(const dispatch_request& request,
+                                 time_point now) const {
+  if (suspended_ || now >= authority_) {
+    return refusal{finish_reason::kNoAuthority, kUnknownReturn};
+  }
+  if (poison_.IsQuarantined(request.content_hash, now)) {
+    return refusal{finish_reason::kPoisoned, poison_guard::kMarkLifetime};
+  }
+  if (request.level == urgency::kArchive && !preset_.admit_archive) {
+    return refusal{finish_reason::kArchiveClosed, kUnknownReturn};
+  }
+  if (!Keyed() && targets_.UsableCount() == 0) {
+    return refusal{finish_reason::kNoTarget, kUnknownReturn};
+  }
+  return RefuseByLoad(request, now);
+}
+
+template <target_picker picker>
+std::optional<typename basic_dispatcher<picker>::refusal>
+basic_dispatcher<picker>::RefuseByLoad(const dispatch_request& request,
+                                       time_point now) const {
+  const target_index target =
+      Keyed() ? OwnerOf(request.bucket, request.key_hash) : kNoTarget;
+  const duration left = request.deadline - now;
+  if (left <= duration::zero()) {
+    return refusal{finish_reason::kDeadline, DrainTime(target)};
+  }
+  const auto organisation = static_cast<size_t>(request.organisation);
+  int queued = 0;
+  if (organisation < queued_.size()) {
+    for (size_t c = 0; c <= static_cast<size_t>(request.level); ++c) {
+      queued += queued_[organisation][c];
+    }
+  }
+  if (queued >= RuleOf(request.organisation).max_queued) {
+    return refusal{finish_reason::kQueueFull, DrainTime(target)};
+  }
+  if (Keyed() && target == kNoTarget) {
+    return std::nullopt;
+  }
+  const fair_queue& queue = Keyed() ? targets_.At(target).queue : pooled_queue_;
+  if (queue.Empty()) {
+    return std::nullopt;
+  }
+  const double mean = MeanUs(target);
+  const double ahead = queue.SizeAhead(request.organisation, request.level) /
+                       queue.ShareNow(request.organisation);
+  const double turns = std::min(ahead, static_cast<double>(queue.Size())) + 1;
+  const double wait = turns * mean / ParallelSlots(target);
+  const duration needed = dispatch_internal::Microseconds(wait + mean);
+  if (needed > left) {
+    return refusal{finish_reason::kTooLate, needed - left};
+  }
+  return std::nullopt;
+}
+
+template <target_picker picker>
+double basic_dispatcher<picker>::ParallelSlots(target_index target) const {
+  const int slots =
+      target == kNoTarget ? targets_.UsableSlots() : targets_.At(target).slots;
+  return std::max(slots, 1);
+}
+
+template <target_picker picker>
+double basic_dispatcher<picker>::MeanUs(target_index target) const {
+  if (target != kNoTarget && !targets_.At(target).service.Empty()) {
+    return targets_.At(target).service.MeanUs();
+  }
+  return targets_.Service().MeanUs();
+}
+
+template <target_picker picker>
+duration basic_dispatcher<picker>::DrainTime(target_index target) const {
+  const int queued =
+      target == kNoTarget ? waiting_ : targets_.At(target).queue.Size();
+  return dispatch_internal::Microseconds((queued + 1) * MeanUs(target) /
+                                         ParallelSlots(target));
+}
+
+// The life of a request.
+
+template <target_picker picker>
+live_request& basic_dispatcher<picker>::Allocate(
+    const dispatch_request& request) {
+  if (free_requests_.empty()) {
+    free_requests_.push_back(requests_.emplace_back());
+  }
+  live_request& live = free_requests_.front();
+  free_requests_.pop_front();
+  live.request = request;
+  live.attempt = nullptr;
+  live.last_target = kNoTarget;
+  live.queued_at = kNoTarget;
+  live.may_have_run = false;
+  live.due = request.deadline;
+  by_due_.insert(live);
+  if (by_id_.size() >= id_buckets_.size()) {
+    std::vector<typename request_index::bucket_type> larger(id_buckets_.size() *
+                                                            2);
+    by_id_.rehash(
+        typename request_index::bucket_traits(larger.data(), larger.size()));
+    id_buckets_.swap(larger);
+  }
+  by_id_.insert(live);
+  const auto organisation = static_cast<size_t>(request.organisation);
+  if (organisation >= queued_.size()) {
+    queued_.resize(organisation + 1);
+  }
+  return live;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::SetDue(live_request& live, time_point due) {
+  if (live.due == due) {
+    return;
+  }
+  by_due_.erase(by_due_.iterator_to(live));
+  live.due = due;
+  by_due_.insert(live);
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Place(live_request& live, bool front,
+                                     time_point now) {
+  live.queued_at = kNoTarget;
+  if (!Keyed() && front) {
+    live.place = request_place::kRetry;
+    retries_.push_back(live);
+    CountWaiting(live, 1);
+    return;
+  }
+  if (Keyed()) {
+    live.queued_at = OwnerOf(live.request.bucket, live.request.key_hash);
+    if (live.queued_at == kNoTarget) {
+      Hold(live, now);
+      return;
+    }
+  }
+  live.place = request_place::kQueued;
+  SetDue(live, live.request.deadline);
+  CountWaiting(live, 1);
+  if (front) {
+    QueueOf(live.queued_at).PushFront(live);
+  } else {
+    QueueOf(live.queued_at).PushBack(live);
+  }
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Hold(live_request& live, time_point now) {
+  live.place = request_place::kHeld;
+  held_.push_back(live);
+  CountWaiting(live, 1);
+  SetDue(live, std::min(live.request.deadline, now + kOwnerWait));
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::CountWaiting(const live_request& live,
+                                            int step) {
+  const auto organisation = static_cast<size_t>(live.request.organisation);
+  queued_[organisation][static_cast<size_t>(live.request.level)] += step;
+  waiting_ += step;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Unlink(live_request& live) {
+  switch (live.place) {
+    case request_place::kQueued:
+      QueueOf(live.queued_at).Erase(live);
+      break;
+    case request_place::kRetry:
+      retries_.erase(retries_.iterator_to(live));
+      break;
+    case request_place::kHeld:
+      held_.erase(held_.iterator_to(live));
+      break;
+    case request_place::kRunning:
+    case request_place::kFree:
+      return;
+  }
+  CountWaiting(live, -1);
+  live.place = request_place::kFree;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Finish(live_request& live, finish_reason reason,
+                                      duration retry_after, decisions& out) {
+  if (live.attempt != nullptr) {
+    const running_attempt& attempt = *live.attempt;
+    const uint64_t id = uint64_t{attempt.serial}
+                            << dispatch_internal::kSerialBits |
+                        attempt.index;
+    out.emplace_back(cancel_attempt{id});
+    live.may_have_run = true;
+  }
+  const dispatch_outcome outcome = live.may_have_run
+                                       ? dispatch_outcome::kUnknown
+                                       : dispatch_outcome::kNotRun;
+  out.emplace_back(
+      finish_request{live.request.request_id, outcome, reason, retry_after});
+  counters_.finished++;
+  Release(live);
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Release(live_request& live) {
+  Unlink(live);
+  if (live.attempt != nullptr) {
+    live.attempt->request = nullptr;
+    live.attempt = nullptr;
+  }
+  by_due_.erase(by_due_.iterator_to(live));
+  by_id_.erase(by_id_.iterator_to(live));
+  live.place = request_place::kFree;
+  free_requests_.push_front(live);
+}
+
+// Starting.
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Dispatch(target_index target, time_point now,
+                                        decisions& out) {
+  if (suspended_ || now >= authority_) {
+    return;
+  }
+  if (!Keyed()) {
+    DispatchPooled(now, out);
+  } else if (target != kNoTarget) {
+    DispatchKeyed(target, now, out);
+  }
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::DispatchAll(time_point now, decisions& out) {
+  if (!Keyed()) {
+    Dispatch(kNoTarget, now, out);
+    return;
+  }
+  for (int i = 0; i < targets_.Size(); ++i) {
+    Dispatch(i, now, out);
+  }
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::DispatchPooled(time_point now, decisions& out) {
+  DispatchRetries(now, out);
+  while (!pooled_queue_.Empty()) {
+    const target_index target = picker_.Pick(targets_.Loads(), kNoTarget);
+    if (target == kNoTarget) {
+      return;
+    }
+    live_request* live =
+        pooled_queue_.Pop(ArchiveAllowed(target), MeanUs(kNoTarget));
+    if (live == nullptr) {
+      return;
+    }
+    live->place = request_place::kFree;
+    CountWaiting(*live, -1);
+    if (StillWorthwhile(*live, target, now, out)) {
+      Start(*live, target, now, out);
+    }
+  }
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::DispatchRetries(time_point now, decisions& out) {
+  auto next = retries_.begin();
+  while (next != retries_.end()) {
+    live_request& live = *next;
+    ++next;
+    target_index target = picker_.Pick(targets_.Loads(), live.last_target);
+    if (target == kNoTarget && targets_.UsableCount() <= 1) {
+      target = picker_.Pick(targets_.Loads(), kNoTarget);
+    }
+    if (target == kNoTarget) {
+      continue;
+    }
+    Unlink(live);
+    if (StillWorthwhile(live, target, now, out)) {
+      Start(live, target, now, out);
+    }
+  }
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::DispatchKeyed(target_index target,
+                                             time_point now, decisions& out) {
+  fair_queue& queue = targets_.At(target).queue;
+  while (!queue.Empty() && targets_.HasFree(target)) {
+    live_request* live = queue.Pop(ArchiveAllowed(target), MeanUs(target));
+    if (live == nullptr) {
+      return;
+    }
+    live->place = request_place::kFree;
+    CountWaiting(*live, -1);
+    if (StillWorthwhile(*live, target, now, out)) {
+      Start(*live, target, now, out);
+    }
+  }
+}
+
+template <target_picker picker>
+bool basic_dispatcher<picker>::ArchiveAllowed(target_index target) const {
+  const int slots = targets_.UsableSlots();
+  const double share = preset_.archive_share;
+  const int most = std::max(1, static_cast<int>(share * slots));
+  const target_state& state = targets_.At(target);
+  const int most_here = std::max(1, static_cast<int>(share * state.slots));
+  return targets_.ArchiveRunning() < most && state.archive_running < most_here;
+}
+
+// Work that cannot be answered in time any more would take a slot from work
+// that can; and content that took targets down is checked again here, as its
+// copies may have been waiting while it did.
+template <target_picker picker>
+bool basic_dispatcher<picker>::StillWorthwhile(live_request& live,
+                                               target_index target,
+                                               time_point now, decisions& out) {
+  const uint64_t content = live.request.content_hash;
+  const int crashes = poison_.Crashes(content, now);
+  if (crashes >= poison_guard::kQuarantineCrashes) {
+    Finish(live, finish_reason::kPoisoned, poison_guard::kMarkLifetime, out);
+    return false;
+  }
+  if (crashes > 0 && RunsNow(content)) {
+    Hold(live, now);
+    return false;
+  }
+  const auto expected = dispatch_internal::Microseconds(MeanUs(target));
+  if (live.request.deadline - now < expected) {
+    Finish(live, finish_reason::kDeadline, DrainTime(live.queued_at), out);
+    return false;
+  }
+  return true;
+}
+
+template <target_picker picker>
+bool basic_dispatcher<picker>::RunsNow(uint64_t content_hash) const {
+  for (int i = 0; i < targets_.Size(); ++i) {
+    for (const running_attempt& attempt : targets_.At(i).attempts) {
+      if (attempt.content_hash == content_hash) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Start(live_request& live, target_index target,
+                                     time_point now, decisions& out) {
+  running_attempt& attempt = AllocateAttempt();
+  attempt.request = &live;
+  attempt.target = target;
+  attempt.content_hash = live.request.content_hash;
+  attempt.organisation = live.request.organisation;
+  attempt.level = live.request.level;
+  attempt.charged = MeanUs(Keyed() ? target : kNoTarget);
+  if (live.last_target == kNoTarget) {
+    counters_.first_starts++;
+    retry_tokens_ = std::min(retry_tokens_ + preset_.retry_budget, kRetryBurst);
+  } else {
+    counters_.retries++;
+  }
+  live.attempt = &attempt;
+  live.place = request_place::kRunning;
+  live.last_target = target;
+  const time_point deadline = std::min(live.request.deadline, authority_);
+  SetDue(live, deadline);
+  if (!targets_.AnyRunning()) {
+    next_check_ = now + kCheckPeriod;
+  }
+  targets_.Started(attempt, now);
+  const uint64_t id = uint64_t{attempt.serial}
+                          << dispatch_internal::kSerialBits |
+                      attempt.index;
+  out.emplace_back(
+      start_attempt{live.request.request_id, id, target, deadline});
+}
+
+// Ends of attempts.
+
+template <target_picker picker>
+running_attempt& basic_dispatcher<picker>::AllocateAttempt() {
+  if (free_attempts_.empty()) {
+    running_attempt& fresh = attempts_.emplace_back();
+    fresh.index = static_cast<uint32_t>(attempts_.size() - 1);
+    return fresh;
+  }
+  running_attempt& reused = attempts_[free_attempts_.back()];
+  free_attempts_.pop_back();
+  return reused;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::FreeAttempt(running_attempt& attempt) {
+  attempt.serial++;
+  attempt.request = nullptr;
+  free_attempts_.push_back(attempt.index);
+}
+
+template <target_picker picker>
+running_attempt* basic_dispatcher<picker>::FindAttempt(uint64_t attempt_id) {
+  const auto index = static_cast<uint32_t>(attempt_id);
+  const auto serial =
+      static_cast<uint32_t>(attempt_id >> dispatch_internal::kSerialBits);
+  if (index >= attempts_.size()) {
+    return nullptr;
+  }
+  running_attempt& attempt = attempts_[index];
+  const bool current = attempt.serial == serial && attempt.hook.is_linked();
+  return current ? &attempt : nullptr;
+}
+
+template <target_picker picker>
+std::optional<uint64_t> basic_dispatcher<picker>::AttemptEnded(
+    uint64_t attempt_id, attempt_end end, time_point now, decisions& out) {
+  running_attempt* attempt = FindAttempt(attempt_id);
+  if (attempt == nullptr) {
+    return std::nullopt;
+  }
+  const target_index target = attempt->target;
+  live_request* live = attempt->request;
+  const double took = static_cast<double>((now - attempt->started).count());
+  QueueOf(Keyed() ? target : kNoTarget)
+      .Correct(attempt->organisation, took - attempt->charged);
+  bool target_lost = false;
+  if (end == attempt_end::kAnswered) {
+    CountAnswer(*attempt, now);
+  } else if (end == attempt_end::kBroken) {
+    target_lost = CountBreak(*attempt, now, out);
+  }
+  targets_.Released(*attempt);
+  CountHealth(*attempt, end, now, out);
+  FreeAttempt(*attempt);
+  std::optional<uint64_t> answered;
+  if (live != nullptr) {
+    live->attempt = nullptr;
+    live->place = request_place::kFree;
+    if (end == attempt_end::kAnswered) {
+      answered = live->request.request_id;
+      counters_.answered++;
+      Release(*live);
+    } else {
+      AfterFailure(*live, end, target_lost, now, out);
+    }
+  }
+  if (changed_) {
+    ApplyChanges(now, out);
+  }
+  Dispatch(target, now, out);
+  return answered;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::CountAnswer(running_attempt& attempt,
+                                           time_point now) {
+  targets_.Answered(attempt, now);
+  poison_.Clear(attempt.content_hash);
+  // An answer from before a break shows that only the connection was lost,
+  // not the target: what ran there then is no suspect.
+  break_record& record = targets_.At(attempt.target).last_break;
+  if (record.count > 0 && attempt.started < record.at) {
+    for (int i = 0; i < record.count; ++i) {
+      poison_.TakeBackCrash(record.contents[static_cast<size_t>(i)]);
+    }
+    record.count = 0;
+  }
+}
+
+template <target_picker picker>
+bool basic_dispatcher<picker>::CountBreak(running_attempt& attempt,
+                                          time_point now, decisions& out) {
+  poison_.CountCrash(attempt.content_hash, now);
+  const bool lost = targets_.Broke(attempt, now);
+  if (lost && targets_.Suspect(attempt.target, now, target_table::kFirstGate)) {
+    out.emplace_back(target_suspected{attempt.target});
+  }
+  return lost;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::CountHealth(running_attempt& attempt,
+                                           attempt_end end, time_point now,
+                                           decisions& out) {
+  const bool blameless = end == attempt_end::kAnswered ||
+                         end == attempt_end::kRefusedOwner ||
+                         end == attempt_end::kCancelled;
+  if (!blameless && targets_.Failed(attempt.target, end, now)) {
+    out.emplace_back(target_suspected{attempt.target});
+  }
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::AfterFailure(live_request& live, attempt_end end,
+                                            bool target_lost, time_point now,
+                                            decisions& out) {
+  const target_index target = live.last_target;
+  const duration later = DrainTime(Keyed() ? target : kNoTarget);
+  switch (end) {
+    case attempt_end::kNotStarted:
+    case attempt_end::kRefusedOwner:
+      break;
+    case attempt_end::kConnectFailed:
+      if (Keyed()) {
+        // Its gate bounds how often the owner is tried; no budget is needed.
+        Place(live, /*front=*/true, now);
+        return;
+      }
+      break;
+    case attempt_end::kBroken:
+      live.may_have_run = true;
+      if (!live.request.repeatable || target_lost) {
+        Finish(live, finish_reason::kTargetLost, later, out);
+        return;
+      }
+      break;
+    case attempt_end::kTimedOut:
+      live.may_have_run = true;
+      if (!live.request.repeatable) {
+        Finish(live, finish_reason::kDeadline, later, out);
+        return;
+      }
+      break;
+    case attempt_end::kCancelled:
+    case attempt_end::kAnswered:
+      live.may_have_run = true;
+      Finish(live, finish_reason::kCancelled, later, out);
+      return;
+  }
+  if (!SpendRetry()) {
+    Finish(live, finish_reason::kRetryBudget, later, out);
+    return;
+  }
+  if (end == attempt_end::kRefusedOwner && Keyed()) {
+    Hold(live, now);
+    return;
+  }
+  Place(live, /*front=*/true, now);
+}
+
+template <target_picker picker>
+bool basic_dispatcher<picker>::SpendRetry() {
+  if (retry_tokens_ < 1) {
+    return false;
+  }
+  retry_tokens_ -= 1;
+  return true;
+}
+
+// A frozen target would keep its requests until their deadline. Those that
+// may be repeated are taken back and run elsewhere, within the retry budget.
+template <target_picker picker>
+void basic_dispatcher<picker>::Rescue(target_index target, time_point now,
+                                      decisions& out) {
+  targets_.At(target).rescue = false;
+  for (running_attempt& attempt : targets_.At(target).attempts) {
+    live_request* live = attempt.request;
+    if (live == nullptr || !live->request.repeatable || !SpendRetry()) {
+      continue;
+    }
+    const uint64_t id = uint64_t{attempt.serial}
+                            << dispatch_internal::kSerialBits |
+                        attempt.index;
+    out.emplace_back(cancel_attempt{id});
+    attempt.request = nullptr;
+    live->attempt = nullptr;
+    live->may_have_run = true;
+    Place(*live, /*front=*/true, now);
+  }
+}
+
+// What comes with time or with setters.
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Cancel(uint64_t request_id, time_point now,
+                                      decisions& out) {
+  const auto found = by_id_.find(request_id);
+  if (found == by_id_.end()) {
+    return;
+  }
+  Finish(*found, finish_reason::kCancelled, duration::zero(), out);
+  if (changed_) {
+    ApplyChanges(now, out);
+  }
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Tick(time_point now, decisions& out) {
+  if (changed_) {
+    ApplyChanges(now, out);
+  }
+  Expire(now, out);
+  if (now >= next_check_) {
+    CheckTargets(now, out);
+    ReleaseHeld(now);
+    next_check_ = now + kCheckPeriod;
+  }
+  targets_.Refresh(now);
+  DispatchAll(now, out);
+}
+
+template <target_picker picker>
+std::optional<time_point> basic_dispatcher<picker>::NextWake() const {
+  std::optional<time_point> wake;
+  if (!by_due_.empty()) {
+    wake = by_due_.begin()->due;
+  }
+  if (NeedsChecks()) {
+    wake = std::min(wake.value_or(next_check_), next_check_);
+  }
+  return wake;
+}
+
+template <target_picker picker>
+bool basic_dispatcher<picker>::NeedsChecks() const {
+  return changed_ || targets_.AnyRunning() || waiting_ > 0;
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Suspend(time_point now, decisions& out) {
+  suspended_ = true;
+  auto next = by_due_.begin();
+  while (next != by_due_.end()) {
+    live_request& live = *next;
+    ++next;
+    if (live.place != request_place::kRunning) {
+      Finish(live, finish_reason::kNoAuthority, kUnknownReturn, out);
+    }
+  }
+  Expire(now, out);
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::ApplyChanges(time_point now, decisions& out) {
+  changed_ = false;
+  targets_.Refresh(now);
+  for (int i = 0; i < targets_.Size(); ++i) {
+    if (targets_.At(i).rescue) {
+      Rescue(i, now, out);
+    }
+  }
+  if (Keyed()) {
+    Reroute(now);
+  }
+  DispatchAll(now, out);
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Reroute(time_point now) {
+  for (int i = 0; i < targets_.Size(); ++i) {
+    targets_.At(i).queue.ForEach([&](live_request& live) {
+      if (OwnerOf(live.request.bucket, live.request.key_hash) != i) {
+        Unlink(live);
+        Place(live, /*front=*/false, now);
+      }
+    });
+  }
+  ReleaseHeld(now);
+}
+
+// Held requests whose owner is known again go on. They are given back to the
+// queue even if the owner is the one that refused: the grant may be there.
+template <target_picker picker>
+void basic_dispatcher<picker>::ReleaseHeld(time_point now) {
+  auto next = held_.begin();
+  while (next != held_.end()) {
+    live_request& live = *next;
+    ++next;
+    const bool owned = !Keyed() || OwnerOf(live.request.bucket,
+                                           live.request.key_hash) != kNoTarget;
+    if (owned) {
+      Unlink(live);
+      Place(live, /*front=*/true, now);
+    }
+  }
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::Expire(time_point now, decisions& out) {
+  while (!by_due_.empty() && by_due_.begin()->due <= now) {
+    live_request& live = *by_due_.begin();
+    const bool ownerless = live.place == request_place::kHeld && Keyed() &&
+                           live.due < live.request.deadline;
+    const target_index ran_at =
+        live.attempt == nullptr ? kNoTarget : live.attempt->target;
+    Finish(live, ownerless ? finish_reason::kNoOwner : finish_reason::kDeadline,
+           DrainTime(live.queued_at), out);
+    if (ran_at != kNoTarget &&
+        targets_.Failed(ran_at, attempt_end::kTimedOut, now)) {
+      out.emplace_back(target_suspected{ran_at});
+    }
+  }
+}
+
+template <target_picker picker>
+void basic_dispatcher<picker>::CheckTargets(time_point now, decisions& out) {
+  for (int i = 0; i < targets_.Size(); ++i) {
+    if (!targets_.IsSilent(i, now)) {
+      continue;
+    }
+    if (targets_.Suspect(i, now, target_table::kFrozenGate)) {
+      out.emplace_back(target_suspected{i});
+    }
+    Rescue(i, now, out);
+  }
+}
+
+}  // namespace foxtailspread
+
+#endif  // FOXTAILSPREAD_DISPATCHER_INL_H_
--- /dev/null
+++ b/include/foxtailspread/target_table.h
@@ -0,0 +1,186 @@
+#ifndef FOXTAILSPREAD_TARGET_TABLE_H_
+#define FOXTAILSPREAD_TARGET_TABLE_H_
+
+/// @file
+/// The targets of one range as their steward sees them: slots in use, ramp-up
+/// after a start, failures, ejection and silence. Only what live requests
+/// show counts here; the targets' own health and load endpoints lag and
+/// mislead.
+
+#include <array>
+#include <boost/intrusive/list.hpp>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "foxtailspread/config.h"
+#include "foxtailspread/dispatch_types.h"
+#include "foxtailspread/fair_queue.h"
+#include "foxtailspread/service_estimator.h"
+
+namespace foxtailspread {
+
+/// Whether a target may get new work, as said from outside the dispatcher.
+enum class target_usability {
+  kUsable,
+  kDraining,  ///< Finishes what runs, gets nothing new.
+  kDown,      ///< Known to be lost; what runs there is rescued if repeatable.
+};
+
+/// One attempt that has not ended yet. It holds its slot until AttemptEnded,
+/// also when its request has its final answer already.
+struct running_attempt {
+  boost::intrusive::list_member_hook<> hook;
+  live_request* request = nullptr;  ///< nullptr: the request ended before.
+  target_index target = kNoTarget;
+  uint32_t serial = 0;  ///< Tells a reused entry from the former one.
+  uint32_t index = 0;
+  time_point started;
+  uint64_t content_hash = 0;
+  int32_t organisation = 0;
+  urgency level = urgency::kOrdinary;
+  double charged = 0;  ///< Slot time charged to the organisation, in us.
+};
+
+using attempt_list = boost::intrusive::list<
+    running_attempt, boost::intrusive::member_hook<
+                         running_attempt, boost::intrusive::list_member_hook<>,
+                         &running_attempt::hook>>;
+
+/// What a picker sees of one target.
+struct target_load {
+  int32_t running = 0;
+  int32_t allowance = 0;  ///< Requests that it may run now, 0 to its slots.
+  uint64_t served = 0;    ///< Starts so far; breaks ties.
+};
+
+/// Chooses a target with a free slot other than `avoid`; kNoTarget if there
+/// is none.
+template <typename picker>
+concept target_picker = requires(picker p, std::span<const target_load> loads,
+                                 target_index avoid) {
+  { p.Pick(loads, avoid) } -> std::same_as<target_index>;
+};
+
+/// Chooses the lowest part of the allowance in use, then the fewest starts.
+/// A target that ramps up has a small allowance and so gets little.
+struct least_loaded_picker {
+  target_index Pick(std::span<const target_load> loads, target_index avoid);
+};
+
+/// Contents that ran when a target's connection last broke.
+struct break_record {
+  static constexpr int kMostContents = 8;
+  time_point at;
+  std::array<uint64_t, kMostContents> contents{};
+  int count = 0;
+};
+
+/// The state of one target.
+struct target_state {
+  std::string name;
+  bool present = false;  ///< In the list given last.
+  target_usability usability = target_usability::kUsable;
+  int slots = 0;
+  int ramp = 1;            ///< Allowance reached since the target came up.
+  int ramp_successes = 0;  ///< Answers since the last step of the ramp.
+  int failures = 0;        ///< In a row.
+  int ejections = 0;       ///< In a row; each lasts longer.
+  bool ejected = false;
+  bool probation = false;  ///< One request at a time until one succeeds.
+  bool suspected = false;
+  bool rescue = false;  ///< Its repeatable requests are to run elsewhere.
+  time_point gate;      ///< No starts before.
+  time_point last_answer;
+  int archive_running = 0;
+  service_estimator service;
+  break_record last_break;
+  attempt_list attempts;  ///< In order of start.
+  fair_queue queue;       ///< Used by keyed services only.
+};
+
+/// The targets of one range. Entries never move; an entry is used for another
+/// target only when the former one has left and nothing runs there.
+class target_table {
+ public:
+  static constexpr int kRampSuccesses = 4;
+  static constexpr int kFailuresToEject = 3;
+  static constexpr int kMostEjectedDivisor = 3;
+  static constexpr duration kFirstEjection{std::chrono::milliseconds{250}};
+  static constexpr duration kLongestEjection{std::chrono::seconds{10}};
+  static constexpr duration kFirstGate{std::chrono::milliseconds{10}};
+  static constexpr duration kLongestGate{std::chrono::milliseconds{250}};
+  static constexpr duration kLeastSilence{std::chrono::milliseconds{50}};
+  static constexpr duration kMostSilence{std::chrono::seconds{2}};
+  static constexpr duration kUnmeasuredSilence{std::chrono::milliseconds{250}};
+  static constexpr duration kFrozenGate{std::chrono::seconds{2}};
+  /// Breaks of one target within this time count as its loss.
+  static constexpr duration kBreakWindow{std::chrono::milliseconds{50}};
+
+  explicit target_table(placement_kind placement) : placement_(placement) {}
+
+  /// Replaces the list; targets of the same name keep their state and index.
+  void Set(std::span<const target_config> targets, int slots);
+  /// Returns the index of the target in the current list, or kNoTarget.
+  target_index Find(std::string_view name) const;
+  void SetUsability(target_index index, target_usability usability,
+                    time_point now);
+
+  int Size() const { return static_cast<int>(targets_.size()); }
+  target_state& At(target_index index) { return *targets_[Slot(index)]; }
+  const target_state& At(target_index index) const {
+    return *targets_[Slot(index)];
+  }
+  std::span<const target_load> Loads() const { return loads_; }
+  /// Returns whether the target may run one more request now.
+  bool HasFree(target_index index) const {
+    const target_load& load = loads_[Slot(index)];
+    return load.running < load.allowance;
+  }
+  /// Returns whether the target is in the list and not said to be unusable.
+  bool Usable(target_index index) const;
+  int UsableCount() const;
+  /// Returns the slots of all usable targets.
+  int UsableSlots() const;
+  int ArchiveRunning() const { return archive_running_; }
+  bool AnyRunning() const { return running_ > 0; }
+  const service_estimator& Service() const { return service_; }
+
+  /// Counts a start and its end; between them the slot is in use.
+  void Started(running_attempt& attempt, time_point now);
+  void Released(running_attempt& attempt);
+  /// Counts an answer: failures in a row end, the ramp goes on.
+  void Answered(const running_attempt& attempt, time_point now);
+  /// Counts a failure. Returns whether the target became suspected.
+  bool Failed(target_index index, attempt_end end, time_point now);
+  /// Records a break; returns whether it looks like the target's loss.
+  bool Broke(const running_attempt& attempt, time_point now);
+  /// Marks the target lost. Returns whether it was not suspected before.
+  bool Suspect(target_index index, time_point now, duration gate);
+  /// Returns whether the target has been silent for too long while it had
+  /// something to answer.
+  bool IsSilent(target_index index, time_point now) const;
+  /// Recomputes allowances that depend on the time.
+  void Refresh(time_point now);
+
+ private:
+  static size_t Slot(target_index index) { return static_cast<size_t>(index); }
+  void UpdateAllowance(target_index index, time_point now);
+  bool MayEject() const;
+  void Gate(target_state& target, time_point now);
+  duration SilenceThreshold() const;
+
+  placement_kind placement_;
+  std::vector<std::unique_ptr<target_state>> targets_;
+  std::vector<target_load> loads_;
+  service_estimator service_;
+  time_point last_answer_;
+  int running_ = 0;
+  int archive_running_ = 0;
+};
+
+}  // namespace foxtailspread
+
+#endif  // FOXTAILSPREAD_TARGET_TABLE_H_
--- /dev/null
+++ b/src/core/poison_guard.cc
@@ -0,0 +1,123 @@
+#include "foxtailspread/poison_guard.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace foxtailspread {
+
+poison_guard::poison_guard(size_t capacity)
+    : entries_(capacity),
+      buckets_(std::bit_ceil(capacity)),
+      by_hash_(entry_set::bucket_traits(buckets_.data(), buckets_.size())) {
+  for (entry& unused : entries_) {
+    free_.push_back(unused);
+  }
+}
+
+void poison_guard::CountCrash(uint64_t content_hash, time_point now) {
+  if (content_hash == 0) {
+    return;
+  }
+  entry& marked = FindOrInsert(content_hash, now);
+  marked.crashes++;
+  marked.marked_at = now;
+}
+
+void poison_guard::TakeBackCrash(uint64_t content_hash) {
+  const auto found = by_hash_.find(content_hash);
+  if (found == by_hash_.end()) {
+    return;
+  }
+  found->crashes--;
+  if (found->crashes <= 0) {
+    Remove(*found);
+  }
+}
+
+void poison_guard::Clear(uint64_t content_hash) {
+  if (in_use_.empty()) {
+    return;
+  }
+  const auto found = by_hash_.find(content_hash);
+  if (found != by_hash_.end()) {
+    Remove(*found);
+  }
+}
+
+int poison_guard::Crashes(uint64_t content_hash, time_point now) const {
+  const entry* marked = Find(content_hash, now);
+  return marked == nullptr ? 0 : marked->crashes;
+}
+
+bool poison_guard::IsQuarantined(uint64_t content_hash, time_point now) const {
+  return Crashes(content_hash, now) >= kQuarantineCrashes;
+}
+
+std::vector<poison_mark> poison_guard::Export(time_point now) const {
+  std::vector<poison_mark> marks;
+  marks.reserve(in_use_.size());
+  for (const entry& marked : in_use_) {
+    const duration age = now - marked.marked_at;
+    if (age < kMarkLifetime) {
+      marks.push_back({marked.content_hash, marked.crashes, age});
+    }
+  }
+  return marks;
+}
+
+void poison_guard::Import(std::span<const poison_mark> marks, time_point now) {
+  for (const poison_mark& mark : marks) {
+    if (mark.age >= kMarkLifetime) {
+      continue;
+    }
+    if (Crashes(mark.content_hash, now) >= mark.crashes) {
+      continue;
+    }
+    entry& marked = FindOrInsert(mark.content_hash, now);
+    marked.crashes = mark.crashes;
+    marked.marked_at = std::max(marked.marked_at, now - mark.age);
+  }
+}
+
+poison_guard::entry& poison_guard::FindOrInsert(uint64_t content_hash,
+                                                time_point now) {
+  const auto found = by_hash_.find(content_hash);
+  if (found != by_hash_.end()) {
+    if (now - found->marked_at >= kMarkLifetime) {
+      found->crashes = 0;
+    }
+    in_use_.splice(in_use_.end(), in_use_, in_use_.iterator_to(*found));
+    return *found;
+  }
+  if (free_.empty()) {
+    Remove(in_use_.front());
+  }
+  entry& fresh = free_.front();
+  free_.pop_front();
+  fresh.content_hash = content_hash;
+  fresh.crashes = 0;
+  fresh.marked_at = time_point{};
+  in_use_.push_back(fresh);
+  by_hash_.insert(fresh);
+  return fresh;
+}
+
+const poison_guard::entry* poison_guard::Find(uint64_t content_hash,
+                                              time_point now) const {
+  if (in_use_.empty() || content_hash == 0) {
+    return nullptr;
+  }
+  const auto found = by_hash_.find(content_hash);
+  if (found == by_hash_.end() || now - found->marked_at >= kMarkLifetime) {
+    return nullptr;
+  }
+  return &*found;
+}
+
+void poison_guard::Remove(entry& marked) {
+  by_hash_.erase(by_hash_.iterator_to(marked));
+  in_use_.erase(in_use_.iterator_to(marked));
+  free_.push_back(marked);
+}
+
+}  // namespace foxtailspread
--- /dev/null
+++ b/src/core/target_table.cc
@@ -0,0 +1,301 @@
+#include "foxtailspread/target_table.h"
+
+#include <algorithm>
+
+namespace foxtailspread {
+
+namespace {
+
+/// Silence lasts this many times the longest measured service time.
+constexpr int kSilenceFactor = 3;
+/// With no other target answering, the fault may be on this side.
+constexpr int kAloneFactor = 2;
+/// Doubling stops here, so that the shift cannot overflow.
+constexpr int kMostDoublings = 10;
+
+duration Doubled(duration first, int times, duration most) {
+  return std::min(first * (1 << std::min(times, kMostDoublings)), most);
+}
+
+}  // namespace
+
+target_index least_loaded_picker::Pick(std::span<const target_load> loads,
+                                       target_index avoid) {
+  target_index best = kNoTarget;
+  for (size_t i = 0; i < loads.size(); ++i) {
+    const target_load& load = loads[i];
+    const auto index = static_cast<target_index>(i);
+    if (load.running >= load.allowance || index == avoid) {
+      continue;
+    }
+    if (best == kNoTarget) {
+      best = index;
+      continue;
+    }
+    const target_load& least = loads[static_cast<size_t>(best)];
+    const int mine = load.running * least.allowance;
+    const int its = least.running * load.allowance;
+    if (mine < its || (mine == its && load.served < least.served)) {
+      best = index;
+    }
+  }
+  return best;
+}
+
+void target_table::Set(std::span<const target_config> targets, int slots) {
+  for (const auto& target : targets_) {
+    target->present = false;
+  }
+  for (const target_config& config : targets) {
+    const auto stays =
+        std::find_if(targets_.begin(), targets_.end(),
+                     [&](const auto& t) { return t->name == config.name; });
+    if (stays != targets_.end()) {
+      (*stays)->present = true;
+      (*stays)->slots = slots;
+      continue;
+    }
+    auto unused =
+        std::find_if(targets_.begin(), targets_.end(), [&](const auto& t) {
+          const bool named_again = std::any_of(
+              targets.begin(), targets.end(),
+              [&](const target_config& c) { return c.name == t->name; });
+          return !t->present && !named_again && t->attempts.empty() &&
+                 t->queue.Empty();
+        });
+    if (unused == targets_.end()) {
+      targets_.emplace_back();
+      loads_.emplace_back();
+      unused = targets_.end() - 1;
+    }
+    *unused = std::make_unique<target_state>();
+    (*unused)->name = config.name;
+    (*unused)->present = true;
+    (*unused)->slots = slots;
+    // Starts count as the average so far: a newcomer at 0 would win every
+    // tie until it had caught up with hours of starts.
+    uint64_t served = 0;
+    for (const target_load& load : loads_) {
+      served += load.served;
+    }
+    const auto place = static_cast<size_t>(unused - targets_.begin());
+    loads_[place] = {.served = served / loads_.size()};
+  }
+  for (size_t i = 0; i < targets_.size(); ++i) {
+    UpdateAllowance(static_cast<target_index>(i), last_answer_);
+  }
+}
+
+target_index target_table::Find(std::string_view name) const {
+  for (size_t i = 0; i < targets_.size(); ++i) {
+    if (targets_[i]->present && targets_[i]->name == name) {
+      return static_cast<target_index>(i);
+    }
+  }
+  return kNoTarget;
+}
+
+void target_table::SetUsability(target_index index, target_usability usability,
+                                time_point now) {
+  target_state& target = At(index);
+  if (target.usability == usability) {
+    return;
+  }
+  if (usability == target_usability::kUsable) {
+    target.ramp = 1;
+    target.ramp_successes = 0;
+    target.failures = 0;
+    target.ejected = false;
+    target.suspected = false;
+    target.gate = time_point{};
+  }
+  target.rescue = usability == target_usability::kDown;
+  target.usability = usability;
+  UpdateAllowance(index, now);
+}
+
+bool target_table::Usable(target_index index) const {
+  const target_state& target = At(index);
+  return target.present && target.usability == target_usability::kUsable;
+}
+
+int target_table::UsableCount() const {
+  int count = 0;
+  for (int i = 0; i < Size(); ++i) {
+    count += Usable(i) ? 1 : 0;
+  }
+  return count;
+}
+
+int target_table::UsableSlots() const {
+  int slots = 0;
+  for (int i = 0; i < Size(); ++i) {
+    slots += Usable(i) ? At(i).slots : 0;
+  }
+  return slots;
+}
+
+void target_table::Started(running_attempt& attempt, time_point now) {
+  target_state& target = At(attempt.target);
+  target_load& load = loads_[Slot(attempt.target)];
+  attempt.started = now;
+  target.attempts.push_back(attempt);
+  load.running++;
+  load.served++;
+  running_++;
+  if (attempt.level == urgency::kArchive) {
+    target.archive_running++;
+    archive_running_++;
+  }
+}
+
+void target_table::Released(running_attempt& attempt) {
+  target_state& target = At(attempt.target);
+  target.attempts.erase(target.attempts.iterator_to(attempt));
+  loads_[Slot(attempt.target)].running--;
+  running_--;
+  if (attempt.level == urgency::kArchive) {
+    target.archive_running--;
+    archive_running_--;
+  }
+}
+
+void target_table::Answered(const running_attempt& attempt, time_point now) {
+  target_state& target = At(attempt.target);
+  const duration took = now - attempt.started;
+  target.service.Add(took);
+  service_.Add(took);
+  target.last_answer = now;
+  last_answer_ = now;
+  target.failures = 0;
+  target.ejections = 0;
+  target.ejected = false;
+  target.suspected = false;
+  target.rescue = target.usability == target_usability::kDown;
+  target.gate = time_point{};
+  if (target.probation) {
+    target.probation = false;
+    target.ramp = 1;
+    target.ramp_successes = 0;
+  }
+  if (target.ramp < target.slots && ++target.ramp_successes >= kRampSuccesses) {
+    target.ramp++;
+    target.ramp_successes = 0;
+  }
+  UpdateAllowance(attempt.target, now);
+}
+
+bool target_table::Failed(target_index index, attempt_end end, time_point now) {
+  target_state& target = At(index);
+  target.failures++;
+  const bool unreachable = end == attempt_end::kConnectFailed;
+  const bool shed = end == attempt_end::kNotStarted;
+  if (unreachable || shed || target.failures >= kFailuresToEject) {
+    Gate(target, now);
+  }
+  UpdateAllowance(index, now);
+  const bool lost = !shed && target.failures >= kFailuresToEject;
+  if (!lost || target.suspected) {
+    return false;
+  }
+  target.suspected = true;
+  return true;
+}
+
+bool target_table::Broke(const running_attempt& attempt, time_point now) {
+  target_state& target = At(attempt.target);
+  break_record& record = target.last_break;
+  const bool together = record.count > 0 && now - record.at <= kBreakWindow;
+  if (!together) {
+    record.count = 0;
+  }
+  record.at = now;
+  if (record.count < break_record::kMostContents) {
+    record.contents[static_cast<size_t>(record.count)] = attempt.content_hash;
+    record.count++;
+  }
+  const bool others_run = target.attempts.size() > 1;
+  return together || !others_run;
+}
+
+bool target_table::Suspect(target_index index, time_point now, duration gate) {
+  target_state& target = At(index);
+  target.gate = std::max(target.gate, now + gate);
+  target.probation = true;
+  UpdateAllowance(index, now);
+  const bool fresh = !target.suspected;
+  target.suspected = true;
+  return fresh;
+}
+
+bool target_table::IsSilent(target_index index, time_point now) const {
+  const target_state& target = At(index);
+  if (target.attempts.empty() || target.suspected) {
+    return false;
+  }
+  const time_point since =
+      std::max(target.last_answer, target.attempts.front().started);
+  const duration threshold = SilenceThreshold();
+  const bool others_answer = last_answer_ > since;
+  return now - since > (others_answer ? threshold : threshold * kAloneFactor);
+}
+
+void target_table::Refresh(time_point now) {
+  for (int i = 0; i < Size(); ++i) {
+    UpdateAllowance(i, now);
+  }
+}
+
+void target_table::UpdateAllowance(target_index index, time_point now) {
+  const target_state& target = At(index);
+  int& allowance = loads_[Slot(index)].allowance;
+  if (!Usable(index) || now < target.gate) {
+    allowance = 0;
+  } else if (target.probation) {
+    allowance = 1;
+  } else {
+    allowance = std::min(target.ramp, target.slots);
+  }
+}
+
+bool target_table::MayEject() const {
+  int ejected = 0;
+  int usable = 0;
+  for (int i = 0; i < Size(); ++i) {
+    if (Usable(i)) {
+      usable++;
+      ejected += At(i).ejected ? 1 : 0;
+    }
+  }
+  const int most = std::max(usable / kMostEjectedDivisor, 1);
+  return ejected < most && ejected + 1 < usable;
+}
+
+void target_table::Gate(target_state& target, time_point now) {
+  target.probation = true;
+  // A keyed target stays the owner until its buckets move; it is only asked
+  // less often. A pooled one is left out for longer, unless too many would
+  // be: when most seem to fail, the fault may be ours, and leaving them all
+  // out would turn it into an outage.
+  const bool pooled = placement_ == placement_kind::kPooled;
+  const bool eject = pooled && target.failures >= kFailuresToEject &&
+                     (target.ejected || MayEject());
+  if (eject) {
+    target.gate =
+        now + Doubled(kFirstEjection, target.ejections, kLongestEjection);
+    target.ejected = true;
+    target.ejections++;
+    return;
+  }
+  target.gate = now + Doubled(kFirstGate, target.failures - 1, kLongestGate);
+}
+
+duration target_table::SilenceThreshold() const {
+  if (service_.Empty()) {
+    return kUnmeasuredSilence;
+  }
+  return std::clamp(service_.High() * kSilenceFactor, kLeastSilence,
+                    kMostSilence);
+}
+
+}  // namespace foxtailspread
--- /dev/null
+++ b/tests/dispatcher_fixture.h
@@ -0,0 +1,105 @@
+#ifndef FOXTAILSPREAD_TESTS_DISPATCHER_FIXTURE_H_
+#define FOXTAILSPREAD_TESTS_DISPATCHER_FIXTURE_H_
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "foxtailspread/dispatcher.h"
+
+namespace foxtailspread {
+
+/// A dispatcher in virtual time with helpers that pick out its decisions.
+class dispatcher_fixture : public testing::Test {
+ protected:
+  static constexpr int kBuckets = 8;
+  static constexpr int kSlots = 3;
+
+  static time_point At(int64_t ms) {
+    return time_point{std::chrono::milliseconds{ms}};
+  }
+
+  static std::vector<target_config> Targets(int count) {
+    std::vector<target_config> targets;
+    targets.reserve(static_cast<size_t>(count));
+    for (int i = 0; i < count; ++i) {
+      targets.push_back({.name = "target-" + std::to_string(i),
+                         .address = {},
+                         .zone = "trnje"});
+    }
+    return targets;
+  }
+
+  /// Sets up targets whose ramp-up is over.
+  static void SetUp(dispatcher& range, int targets) {
+    range.SetTargets(Targets(targets), kSlots, 50);
+    const std::vector<organisation_rule> rules(2);
+    range.SetPolicy(preset_config{}, rules);
+    for (int bucket = 0; bucket < kBuckets; ++bucket) {
+      range.SetOwner(bucket, bucket % targets);
+    }
+    std::vector<dispatch_decision> out;
+    for (uint64_t i = 0; i < 24UL * static_cast<uint64_t>(targets); ++i) {
+      dispatch_request warm = Request(1'000'000 + i);
+      warm.bucket = static_cast<int32_t>(i % kBuckets);
+      out.clear();
+      range.Submit(warm, At(0), out);
+      range.AttemptEnded(Starts(out).at(0).attempt_id, attempt_end::kAnswered,
+                         At(0) + std::chrono::milliseconds{2}, out);
+    }
+  }
+
+  static dispatch_request Request(uint64_t id) {
+    return {.request_id = id,
+            .organisation = 0,
+            .level = urgency::kOrdinary,
+            .deadline = At(2000),
+            .bucket = 0,
+            .key_hash = id,
+            .content_hash = id,
+            .repeatable = false};
+  }
+
+  template <typename kind>
+  static std::vector<kind> All(const std::vector<dispatch_decision>& out) {
+    std::vector<kind> found;
+    for (const dispatch_decision& decision : out) {
+      if (const kind* match = std::get_if<kind>(&decision)) {
+        found.push_back(*match);
+      }
+    }
+    return found;
+  }
+  static std::vector<start_attempt> Starts(
+      const std::vector<dispatch_decision>& out) {
+    return All<start_attempt>(out);
+  }
+  static std::vector<finish_request> Finishes(
+      const std::vector<dispatch_decision>& out) {
+    return All<finish_request>(out);
+  }
+
+  std::vector<dispatch_decision> Submit(dispatcher& range,
+                                        const dispatch_request& request,
+                                        int64_t ms = 10) {
+    std::vector<dispatch_decision> out;
+    range.Submit(request, At(ms), out);
+    return out;
+  }
+  std::vector<dispatch_decision> End(dispatcher& range, uint64_t attempt_id,
+                                     attempt_end end, int64_t ms) {
+    std::vector<dispatch_decision> out;
+    range.AttemptEnded(attempt_id, end, At(ms), out);
+    return out;
+  }
+  std::vector<dispatch_decision> Tick(dispatcher& range, int64_t ms) {
+    std::vector<dispatch_decision> out;
+    range.Tick(At(ms), out);
+    return out;
+  }
+};
+
+}  // namespace foxtailspread
+
+#endif  // FOXTAILSPREAD_TESTS_DISPATCHER_FIXTURE_H_
