--- /dev/null
+++ b/tests/fixed_seed.h
@@ -0,0 +1,14 @@
+#ifndef FOXTAILSPREAD_TESTS_FIXED_SEED_H_
+#define FOXTAILSPREAD_TESTS_FIXED_SEED_H_
+
+#include <cstdlib>
+
+namespace foxtailspread {
+
+/// Makes RapidCheck's runs repeatable in the programs that include this.
+/// RC_PARAMS in the environment, as a failed run prints it, goes before.
+inline const int kSeedIsFixed = ::setenv("RC_PARAMS", "seed=20240614", 0);
+
+}  // namespace foxtailspread
+
+#endif  // FOXTAILSPREAD_TESTS_FIXED_SEED_H_
