--- a/tests/fixed_seed.h
+++ b/tests/fixed_seed.h
@@ -7,7 +7,7 @@
 
 /// Makes RapidCheck's runs repeatable in the programs that include this.
 /// RC_PARAMS in the environment, as a failed run prints it, goes before.
-inline const int kSeedIsFixed = ::setenv("RC_PARAMS", "seed=20240614", 0);
+inline const int seed_is_fixed = ::setenv("RC_PARAMS", "seed=20240614", 0);
 
 }  // namespace foxtailspread
 
