Remember at-most-once actions at the steward of their range

The table decides on each send: run, attach to the first, answer or refuse. What it cannot vouch for reads unknown: an earlier epoch, a caller-made identifier while the tenure is younger than the resend window, an entry that was evicted after it began. One bit per minted sequence number keeps that last case apart from an identifier a caller kept and never used, so eviction costs no false unknown.

--- /dev/null
+++ b/src/core/action_log.cc
@@ -0,0 +1,76 @@
+#include "foxtailspread/action_log.h"
+
+#include <algorithm>
+
+namespace foxtailspread {
+namespace {
+
+constexpr uint64_t kWordBits = 64;
+
+uint64_t BitOf(uint64_t sequence) {
+  return uint64_t{1} << (sequence % kWordBits);
+}
+
+}  // namespace
+
+action_log::action_log(size_t capacity)
+    : max_words_(capacity / kWordBits + 1) {}
+
+void action_log::Clear() {
+  next_ = 0;
+  first_word_ = 0;
+  words_.clear();
+}
+
+uint64_t action_log::Reserve(uint64_t count) {
+  const uint64_t first = next_;
+  next_ += count;
+  return first;
+}
+
+bool action_log::IsKept(uint64_t sequence) const {
+  return sequence / kWordBits >= first_word_;
+}
+
+sequence_state action_log::StateOf(uint64_t sequence) const {
+  if (sequence >= next_) {
+    return sequence_state::kNotMinted;
+  }
+  if (!IsKept(sequence)) {
+    return sequence_state::kForgotten;
+  }
+  const uint64_t index = sequence / kWordBits - first_word_;
+  const bool begun =
+      index < words_.size() && (words_[index] & BitOf(sequence)) != 0;
+  return begun ? sequence_state::kBegun : sequence_state::kNeverBegun;
+}
+
+void action_log::MarkBegun(uint64_t sequence) {
+  if (!IsKept(sequence)) {
+    return;
+  }
+  const uint64_t word = sequence / kWordBits;
+  // A number far ahead must not make the log allocate all words between:
+  // what lies before the kept stretch is dropped first.
+  if (word >= first_word_ + max_words_) {
+    const uint64_t first = word + 1 - max_words_;
+    const uint64_t dropped =
+        std::min<uint64_t>(first - first_word_, words_.size());
+    words_.erase(words_.begin(),
+                 words_.begin() + static_cast<std::ptrdiff_t>(dropped));
+    first_word_ = first;
+  }
+  if (word - first_word_ >= words_.size()) {
+    words_.resize(word - first_word_ + 1);
+  }
+  words_[word - first_word_] |= BitOf(sequence);
+}
+
+void action_log::MarkNotBegun(uint64_t sequence) {
+  const uint64_t index = sequence / kWordBits - first_word_;
+  if (IsKept(sequence) && index < words_.size()) {
+    words_[index] &= ~BitOf(sequence);
+  }
+}
+
+}  // namespace foxtailspread
--- a/tests/fixed_seed.h
+++ b/tests/fixed_seed.h
@@ -5,9 +5,11 @@
 
 namespace foxtailspread {
 
-/// Makes RapidCheck's runs repeatable in the programs that include this.
-/// RC_PARAMS in the environment, as a failed run prints it, goes before.
-inline const int seed_is_fixed = ::setenv("RC_PARAMS", "seed=20240614", 0);
+/// Makes RapidCheck's runs repeatable, and of some thousands of cases, in the
+/// programs that include this. RC_PARAMS in the environment, as a failed run
+/// prints it, goes before.
+inline const int seed_is_fixed =
+    ::setenv("RC_PARAMS", "seed=20240614 max_success=3000 max_size=300", 0);
 
 }  // namespace foxtailspread
 
