--- a/include/foxtailspread/action_log.h
+++ b/include/foxtailspread/action_log.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <vector>
 
 namespace foxtailspread {
 
@@ -33,6 +34,16 @@
   /// Hands out `count` sequence numbers and returns the first.
   uint64_t Reserve(uint64_t count);
 
+  /// Returns the next number that Reserve would hand out.
+  uint64_t next() const { return next_; }
+  /// Returns the first number of which the state is kept.
+  uint64_t first_kept() const;
+  /// Returns the kept states, one bit a number, from first_kept() on.
+  std::vector<uint64_t> Words() const { return {words_.begin(), words_.end()}; }
+  /// Puts back what the three above gave.
+  void Restore(uint64_t next, uint64_t first_kept,
+               const std::vector<uint64_t>& words);
+
   sequence_state StateOf(uint64_t sequence) const;
 
   /// Notes that the action began; no effect on forgotten numbers.
--- a/include/foxtailspread/action_table-inl.h
+++ b/include/foxtailspread/action_table-inl.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "foxtailspread/action_export.h"
 #include "foxtailspread/action_table.h"
 
 namespace foxtailspread {
@@ -26,6 +27,89 @@
   return left_waiting;
 }
 
+template <typename Rules>
+void basic_action_table<Rules>::ContinueIn(uint64_t epoch) {
+  tenure_.covered.push_back(tenure_.epoch);
+  tenure_.epoch = epoch;
+}
+
+template <typename Rules>
+std::string basic_action_table<Rules>::Export(time_point now,
+                                              size_t max_body_bytes) const {
+  action_export memory;
+  memory.covered = tenure_.covered;
+  memory.covered.push_back(tenure_.epoch);
+  memory.age = now - tenure_.began_at;
+  memory.next = log_.next();
+  memory.first_kept = log_.first_kept();
+  memory.words = log_.Words();
+  for (const auto& [key, e] : entries_) {
+    exported_action one;
+    one.key = key;
+    one.organisation = e.organisation;
+    one.sequence = e.sequence;
+    one.content_hash = e.content_hash;
+    one.done = e.state == entry_state::kDone;
+    one.not_run = e.state == entry_state::kNotRun && !e.unknown_was_said;
+    one.attempt = e.attempt;
+    one.age = IsUnderWay(e) ? duration{0} : now - e.touched_at;
+    if (e.answer != nullptr) {
+      one.status = e.answer->status;
+      one.content_type = e.answer->content_type;
+      one.body_omitted = e.answer->body_omitted ||
+                         e.answer->body.size() > max_body_bytes;
+      if (!one.body_omitted) {
+        max_body_bytes -= e.answer->body.size();
+        one.body = e.answer->body;
+      }
+    }
+    memory.actions.push_back(std::move(one));
+  }
+  return FormatActionExport(memory);
+}
+
+template <typename Rules>
+status basic_action_table<Rules>::Import(std::string_view text,
+                                         time_point now) {
+  const result<action_export> parsed = ParseActionExport(text);
+  if (!parsed) {
+    return parsed.error();
+  }
+  const action_export& memory = parsed.value();
+  tenure_.covered = memory.covered;
+  tenure_.began_at = now - memory.age;
+  organisations_.clear();
+  log_.Restore(memory.next, memory.first_kept, memory.words);
+  std::vector<const exported_action*> oldest_first;
+  for (const exported_action& one : memory.actions) {
+    oldest_first.push_back(&one);
+  }
+  std::ranges::stable_sort(oldest_first, std::greater<>(),
+                           &exported_action::age);
+  for (const exported_action* one : oldest_first) {
+    const auto place = entries_.try_emplace(one->key).first;
+    entry& e = place->second;
+    e.key = &place->first;
+    e.organisation = one->organisation;
+    e.content_hash = one->content_hash;
+    e.sequence = one->sequence;
+    e.attempt = one->attempt;
+    e.unknown_was_said = !one->done && !one->not_run;
+    if (one->done) {
+      boost::intrusive_ptr<stored_answer> answer(new stored_answer);
+      answer->status = one->status;
+      answer->content_type = one->content_type;
+      answer->body = one->body;
+      answer->body_omitted = one->body_omitted;
+      KeepAnswer(e, answer);
+    }
+    const entry_state ended =
+        one->not_run ? entry_state::kNotRun : entry_state::kUnknown;
+    Settle(now - one->age, e, one->done ? entry_state::kDone : ended);
+  }
+  return OkStatus();
+}
+
 template <typename Rules>
 action_decision basic_action_table<Rules>::Begin(time_point now,
                                                  const action_send& send) {
--- a/include/foxtailspread/action_table.h
+++ b/include/foxtailspread/action_table.h
@@ -99,6 +99,12 @@
   std::string range;
   uint64_t epoch = 0;
   time_point began_at{};
+  /// Earlier epochs whose whole memory was taken over, in a planned handover
+  /// or by a steward that goes on under a new epoch.
+  std::vector<uint64_t> covered;
+
+  /// Returns whether this tenure's memory is complete for ids of `minted`.
+  bool Covers(uint64_t minted) const;
 };
 
 /// The bounds of one table.
@@ -189,6 +195,18 @@
   /// may have begun, so each is to be told `unknown`.
   waiter_list ResetTenure(action_tenure tenure);
 
+  /// Goes on in a new epoch with everything remembered.
+  void ContinueIn(uint64_t epoch);
+
+  /// Writes the whole memory as JSON text for the successor of a planned
+  /// handover. Answers beyond `max_body_bytes` in sum go without their bodies.
+  std::string Export(time_point now, size_t max_body_bytes) const;
+
+  /// Takes over what a predecessor exported, right after ResetTenure. Actions
+  /// that were under way there read `unknown` here. Text that cannot be read
+  /// changes nothing: the predecessor's identifiers then read `unknown`.
+  status Import(std::string_view text, time_point now);
+
   /// Takes `count` sequence numbers for identifiers of this tenure and returns
   /// the first. Only identifiers with a reserved number may run.
   uint64_t Reserve(uint64_t count) { return log_.Reserve(count); }
--- a/include/foxtailspread/entry_host.h
+++ b/include/foxtailspread/entry_host.h
@@ -42,7 +42,7 @@
 /// @endcode
 class entry_host {
  public:
-  entry_host(const host_identity& identity, const host_timing& timing);
+  entry_host(const host_identity& identity, const decision_timing& timing);
   entry_host(const entry_host&) = delete;
   entry_host& operator=(const entry_host&) = delete;
 
@@ -86,7 +86,7 @@
   size_t Rank() const;
   target_notices Notices() const;
 
-  host_timing timing_;
+  decision_timing timing_;
   host_entry self_;
   peer_directory directory_;
   object_sync sync_;
--- a/include/foxtailspread/hash.h
+++ b/include/foxtailspread/hash.h
@@ -19,9 +19,6 @@
 uint64_t HashParts(std::initializer_list<std::string_view> parts,
                    uint64_t number);
 
-/// Returns the bucket of a key, 0 to `buckets` - 1.
-int BucketOfKey(std::string_view key, int buckets);
-
 }  // namespace foxtailspread
 
 #endif  // FOXTAILSPREAD_HASH_H_
--- a/include/foxtailspread/host_io.h
+++ b/include/foxtailspread/host_io.h
@@ -15,6 +15,7 @@
 
 #include "foxtailspread/config.h"
 #include "foxtailspread/dispatch_types.h"
+#include "foxtailspread/events.h"
 #include "foxtailspread/object_cache.h"
 #include "foxtailspread/peer_message.h"
 
@@ -246,12 +247,12 @@
 };
 
 /// One field of a log event.
-using log_field = std::pair<std::string, std::string>;
+using event_field = std::pair<std::string, std::string>;
 
 /// Write a numbered event to the log.
 struct log_action {
-  int event = 0;
-  std::vector<log_field> fields;
+  event_id event = event_id::kHostStarted;
+  std::vector<event_field> fields;
 };
 
 /// Everything is handed over and answered: the process may end.
--- a/include/foxtailspread/range_steward.h
+++ b/include/foxtailspread/range_steward.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -103,9 +104,13 @@
   bool OnGrant(const grant_ended& ended, time_point now);
 
   /// Returns the action table for the successor of a planned handover.
-  std::string ExportActions() const;
+  std::string ExportActions(time_point now) const;
   /// Keeps the predecessor's action table for the tenure that begins next.
-  void ImportActions(uint64_t epoch, std::string actions);
+  void ImportActions(std::string actions) {
+    handed_actions_ = std::move(actions);
+  }
+  /// Goes on in a new epoch: the roster was renumbered under this steward.
+  void ContinueIn(uint64_t epoch);
 
   uint64_t epoch() const { return epoch_; }
   bool active() const { return active_; }
@@ -153,7 +158,7 @@
                      steward_output& out);
   void Mint(const steward_request& request, steward_output& out);
   std::string NextAction(std::string_view organisation);
-  void ApplyOwnerChanges(const ownership_step& step, time_point now);
+  void ApplyOwnerChanges(const ownership_step& step);
   void PlanOwners(time_point now);
   void UpdateUsability(time_point now);
   void RebuildMap();
@@ -182,8 +187,8 @@
   bucket_owners owners_;
   std::unique_ptr<dispatcher> dispatcher_;
   action_table actions_;
+  std::string handed_actions_;
   range_map map_;
-  uint64_t map_changes_ = 0;
 
   std::unordered_map<uint64_t, live_request> requests_;
   std::unordered_map<uint64_t, live_attempt> attempts_;
--- a/include/foxtailspread/range_table.h
+++ b/include/foxtailspread/range_table.h
@@ -24,7 +24,7 @@
 namespace foxtailspread {
 
 /// The times of an entry host's decisions.
-struct host_timing {
+struct decision_timing {
   authority_timing authority;
   lease_timing lease;
   sync_timing sync;
@@ -50,7 +50,7 @@
 struct host_context {
   member self;
   std::string zone;
-  host_timing timing;
+  decision_timing timing;
   action_secret secret;
   peer_directory& directory;
   object_sync& sync;
@@ -71,6 +71,7 @@
   std::unique_ptr<range_steward> steward;      ///< In this host's zone only.
   range_map newest_map;
   bool handed_over = false;
+  bool renumbered = false;  ///< Its steward, this host, got a new epoch.
   std::string hint;          ///< The host that last answered as steward.
   time_point avoid_until{};  ///< Its steward could not be reached lately.
   uint64_t noticed_map_seq = 0;
--- a/include/foxtailspread/trace.h
+++ b/include/foxtailspread/trace.h
@@ -26,12 +26,12 @@
 /// The start of a trace. The secret is not part of it.
 struct trace_start {
   host_identity identity;
-  host_timing timing;
+  decision_timing timing;
 };
 
 /// Writes the first line, without the end of line.
 std::string FormatTraceStart(const host_identity& identity,
-                             const host_timing& timing);
+                             const decision_timing& timing);
 /// Parses the first line.
 result<trace_start> ParseTraceStart(std::string_view line);
 
--- a/src/core/action_log.cc
+++ b/src/core/action_log.cc
@@ -28,6 +28,15 @@
   return first;
 }
 
+uint64_t action_log::first_kept() const { return first_word_ * kWordBits; }
+
+void action_log::Restore(uint64_t next, uint64_t first_kept,
+                         const std::vector<uint64_t>& words) {
+  next_ = next;
+  first_word_ = first_kept / kWordBits;
+  words_.assign(words.begin(), words.end());
+}
+
 bool action_log::IsKept(uint64_t sequence) const {
   return sequence / kWordBits >= first_word_;
 }
--- a/src/core/action_table.cc
+++ b/src/core/action_table.cc
@@ -1,7 +1,13 @@
 #include "foxtailspread/action_table.h"
 
+#include <algorithm>
+
 namespace foxtailspread {
 
+bool action_tenure::Covers(uint64_t minted) const {
+  return minted == epoch || std::ranges::find(covered, minted) != covered.end();
+}
+
 std::string_view ToString(action_outcome outcome) {
   switch (outcome) {
     case action_outcome::kDone:
@@ -72,7 +78,7 @@
   if (id.minted->epoch > memory.tenure.epoch) {
     return unseen_action::kLaterEpoch;
   }
-  if (id.minted->epoch < memory.tenure.epoch) {
+  if (!memory.tenure.Covers(id.minted->epoch)) {
     return unseen_action::kUnknowable;
   }
   // A number that this tenure never handed out, under its own epoch, means
--- a/src/core/entry_host.cc
+++ b/src/core/entry_host.cc
@@ -29,7 +29,8 @@
   return "unknown";
 }
 
-entry_host::entry_host(const host_identity& identity, const host_timing& timing)
+entry_host::entry_host(const host_identity& identity,
+                       const decision_timing& timing)
     : timing_(timing),
       self_(identity.self),
       directory_(identity.self),
@@ -88,7 +89,7 @@
   if (!started_) {
     started_ = true;
     out.actions.push_back(log_action{
-        kEventHostStarted,
+        event_id::kHostStarted,
         {{"host", self_.name}, {"life", std::to_string(self_.life)}}});
   }
   sync_.Tick(now, Rank(), out.actions);
@@ -194,7 +195,7 @@
       const status taken = ranges_.OnRecord(change, now);
       if (!taken) {
         out.push_back(log_action{
-            kEventObjectRefused,
+            event_id::kObjectRefused,
             {{"key", change.key}, {"error", taken.error().Message()}}});
       }
     } else if (change.key.starts_with(kHostKeyPrefix)) {
@@ -208,7 +209,7 @@
         directory_.Update(entry.value());
       } else {
         out.push_back(log_action{
-            kEventObjectRefused,
+            event_id::kObjectRefused,
             {{"key", change.key}, {"error", entry.error().Message()}}});
       }
     } else if (change.key.starts_with(kDrainKeyPrefix)) {
@@ -221,21 +222,21 @@
                             action_list& out) {
   if (change.deleted) {
     // Nothing replaces a configuration by none; the last good one stays.
-    out.push_back(log_action{kEventConfigRefused,
+    out.push_back(log_action{event_id::kConfigRefused,
                              {{"error", "the configuration was removed"}}});
     return;
   }
   result<deployment_config> parsed = ParseConfig(change.value);
   if (!parsed) {
     refused_config_ = change.revision;
-    out.push_back(log_action{kEventConfigRefused,
+    out.push_back(log_action{event_id::kConfigRefused,
                              {{"version", std::to_string(change.revision)},
                               {"error", parsed.error().Message()}}});
     return;
   }
   config_ = std::move(parsed.value());
   config_->version = change.revision;
-  out.push_back(log_action{kEventConfigInForce,
+  out.push_back(log_action{event_id::kConfigInForce,
                            {{"version", std::to_string(change.revision)},
                             {"preset", config_->preset}}});
   Reconfigure(now);
@@ -301,7 +302,7 @@
   if (late || (ranges_.Released() && front_.size() == 0)) {
     stopped_ = true;
     out.actions.push_back(
-        log_action{kEventHostStopped, {{"host", self_.name}}});
+        log_action{event_id::kHostStopped, {{"host", self_.name}}});
     out.actions.push_back(stop_action{});
   }
 }
--- a/src/core/hash.cc
+++ b/src/core/hash.cc
@@ -17,8 +17,4 @@
   return hash;
 }
 
-int BucketOfKey(std::string_view key, int buckets) {
-  return static_cast<int>(HashText(key) % static_cast<uint64_t>(buckets));
-}
-
 }  // namespace foxtailspread
--- a/src/core/range_steward.cc
+++ b/src/core/range_steward.cc
@@ -8,6 +8,9 @@
 namespace foxtailspread {
 namespace {
 
+/// What a handover carries of kept answers at most.
+constexpr size_t kMaxHandedBodyBytes = size_t{1} << 20;
+
 std::vector<std::string> Names(const std::vector<target_config>& targets) {
   std::vector<std::string> names;
   for (const target_config& target : targets) {
@@ -76,13 +79,19 @@
   active_ = true;
   stopped_taking_ = false;
   const std::vector<uint64_t> waiters =
-      actions_.ResetTenure(action_tenure{range_, epoch, now});
+      actions_.ResetTenure(action_tenure{range_, epoch, now, {}});
   answer_action unknown;
   unknown.outcome = request_outcome::kUnknown;
   unknown.code = "steward-changed";
   unknown.reason = "the range changed hands while the action was under way";
   unknown.remedy = "look up whether it took effect before a new one is sent";
   AnswerWaiters(waiters, unknown, "", out);
+  const std::string handed = std::exchange(handed_actions_, "");
+  if (handed_over && !handed.empty()) {
+    // Unreadable text leaves the memory empty, which is safe: identifiers of
+    // the predecessor's epoch then read unknown.
+    static_cast<void>(actions_.Import(handed, now));
+  }
 
   const bool keyed = service_->placement == placement_kind::kKeyed;
   owners_.Begin(keyed ? service_->buckets : 0);
@@ -113,6 +122,16 @@
   PlanOwners(now);
 }
 
+std::string range_steward::ExportActions(time_point now) const {
+  return actions_.Export(now, kMaxHandedBodyBytes);
+}
+
+void range_steward::ContinueIn(uint64_t epoch) {
+  epoch_ = epoch;
+  map_.epoch = epoch;
+  actions_.ContinueIn(epoch);
+}
+
 void range_steward::Resume() {
   active_ = true;
   dispatcher_->Resume();
@@ -141,7 +160,7 @@
   owners_.Step(
       now, acting_until, [this](int bucket) { return BucketRunning(bucket); },
       step);
-  ApplyOwnerChanges(step, now);
+  ApplyOwnerChanges(step);
   for (const grant_order& order : step.orders) {
     const target_config* target = TargetAt(order.target);
     if (target == nullptr) {
@@ -158,8 +177,7 @@
   actions_.Expire(now);
 }
 
-void range_steward::ApplyOwnerChanges(const ownership_step& step,
-                                      time_point now) {
+void range_steward::ApplyOwnerChanges(const ownership_step& step) {
   for (const owner_change& change : step.changes) {
     target_index owner = kNoTarget;
     if (change.target >= 0) {
@@ -174,7 +192,6 @@
   if (!step.changes.empty()) {
     RebuildMap();
   }
-  static_cast<void>(now);
 }
 
 void range_steward::RebuildMap() {
--- a/src/core/range_steward_requests.cc
+++ b/src/core/range_steward_requests.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "foxtailspread/hash.h"
+#include "foxtailspread/placement.h"
 #include "foxtailspread/range_steward.h"
 
 namespace foxtailspread {
@@ -141,7 +142,7 @@
   live_request live;
   live.request = request;
   if (service_->placement == placement_kind::kKeyed) {
-    live.bucket = BucketOfKey(request.key, service_->buckets);
+    live.bucket = BucketOf(KeyHash(request.key), service_->buckets);
   }
   if (service_->at_most_once) {
     SubmitAction(std::move(live), now, out);
@@ -200,7 +201,7 @@
   wanted.level = request.level;
   wanted.deadline = request.deadline;
   wanted.bucket = live.bucket;
-  wanted.key_hash = HashText(request.key);
+  wanted.key_hash = KeyHash(request.key);
   wanted.content_hash = HashParts(
       {request.organisation, service_->name, request.key}, request.body_hash);
   wanted.repeatable = !service_->at_most_once;
--- a/src/core/range_table.cc
+++ b/src/core/range_table.cc
@@ -79,7 +79,11 @@
     node->newest_map = node->record->map;
   }
   if (node->authority != nullptr) {
+    const uint64_t before = node->authority->epoch();
     node->authority->SetRecord(*node->record, now);
+    // Nobody else can have acted between the two epochs of a steward that
+    // held the range when it was renumbered.
+    node->renumbered |= node->acting && before != node->authority->epoch();
   }
   return OkStatus();
 }
@@ -106,19 +110,27 @@
   const bool acting = now < until;
   if (acting && !node.acting) {
     node.acting_since = now;
-    if (node.steward->epoch() != node.authority->epoch()) {
+    if (node.steward->epoch() == node.authority->epoch()) {
+      node.steward->Resume();
+    } else if (node.renumbered) {
+      node.steward->ContinueIn(node.authority->epoch());
+      node.steward->Resume();
+    } else {
       node.steward->BeginTenure(node.authority->epoch(), node.newest_map,
                                 node.handed_over, now, out);
-      node.handed_over = false;
-    } else {
-      node.steward->Resume();
+      out.actions.push_back(
+          log_action{event_id::kStewardBegan,
+                     {{"range", node.name},
+                      {"epoch", std::to_string(node.authority->epoch())}}});
     }
-  } else if (acting && node.steward->epoch() != node.authority->epoch()) {
-    // The roster was renumbered; the same steward goes on in a new epoch.
-    node.steward->BeginTenure(node.authority->epoch(), node.steward->map(),
-                              true, now, out);
+    node.handed_over = false;
+    node.renumbered = false;
   } else if (!acting && node.acting) {
     node.steward->Suspend(now, out);
+    out.actions.push_back(
+        log_action{event_id::kStewardEnded,
+                   {{"range", node.name},
+                    {"epoch", std::to_string(node.steward->epoch())}}});
   }
   node.acting = acting;
   if (acting || node.steward->active()) {
@@ -264,7 +276,7 @@
   // from its map, which came in the same message.
   node->handed_over = true;
   node->authority->ClaimAfter(from, release.epoch);
-  node->steward->ImportActions(release.epoch, release.actions);
+  node->steward->ImportActions(release.actions);
 }
 
 void range_table::OnMap(const range_map_notice& notice) {
@@ -336,7 +348,7 @@
       }
     }
     const range_release release{name, node.authority->epoch(),
-                                node.steward->ExportActions()};
+                                node.steward->ExportActions(now)};
     node.authority->StepDown();
     node.steward->Suspend(now, out);
     node.acting = false;
--- a/src/core/request_front.cc
+++ b/src/core/request_front.cc
@@ -4,6 +4,7 @@
 
 #include "foxtailspread/bucket_homes.h"
 #include "foxtailspread/hash.h"
+#include "foxtailspread/placement.h"
 
 namespace foxtailspread {
 namespace {
@@ -216,7 +217,7 @@
                  "the service has no targets", "ask the operator"};
   }
   if (service.placement == placement_kind::kKeyed) {
-    const int bucket = BucketOfKey(request.key, service.buckets);
+    const int bucket = BucketOf(KeyHash(request.key), service.buckets);
     return RangeName(service.name, homes_.at(service.name)[bucket]);
   }
   if (request.action.empty()) {
--- a/src/core/trace.cc
+++ b/src/core/trace.cc
@@ -46,7 +46,7 @@
      found = true)),
    ...);
   if (!found) {
-    throw json::other_error::create(0, "unknown kind " + kind, content);
+    throw json::other_error::create(0, "unknown kind " + kind, &content);
   }
   return result;
 }
@@ -71,7 +71,7 @@
 }  // namespace
 
 std::string FormatTraceStart(const host_identity& identity,
-                             const host_timing& timing) {
+                             const decision_timing& timing) {
   return json{{"format", kTraceFormat},
               {"self", identity.self},
               {"seeds", identity.seeds},
@@ -88,7 +88,7 @@
     trace_start start;
     start.identity.self = value.at("self").get<host_entry>();
     start.identity.seeds = value.at("seeds").get<std::vector<host_entry>>();
-    start.timing = value.at("timing").get<host_timing>();
+    start.timing = value.at("timing").get<decision_timing>();
     return start;
   } catch (const json::exception& e) {
     return BadLine(e.what());
--- a/src/core/trace_json.h
+++ b/src/core/trace_json.h
@@ -4,36 +4,10 @@
 /// @file
 /// How the values of a trace are written in JSON.
 
-#include <chrono>
 #include <nlohmann/json.hpp>
-#include <optional>
 
 #include "foxtailspread/entry_host.h"
-
-// Durations and optional values have no conversion in the JSON library.
-namespace nlohmann {
-
-template <>
-struct adl_serializer<foxtailspread::duration> {
-  static void to_json(json& value, const foxtailspread::duration& d) {
-    value = d.count();
-  }
-  static void from_json(const json& value, foxtailspread::duration& d) {
-    d = foxtailspread::duration{value.get<int64_t>()};
-  }
-};
-
-template <typename T>
-struct adl_serializer<std::optional<T>> {
-  static void to_json(json& value, const std::optional<T>& optional) {
-    value = optional ? json(*optional) : json(nullptr);
-  }
-  static void from_json(const json& value, std::optional<T>& optional) {
-    optional = value.is_null() ? std::optional<T>{} : value.get<T>();
-  }
-};
-
-}  // namespace nlohmann
+#include "json_values.h"
 
 namespace foxtailspread {
 
@@ -114,7 +88,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(lease_timing, lease, renew, answer_wait)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(sync_timing, watch_wait, beacon_silence,
                                    rank_stagger, retry_first, retry_most)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(host_timing, authority, lease, sync, hello,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(decision_timing, authority, lease, sync, hello,
                                    peer_silence, first_record_wait,
                                    rank_stagger, map_record, map_notice,
                                    ready_lag, drain_limit, route_patience,
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -37,7 +37,7 @@
   std::string program;
 };
 
-open_log MakeLog(const log_settings& settings) {
+open_log MakeLog(const log_options& settings) {
   using log4cxx::ConsoleAppender;
   using log4cxx::FileAppender;
   const auto layout = std::make_shared<log4cxx::PatternLayout>(kPattern);
@@ -66,7 +66,7 @@
 
 }  // namespace
 
-void OpenLog(const log_settings& settings) { TheLog() = MakeLog(settings); }
+void OpenLog(const log_options& settings) { TheLog() = MakeLog(settings); }
 
 std::string FormatEvent(const event_definition& event, std::string_view program,
                         std::initializer_list<log_field> fields) {
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -21,7 +21,7 @@
 };
 
 /// Where the log goes and what is left out of it.
-struct log_settings {
+struct log_options {
   std::string file{};  ///< Standard error when empty.
   event_level least = event_level::kInfo;
   std::string program{};  ///< Added to each line.
@@ -29,7 +29,7 @@
 
 /// Opens the log. Call once, before the first event; without it, events go to
 /// standard error from the level info on.
-void OpenLog(const log_settings& settings);
+void OpenLog(const log_options& settings);
 
 /// Writes one event. Values are escaped: a line break in what a caller sent
 /// cannot forge a line of the log.
--- a/src/programs/foxtailspreadd/admin_pages.h
+++ b/src/programs/foxtailspreadd/admin_pages.h
@@ -7,10 +7,8 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 
-#include "foxtailspread/burn.h"
 #include "foxtailspread/entry_host.h"
 #include "foxtailspread/host_settings.h"
-#include "foxtailspread/metrics.h"
 #include "net/http_server.h"
 
 namespace foxtailspread {
@@ -23,9 +21,6 @@
 
   void Route(http_server& server);
 
-  /// Counts one ended request.
-  void Count(const request_report& report, time_point now);
-
  private:
   void Admin(const http_request& request, const responder_ptr& to);
   bool Authorised(const http_request& request) const;
@@ -35,8 +30,6 @@
 
   const entry_host& host_;
   const host_settings& settings_;
-  burn_report burn_;
-  metrics_registry metrics_;
 };
 
 }  // namespace foxtailspread
--- a/src/programs/foxtailspreadd/host_daemon.cc
+++ b/src/programs/foxtailspreadd/host_daemon.cc
@@ -1,7 +1,5 @@
 #include "host_daemon.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -10,6 +8,7 @@
 #include "foxtailspread/events.h"
 #include "foxtailspread/hash.h"
 #include "net/digest.h"
+#include "net/glib_mac.h"
 #include "net/log.h"
 
 namespace foxtailspread {
@@ -113,8 +112,8 @@
   return request_outcome::kUnknown;
 }
 
-host_timing TimingFrom(const host_settings& settings) {
-  host_timing timing;
+decision_timing TimingFrom(const host_settings& settings) {
+  decision_timing timing;
   timing.authority.promise = settings.timing.lease;
   timing.authority.renew = settings.timing.renew;
   timing.lease.lease = settings.timing.lease;
@@ -135,13 +134,23 @@
   // has a later life, also after the machine was replaced under its name.
   identity.self.life = static_cast<uint64_t>(g_get_real_time());
   identity.secret = action_secret{settings.host_secret, &GlibMac};
-  for (const peer_settings& peer_host : settings.peers) {
-    identity.seeds.push_back(host_entry{peer_host.name, peer_host.zone,
-                                        peer_host.http, peer_host.peer});
+  for (const peer_seed& seed : settings.peers) {
+    host_entry entry;
+    entry.name = seed.name;
+    entry.zone = seed.zone;
+    entry.http = seed.http;
+    entry.peer = seed.peer;
+    identity.seeds.push_back(std::move(entry));
   }
   return identity;
 }
 
+/// Returns the address that others are told: the one set, or the bound one
+/// where the settings left the port open.
+std::string Advertised(const std::string& set, const std::string& bound) {
+  return set.empty() || set.ends_with(":0") ? bound : set;
+}
+
 }  // namespace
 
 host_daemon::host_daemon(const host_settings& settings,
@@ -171,11 +180,10 @@
   if (!peer) {
     return peer.error();
   }
-  const std::string advertised =
-      settings_.advertise.empty() ? http.value() : settings_.advertise;
   const host_identity identity =
-      IdentityFrom(settings_, advertised, peer.value());
-  const host_timing timing = TimingFrom(settings_);
+      IdentityFrom(settings_, Advertised(settings_.advertise, http.value()),
+                   Advertised(settings_.peer_advertise, peer.value()));
+  const decision_timing timing = TimingFrom(settings_);
   if (!settings_.trace_file.empty()) {
     auto trace = trace_writer::Open(settings_.trace_file, identity, timing);
     if (!trace) {
@@ -318,9 +326,6 @@
   if (trace_ != nullptr) {
     trace_->Write(event, now, actions);
   }
-  for (const request_report& report : host_->TakeReports()) {
-    admin_->Count(report, now);
-  }
   CarryOut(actions);
 }
 
--- a/src/programs/foxtailspreadd/main.cc
+++ b/src/programs/foxtailspreadd/main.cc
@@ -22,6 +22,21 @@
   return code;
 }
 
+foxtailspread::event_level LevelOf(foxtailspread::log_level level) {
+  switch (level) {
+    case foxtailspread::log_level::kTrace:
+    case foxtailspread::log_level::kDebug:
+      return foxtailspread::event_level::kDebug;
+    case foxtailspread::log_level::kInfo:
+      return foxtailspread::event_level::kInfo;
+    case foxtailspread::log_level::kWarn:
+      return foxtailspread::event_level::kWarning;
+    case foxtailspread::log_level::kError:
+      break;
+  }
+  return foxtailspread::event_level::kError;
+}
+
 foxtailspread::result<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path);
   std::ostringstream text;
@@ -50,6 +65,11 @@
   }
   const size_t end = secret.value().find_last_not_of("\r\n");
   settings.value().host_secret = secret.value().substr(0, end + 1);
+  const auto good =
+      foxtailspread::CheckHostSecret(settings.value().host_secret);
+  if (!good) {
+    return good.error();
+  }
   return settings;
 }
 
@@ -77,8 +97,9 @@
     std::cout << path << ": good\n";
     return kExitOk;
   }
-  foxtailspread::StartLog(settings.value().log.level,
-                          settings.value().log.file);
+  foxtailspread::OpenLog({.file = settings.value().log.file,
+                          .least = LevelOf(settings.value().log.level),
+                          .program = settings.value().name});
   foxtailspread::event_loop loop;
   foxtailspread::host_daemon daemon(settings.value(), [&] { loop.Stop(); });
   const auto started = daemon.Start();
--- a/src/programs/foxtailspreadd/trace_writer.cc
+++ b/src/programs/foxtailspreadd/trace_writer.cc
@@ -4,7 +4,7 @@
 
 result<std::unique_ptr<trace_writer>> trace_writer::Open(
     const std::string& path, const host_identity& identity,
-    const host_timing& timing) {
+    const decision_timing& timing) {
   std::ofstream file(path, std::ios::trunc);
   file << FormatTraceStart(identity, timing) << '\n';
   if (!file) {
--- a/src/programs/foxtailspreadd/trace_writer.h
+++ b/src/programs/foxtailspreadd/trace_writer.h
@@ -18,7 +18,7 @@
   /// Starts the file anew. Fails if it cannot be written.
   static result<std::unique_ptr<trace_writer>> Open(
       const std::string& path, const host_identity& identity,
-      const host_timing& timing);
+      const decision_timing& timing);
 
   void Write(const host_event& event, time_point now,
              const action_list& actions);
