--- a/include/foxtailspread/action_table.h
+++ b/include/foxtailspread/action_table.h
@@ -101,7 +101,7 @@
   time_point began_at{};
   /// Earlier epochs whose whole memory was taken over, in a planned handover
   /// or by a steward that goes on under a new epoch.
-  std::vector<uint64_t> covered;
+  std::vector<uint64_t> covered{};
 
   /// Returns whether this tenure's memory is complete for ids of `minted`.
   bool Covers(uint64_t minted) const;
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -69,7 +69,7 @@
 void OpenLog(const log_options& settings) { TheLog() = MakeLog(settings); }
 
 std::string FormatEvent(const event_definition& event, std::string_view program,
-                        std::initializer_list<log_field> fields) {
+                        std::span<const log_field> fields) {
   nlohmann::ordered_json line;
   line["event"] = static_cast<int>(event.id);
   line["name"] = event.name;
@@ -86,7 +86,7 @@
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-void LogEvent(event_id id, std::initializer_list<log_field> fields) {
+void LogEvent(event_id id, std::span<const log_field> fields) {
   const event_definition* event = FindEvent(id);
   if (event == nullptr) {
     return;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -37,11 +38,15 @@
 /// @code
 /// LogEvent(event_id::kListening, {{"address", address}});
 /// @endcode
-void LogEvent(event_id id, std::initializer_list<log_field> fields = {});
+void LogEvent(event_id id, std::span<const log_field> fields);
+inline void LogEvent(event_id id,
+                     std::initializer_list<log_field> fields = {}) {
+  LogEvent(id, std::span<const log_field>(fields.begin(), fields.size()));
+}
 
 /// Returns the line that LogEvent writes, without the time.
 std::string FormatEvent(const event_definition& event, std::string_view program,
-                        std::initializer_list<log_field> fields);
+                        std::span<const log_field> fields);
 
 }  // namespace foxtailspread
 
--- a/src/programs/foxtailspreadd/host_daemon.cc
+++ b/src/programs/foxtailspreadd/host_daemon.cc
@@ -569,7 +569,11 @@
 void host_daemon::Do(const platform_action& action) { platform_.Call(action); }
 
 void host_daemon::Do(const log_action& action) {
-  LogEvent(action.event, action.fields);
+  std::vector<log_field> fields;
+  for (const auto& [name, value] : action.fields) {
+    fields.push_back(log_field{name, std::string_view(value)});
+  }
+  LogEvent(action.event, fields);
 }
 
 void host_daemon::Do(const stop_action&) {
--- a/tests/events_test.cc
+++ b/tests/events_test.cc
@@ -47,9 +47,10 @@
 // A caller puts a line break into its key to forge an event in the log. The
 // operator would look for a fault that never was.
 TEST(EventsTest, ValueWithLineBreakStaysOnItsLine) {
+  const log_field fields[] = {{"key", "a\n{\"event\":101}\xff"},
+                              {"count", int64_t{3}}};
   const std::string line =
-      FormatEvent(*FindEvent(event_id::kListening), "p",
-                  {{"key", "a\n{\"event\":101}\xff"}, {"count", int64_t{3}}});
+      FormatEvent(*FindEvent(event_id::kListening), "p", fields);
   EXPECT_EQ(line.find('\n'), std::string::npos);
   const auto parsed = nlohmann::json::parse(line);
   EXPECT_EQ(parsed["event"], 100);
