--- a/src/core/json_fields.cc
+++ b/src/core/json_fields.cc
@@ -1,5 +1,6 @@
 #include "core/json_fields.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace foxtailspread::internal {
@@ -107,4 +108,22 @@
   to = value->get<std::string>();
 }
 
+void field_reader::Read(const char* name, std::vector<std::string>& to) {
+  const nlohmann::json* value = Find(name);
+  if (value == nullptr) {
+    return;
+  }
+  const bool texts =
+      value->is_array() && std::all_of(value->begin(), value->end(),
+                                       [](const nlohmann::json& entry) {
+                                         return entry.is_string();
+                                       });
+  if (!texts) {
+    Fail(error_code::kMalformed, name, "this is not a list of texts",
+         "use a list of strings");
+    return;
+  }
+  to = value->get<std::vector<std::string>>();
+}
+
 }  // namespace foxtailspread::internal
--- a/src/core/json_fields.h
+++ b/src/core/json_fields.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "foxtailspread/error.h"
 
@@ -31,6 +32,7 @@
   void Read(const char* name, double least, double most, double& to);
   void Read(const char* name, bool& to);
   void Read(const char* name, std::string& to);
+  void Read(const char* name, std::vector<std::string>& to);
 
   /// Notes an error of the caller's own check, unless there is one already.
   void Fail(error_code code, const char* name, std::string reason,
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -13,6 +13,8 @@
 #include <utility>
 #include <vector>
 
+#include "net/json_answer.h"
+
 namespace foxtailspread {
 namespace internal {
 namespace {
@@ -322,7 +324,10 @@
 
 responder::~responder() {
   if (open_) {
-    Answer({.status = kHttpInternalError, .body = "{}"});
+    Answer(ErrorAnswer(
+        kHttpInternalError,
+        {error_code::kUnavailable, "", "the request ended without an answer",
+         "look for events of this time in the log"}));
   }
 }
 
@@ -552,13 +557,18 @@
   }
   const responder_ptr to{new responder{message, connection}};
   if (connection->TooLarge()) {
-    to->Answer({.status = kHttpTooLarge, .body = "{}"});
+    to->Answer(ErrorAnswer(
+        kHttpTooLarge,
+        {error_code::kTooLarge, "", "the body is over the limit",
+         "send at most " + std::to_string(limits_.max_body) + " bytes"}));
     return;
   }
   const http_request request = to->Request();
   const http_handler* handler = FindRoute(request.Path());
   if (handler == nullptr) {
-    to->Answer({.status = kHttpNotFound, .body = "{}"});
+    to->Answer(ErrorAnswer(
+        kHttpNotFound, {error_code::kUnknownName, "", "there is no such path",
+                        "see the page of this program's protocol"}));
     return;
   }
   (*handler)(request, to);
--- a/src/net/stand_in.cc
+++ b/src/net/stand_in.cc
@@ -2,7 +2,6 @@
 
 #include <cstdio>
 #include <cstdlib>
-#include <nlohmann/json.hpp>
 #include <string>
 
 #include "net/log.h"
@@ -15,22 +14,6 @@
 
 }  // namespace
 
-http_answer JsonAnswer(int status, const nlohmann::json& body) {
-  return {.status = status,
-          .body = body.dump(-1, ' ', false,
-                            nlohmann::json::error_handler_t::replace)};
-}
-
-http_answer ErrorAnswer(int status, const error& failure) {
-  const std::string reason = failure.path.empty()
-                                 ? failure.reason
-                                 : failure.path + ": " + failure.reason;
-  return JsonAnswer(status, {{"error",
-                              {{"code", ToString(failure.code)},
-                               {"reason", reason},
-                               {"remedy", failure.remedy}}}});
-}
-
 int ServeUntilStopped(http_server& server, std::string_view address) {
   event_loop loop;
   const result<std::string> bound = server.Listen(address);
--- a/src/programs/foxtail-target/target_service.cc
+++ b/src/programs/foxtail-target/target_service.cc
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "net/json_answer.h"
 #include "net/log.h"
-#include "net/stand_in.h"
 
 namespace foxtailspread {
 namespace {
@@ -230,10 +230,10 @@
   for (const target_outcome& outcome : machine_.TakeOutcomes()) {
     AnswerWork(outcome);
   }
-  while (!machine_.Frozen() && !held_back_.empty()) {
-    const auto [handler, to] = held_back_.front();
-    held_back_.erase(held_back_.begin());
-    Handle(handler, to);
+  if (!machine_.Frozen()) {
+    for (const auto& [handler, to] : std::exchange(held_back_, {})) {
+      Handle(handler, to);
+    }
   }
   next_event_.Cancel();
   if (const auto next = machine_.NextEvent()) {
