--- a/tests/support/virtual_deployment.cc
+++ b/tests/support/virtual_deployment.cc
@@ -202,7 +202,8 @@
     return;
   }
   if (now_us_ < host.paused_until) {
-    Push(host.paused_until - now_us_, [this, name, start] { Tick(name, start); });
+    Push(host.paused_until - now_us_,
+         [this, name, start] { Tick(name, start); });
     return;
   }
   Push(kTickUs, [this, name, start] { Tick(name, start); });
@@ -575,8 +576,8 @@
   if (!next) {
     return;
   }
-  const int64_t delay = std::max<int64_t>(
-      0, (*next - TargetClock(target)).count());
+  const int64_t delay =
+      std::max<int64_t>(0, (*next - TargetClock(target)).count());
   target_machine* machine = target.machine.get();
   Push(delay, [this, name, machine] {
     fake_target& later = targets_.at(name);
@@ -607,8 +608,7 @@
     const auto [host, id] = from;
     const uint64_t start = hosts_.at(host).starts;
     Push(LinkDelay(), [this, host, start, id] {
-      Deliver(host, start,
-              attempt_ended{id, attempt_end::kBroken, 0, "", ""});
+      Deliver(host, start, attempt_ended{id, attempt_end::kBroken, 0, "", ""});
     });
   }
   target.tickets.clear();
@@ -618,8 +618,8 @@
 void virtual_deployment::StartTarget(const std::string& name) {
   fake_target& target = targets_.at(name);
   if (target.machine == nullptr) {
-    target.machine = std::make_unique<target_machine>(target.settings,
-                                                      TargetClock(target));
+    target.machine =
+        std::make_unique<target_machine>(target.settings, TargetClock(target));
   }
 }
 
@@ -627,11 +627,10 @@
                                  const grant_action& action) {
   const uint64_t start = hosts_.at(name).starts;
   const grant_ended failed{action.range, action.target, action.seq};
-  const int64_t clock =
-      HostClock(hosts_.at(name)).time_since_epoch().count();
-  if (clock >= action.not_after_us ||
-      !TargetReachable(name, action.target)) {
-    Push(300'000, [this, name, start, failed] { Deliver(name, start, failed); });
+  const int64_t clock = HostClock(hosts_.at(name)).time_since_epoch().count();
+  if (clock >= action.not_after_us || !TargetReachable(name, action.target)) {
+    Push(300'000,
+         [this, name, start, failed] { Deliver(name, start, failed); });
     return;
   }
   Push(LinkDelay(), [this, name, start, action, failed] {
@@ -655,8 +654,8 @@
       grant.seq = action.seq;
       grant.echo = duration{action.echo_us};
       grant.lease = duration{action.lease_us};
-      grant.buckets = std::set<int>(action.buckets.begin(),
-                                    action.buckets.end());
+      grant.buckets =
+          std::set<int>(action.buckets.begin(), action.buckets.end());
       const auto answer = later.machine->Grant(grant, TargetClock(later));
       TakeOutcomes(action.target);
       grant_ended ended = failed;
@@ -695,7 +694,8 @@
   platform_ended failed;
   failed.call_id = action.call_id;
   if (!reachable()) {
-    Push(200'000, [this, name, start, failed] { Deliver(name, start, failed); });
+    Push(200'000,
+         [this, name, start, failed] { Deliver(name, start, failed); });
     return;
   }
   const int64_t slow = platform_faults_.slow_ms * 1000;
@@ -889,8 +889,8 @@
           open ? now_us_
                : run.ended.time_since_epoch().count() - target.offset_us;
       by_bucket[{target.service, run.bucket}].push_back(
-          stay{run.started.time_since_epoch().count() - target.offset_us,
-               ended, name});
+          stay{run.started.time_since_epoch().count() - target.offset_us, ended,
+               name});
     }
   }
   for (auto& [bucket, stays] : by_bucket) {
@@ -934,18 +934,18 @@
               });
     const int count = runs[HashText(sends.front()->sent_body)];
     if (count > 1) {
-      found += "action " + action + " ran " + std::to_string(count) +
-               " times\n";
+      found +=
+          "action " + action + " ran " + std::to_string(count) + " times\n";
     }
     bool unknown = false;
     for (const call_result* send : sends) {
-      const bool not_run = send->outcome == request_outcome::kNotRun &&
-                           !send->connection_lost;
+      const bool not_run =
+          send->outcome == request_outcome::kNotRun && !send->connection_lost;
       if (not_run && unknown) {
         found += "action " + action + ": not-run after unknown\n";
       }
-      unknown |= send->outcome == request_outcome::kUnknown &&
-                 !send->connection_lost;
+      unknown |=
+          send->outcome == request_outcome::kUnknown && !send->connection_lost;
     }
     const call_result* last = sends.back();
     if (last->outcome == request_outcome::kNotRun && !last->connection_lost &&
@@ -980,8 +980,8 @@
     }
     lines += " answered " + std::to_string(call.answered_us - kStartUs) + " " +
              std::string(ToString(call.outcome)) + " " +
-             std::to_string(call.status) + " " + call.code + " " +
-             call.target + "\n";
+             std::to_string(call.status) + " " + call.code + " " + call.target +
+             "\n";
   }
   return lines;
 }
