--- a/src/programs/foxtailspreadd/main.cc
+++ b/src/programs/foxtailspreadd/main.cc
@@ -79,7 +79,7 @@
   CLI::App app{"Entry host of a foxtailspread deployment."};
   std::string path;
   bool check = false;
-  app.add_option("settings,--settings", path, "The settings file")->required();
+  app.add_option("settings", path, "The settings file")->required();
   app.add_flag("--check-settings", check,
                "Check the settings and exit: 0 if they are good, 2 if not");
   app.footer("Example: foxtailspreadd --check-settings host.json");
