--- a/include/foxtailspread/action_table-inl.h
+++ b/include/foxtailspread/action_table-inl.h
@@ -56,8 +56,8 @@
     if (e.answer != nullptr) {
       one.status = e.answer->status;
       one.content_type = e.answer->content_type;
-      one.body_omitted = e.answer->body_omitted ||
-                         e.answer->body.size() > max_body_bytes;
+      one.body_omitted =
+          e.answer->body_omitted || e.answer->body.size() > max_body_bytes;
       if (!one.body_omitted) {
         max_body_bytes -= e.answer->body.size();
         one.body = e.answer->body;
--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -16,7 +16,8 @@
 std::string_view ToString(event_level level);
 
 /// The number of each event. A number is never used again for another event.
-/// 100 to 199: every program. 200 to 299: the entry host's decisions. 800 to 899: the stand-ins of the tests.
+/// 100 to 199: every program. 200 to 299: the entry host's decisions. 800 to
+/// 899: the stand-ins of the tests.
 enum class event_id {
   kListening = 100,
   kListenFailed = 101,
--- a/include/foxtailspread/range.h
+++ b/include/foxtailspread/range.h
@@ -35,6 +35,8 @@
   std::string host;
   uint64_t life = 0;  ///< Differs between any two starts of the host.
 
+  // clang-tidy 14 takes the defaulted comparison's 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const member&) const = default;
 };
 
--- a/include/foxtailspread/range_table.h
+++ b/include/foxtailspread/range_table.h
@@ -71,7 +71,7 @@
   std::unique_ptr<range_steward> steward;      ///< In this host's zone only.
   range_map newest_map;
   bool handed_over = false;
-  bool renumbered = false;  ///< Its steward, this host, got a new epoch.
+  bool renumbered = false;   ///< Its steward, this host, got a new epoch.
   std::string hint;          ///< The host that last answered as steward.
   time_point avoid_until{};  ///< Its steward could not be reached lately.
   uint64_t noticed_map_seq = 0;
--- a/include/foxtailspread/time.h
+++ b/include/foxtailspread/time.h
@@ -23,7 +23,9 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;
+  // The name that the standard library asks of a clock.
+  static constexpr bool is_steady =  // NOLINT(readability-identifier-naming)
+      true;
 };
 
 /// A reading of one host's boot clock. Readings of different hosts must not
--- a/src/core/bucket_homes.cc
+++ b/src/core/bucket_homes.cc
@@ -12,6 +12,7 @@
     ++targets[target.zone];
   }
   std::vector<zone_weight> zones;
+  zones.reserve(targets.size());
   for (const auto& [zone, count] : targets) {
     zones.push_back(zone_weight{zone, count});
   }
--- a/src/core/range_steward.cc
+++ b/src/core/range_steward.cc
@@ -96,9 +96,10 @@
   const bool keyed = service_->placement == placement_kind::kKeyed;
   owners_.Begin(keyed ? service_->buckets : 0);
   for (const auto& [target, buckets] : last.buckets) {
+    const std::string& name = target;
     const auto found =
         std::find_if(targets_.begin(), targets_.end(),
-                     [&](const target_config& t) { return t.name == target; });
+                     [&](const target_config& t) { return t.name == name; });
     if (found == targets_.end()) {
       continue;
     }
--- a/src/core/request_front.cc
+++ b/src/core/request_front.cc
@@ -252,7 +252,7 @@
   std::string first;
   for (size_t i = 0; i < targets.size(); ++i) {
     const size_t at = (start + i) % targets.size();
-    const std::string name = RangeName(request.service_name, targets[at].zone);
+    std::string name = RangeName(request.service_name, targets[at].zone);
     const range_node* node = ranges_.Find(name);
     if (first.empty()) {
       first = name;
--- a/src/core/trace_json.h
+++ b/src/core/trace_json.h
@@ -88,8 +88,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(lease_timing, lease, renew, answer_wait)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(sync_timing, watch_wait, beacon_silence,
                                    rank_stagger, retry_first, retry_most)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(decision_timing, authority, lease, sync, hello,
-                                   peer_silence, first_record_wait,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(decision_timing, authority, lease, sync,
+                                   hello, peer_silence, first_record_wait,
                                    rank_stagger, map_record, map_notice,
                                    ready_lag, drain_limit, route_patience,
                                    route_retry)
--- a/src/programs/foxtailspreadd/admin_pages.cc
+++ b/src/programs/foxtailspreadd/admin_pages.cc
@@ -29,18 +29,18 @@
     : host_(host), settings_(settings) {}
 
 void admin_pages::Route(http_server& server) {
-  server.Route("/ready", [this](const http_request&, responder_ptr to) {
+  server.Route("/ready", [this](const http_request&, const responder_ptr& to) {
     const bool ready = host_.Ready(Now());
     http_answer answer;
     answer.status = ready ? kHttpOk : kHttpUnavailable;
     answer.body = json{{"ready", ready}}.dump();
     to->Answer(answer);
   });
-  server.Route("/health", [](const http_request&, responder_ptr to) {
+  server.Route("/health", [](const http_request&, const responder_ptr& to) {
     to->Answer({.body = "{\"ok\":true}"});
   });
   server.Route(std::string(kAdminPrefix),
-               [this](const http_request& request, responder_ptr to) {
+               [this](const http_request& request, const responder_ptr& to) {
                  Admin(request, to);
                });
 }
--- a/src/programs/foxtailspreadd/host_daemon.cc
+++ b/src/programs/foxtailspreadd/host_daemon.cc
@@ -535,7 +535,7 @@
                    {"seq", action.seq},           {"echo_us", action.echo_us},
                    {"lease_us", action.lease_us}, {"buckets", action.buckets}}
                   .dump();
-  targets_.Send(std::move(call), [this, action](http_call_result result) {
+  targets_.Send(std::move(call), [this, action](const http_call_result& result) {
     OnGrantResult(action, result);
   });
 }
--- a/tests/authority_schedule.h
+++ b/tests/authority_schedule.h
@@ -184,7 +184,7 @@
   }
 
   void SendAnswer(size_t from, size_t to, uint64_t to_life,
-                  promise_answer answer) {
+                  const promise_answer& answer) {
     if (Lost(from, to)) {
       return;
     }
@@ -204,7 +204,7 @@
   }
 
   /// A paused host receives what was sent to it when it wakes.
-  void Deliver(size_t to, std::function<void()> action) {
+  void Deliver(size_t to, const std::function<void()>& action) {
     if (!Paused(to)) {
       action();
       return;
--- a/tests/support/virtual_deployment.cc
+++ b/tests/support/virtual_deployment.cc
@@ -167,15 +167,17 @@
     }
   }
   host.callers.clear();
-  for (const auto& [request, from] : host.forwards_in) {
-    const auto [origin, forward] = from;
+  for (const auto& entry : host.forwards_in) {
+    const std::string origin = entry.second.first;
+    const uint64_t forward = entry.second.second;
     const uint64_t start = hosts_.at(origin).starts;
     Push(LinkDelay(), [this, origin, start, forward] {
       Deliver(origin, start, forward_ended{forward, forward_end::kBroken});
     });
   }
   host.forwards_in.clear();
-  for (auto& [target_name, target] : targets_) {
+  for (auto& named : targets_) {
+    fake_target& target = named.second;
     std::erase_if(target.tickets, [&](const auto& entry) {
       if (entry.second.first != name) {
         return false;
@@ -255,7 +257,8 @@
   } else if (const auto* a = std::get_if<attempt_action>(&action)) {
     DoAttempt(name, *a);
   } else if (const auto* a = std::get_if<cancel_attempt_action>(&action)) {
-    for (auto& [target_name, target] : targets_) {
+    for (auto& named : targets_) {
+      fake_target& target = named.second;
       std::erase_if(target.tickets, [&](const auto& entry) {
         const bool mine = entry.second == std::pair{name, a->attempt_id};
         if (mine && target.machine != nullptr) {
@@ -361,7 +364,7 @@
     for (int i = 0; i < 300 && calls_.at(call).answered_us < 0; ++i) {
       RunFor(std::chrono::milliseconds{10});
     }
-    const std::string action = calls_.at(call).next_action;
+    std::string action = calls_.at(call).next_action;
     calls_.erase(call);
     if (!action.empty()) {
       return action;
@@ -393,7 +396,8 @@
   host.bodies.erase(action.request_id);
   const auto forward = host.forwards_in.find(action.request_id);
   if (forward != host.forwards_in.end()) {
-    const auto [origin, id] = forward->second;
+    const std::string origin = forward->second.first;
+    const uint64_t id = forward->second.second;
     host.forwards_in.erase(forward);
     if (!Connected(name, origin)) {
       return;
@@ -535,7 +539,8 @@
     if (found == target.tickets.end()) {
       continue;
     }
-    const auto [host, id] = found->second;
+    const std::string host = found->second.first;
+    const uint64_t id = found->second.second;
     target.tickets.erase(found);
     attempt_ended ended{id, attempt_end::kAnswered, 200, "", ""};
     if (outcome.verdict == target_verdict::kNotOwner ||
@@ -604,8 +609,9 @@
       target.former_runs.back().end = run_end::kCancelled;
     }
   }
-  for (const auto& [ticket, from] : target.tickets) {
-    const auto [host, id] = from;
+  for (const auto& entry : target.tickets) {
+    const std::string host = entry.second.first;
+    const uint64_t id = entry.second.second;
     const uint64_t start = hosts_.at(host).starts;
     Push(LinkDelay(), [this, host, start, id] {
       Deliver(host, start, attempt_ended{id, attempt_end::kBroken, 0, "", ""});
