--- a/include/foxtailspread/object_store.h
+++ b/include/foxtailspread/object_store.h
@@ -168,9 +168,9 @@
 
 /// One host in the platform's list.
 struct listed_host {
-  std::string name;
-  std::string kind;
-  std::string zone;
+  std::string name{};
+  std::string kind{};
+  std::string zone{};
   std::string state = "live";  ///< "live" or "leaving".
 };
 
