--- a/include/foxtailspread/host_settings.h
+++ b/include/foxtailspread/host_settings.h
@@ -58,11 +58,11 @@
 std::string_view ToString(log_level value);
 
 /// Where the log goes.
-struct log_settings {
+struct host_log {
   log_level level = log_level::kInfo;
   std::string file;  ///< "" for standard error.
 
-  bool operator==(const log_settings&) const = default;
+  bool operator==(const host_log&) const = default;
 };
 
 /// All settings of one entry host.
@@ -86,7 +86,7 @@
   std::vector<std::string> operator_token_digests;
   host_limits limits;
   host_timing timing;
-  log_settings log;
+  host_log log;
   std::string trace_file;  ///< Where requests are recorded for replay, "" off.
 
   bool operator==(const host_settings&) const = default;
--- a/include/foxtailspread/json_reader.h
+++ b/include/foxtailspread/json_reader.h
@@ -42,6 +42,9 @@
 /// Writes `value` as indented text. Bytes that are not UTF-8 are replaced.
 std::string FormatJson(const nlohmann::json& value);
 
+/// Returns "path.name", or "name" at the top.
+std::string FieldPath(std::string_view path, std::string_view name);
+
 /// The permitted range of a number, both ends included.
 template <typename T>
 struct number_bounds {
--- a/include/foxtailspread/nearest_name.h
+++ b/include/foxtailspread/nearest_name.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace foxtailspread {
 
@@ -25,6 +26,17 @@
 std::string KnownNameRemedy(std::string_view name,
                             std::span<const std::string> known);
 
+/// Returns the names of `entries`, in their order.
+template <typename T>
+std::vector<std::string> EntryNames(const std::vector<T>& entries) {
+  std::vector<std::string> names;
+  names.reserve(entries.size());
+  for (const T& entry : entries) {
+    names.push_back(entry.name);
+  }
+  return names;
+}
+
 /// Returns `text` with control characters replaced and cut to a length that
 /// fits a message. Keeps foreign input from garbling a terminal or a log.
 std::string Printable(std::string_view text);
--- a/src/core/config_check.cc
+++ b/src/core/config_check.cc
@@ -16,16 +16,6 @@
   return std::string(list) + "[" + std::to_string(index) + "]";
 }
 
-template <typename T>
-std::vector<std::string> NamesOf(const std::vector<T>& items) {
-  std::vector<std::string> names;
-  names.reserve(items.size());
-  for (const T& item : items) {
-    names.push_back(item.name);
-  }
-  return names;
-}
-
 bool Contains(const std::vector<std::string>& names, std::string_view name) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -35,9 +25,9 @@
  public:
   explicit reference_checker(const deployment_config& config)
       : config_(config),
-        services_(NamesOf(config.services)),
-        organisations_(NamesOf(config.organisations)),
-        presets_(NamesOf(config.presets)) {}
+        services_(EntryNames(config.services)),
+        organisations_(EntryNames(config.organisations)),
+        presets_(EntryNames(config.presets)) {}
 
   status Run() {
     Name("deployment", config_.deployment);
--- a/src/core/host_settings.cc
+++ b/src/core/host_settings.cc
@@ -135,7 +135,7 @@
   }
 }
 
-void ReadLog(object_reader& reader, log_settings& out) {
+void ReadLog(object_reader& reader, host_log& out) {
   reader.ReadWord("level", out.level, ParseLogLevel);
   reader.Read("file", out.file);
 }
--- a/src/core/json_reader.cc
+++ b/src/core/json_reader.cc
@@ -106,7 +106,7 @@
       if (part.is_list) {
         path += "[" + std::to_string(part.index) + "]";
       } else if (!part.key.empty()) {
-        path += (path.empty() ? "" : ".") + Printable(part.key);
+        path = FieldPath(path, Printable(part.key));
       }
     }
     return path;
@@ -151,6 +151,13 @@
   return value.dump(kIndent, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
+std::string FieldPath(std::string_view path, std::string_view name) {
+  std::string joined(path);
+  joined += path.empty() ? "" : ".";
+  joined += name;
+  return joined;
+}
+
 object_reader::object_reader(const json& value, std::string path)
     : value_(&value), path_(std::move(path)) {
   if (!value.is_object()) {
@@ -164,7 +171,7 @@
   if (name.empty()) {
     return path_;
   }
-  return path_.empty() ? std::string(name) : path_ + "." + std::string(name);
+  return FieldPath(path_, name);
 }
 
 void object_reader::Fail(error_code code, std::string_view name,
