--- a/src/ctl/config_store.h
+++ b/src/ctl/config_store.h
@@ -22,7 +22,7 @@
 
 /// Parses the value of the configuration's object. The version is its
 /// revision.
-inline result<deployment_config> ConfigOf(const stored_object& object) {
+inline result<deployment_config> ConfigOf(const object_state& object) {
   result<deployment_config> config = ParseConfig(FormatJson(object.value));
   if (config) {
     config.value().version = object.revision;
@@ -33,7 +33,7 @@
 /// Reads the configuration; nothing if the platform holds none yet.
 template <object_api Api>
 result<std::optional<deployment_config>> FindConfig(Api& api) {
-  const result<stored_object> read = ReadObject(api, kConfigKey);
+  const result<object_state> read = ReadObject(api, kConfigKey);
   if (!read) {
     return read.error();
   }
@@ -64,7 +64,7 @@
 
 /// Describes what stands there after a lost race, and what to do.
 inline error LostRace(const std::optional<deployment_config>& base,
-                      const stored_object& winner) {
+                      const object_state& winner) {
   error lost{error_code::kConflict, std::string(kConfigKey), "",
              "nothing was changed; look at it with foxtailctl show, then "
              "repeat the command if it is still wanted"};
@@ -116,7 +116,7 @@
   if (!answer) {
     return answer.error();
   }
-  if (answer.value().outcome == write_outcome::kLostRace) {
+  if (answer.value().outcome == write_decision::kLostRace) {
     return LostRace(base, answer.value().object);
   }
   return answer.value().object.revision;
--- a/src/ctl/marked_write.h
+++ b/src/ctl/marked_write.h
@@ -12,8 +12,8 @@
 /// Reads an object, trying again while the platform is unavailable and time is
 /// left.
 template <object_api Api>
-result<stored_object> ReadObject(Api& api, std::string_view key) {
-  result<stored_object> read = api.Get(key);
+result<object_state> ReadObject(Api& api, std::string_view key) {
+  result<object_state> read = api.Get(key);
   while (!read && read.error().code == error_code::kUnavailable && api.Wait()) {
     read = api.Get(key);
   }
@@ -55,10 +55,10 @@
   for (;;) {
     result<write_answer> answer = api.Write(write);
     if (answer) {
-      const bool own = answer.value().outcome == write_outcome::kLostRace &&
+      const bool own = answer.value().outcome == write_decision::kLostRace &&
                        is_own(answer.value().object);
       if (own) {
-        answer.value().outcome = write_outcome::kAccepted;
+        answer.value().outcome = write_decision::kAccepted;
       }
       return answer;
     }
@@ -68,22 +68,22 @@
     if (!api.Wait()) {
       return UnknownFate(write, answer.error());
     }
-    const result<stored_object> read = ReadObject(api, write.key);
+    const result<object_state> read = ReadObject(api, write.key);
     if (!read) {
       return UnknownFate(write, read.error());
     }
     if (is_own(read.value())) {
-      return write_answer{write_outcome::kAccepted, read.value()};
+      return write_answer{write_decision::kAccepted, read.value()};
     }
     if (read.value().revision != write.expected_revision) {
-      return write_answer{write_outcome::kLostRace, read.value()};
+      return write_answer{write_decision::kLostRace, read.value()};
     }
   }
 }
 
 /// Returns a test for the writer's mark in an object.
 inline auto HasMark(std::string mark) {
-  return [mark = std::move(mark)](const stored_object& object) {
+  return [mark = std::move(mark)](const object_state& object) {
     return object.value.is_object() &&
            object.value.value("mark", nlohmann::json()) == mark;
   };
--- a/src/ctl/object_api.h
+++ b/src/ctl/object_api.h
@@ -18,7 +18,7 @@
 namespace foxtailspread {
 
 /// What stands under a key; revision 0 and a null value if nothing does.
-struct stored_object {
+struct object_state {
   uint64_t revision = 0;
   nlohmann::json value;
 };
@@ -26,7 +26,7 @@
 /// One entry of a listing.
 struct named_object {
   std::string key;
-  stored_object object;
+  object_state object;
 };
 
 /// A write that takes effect only if the object has the expected revision.
@@ -37,12 +37,12 @@
 };
 
 /// How the platform decided on a conditional write.
-enum class write_outcome { kAccepted, kLostRace };
+enum class write_decision { kAccepted, kLostRace };
 
 /// The decision, with the new revision or with what stands there instead.
 struct write_answer {
-  write_outcome outcome = write_outcome::kAccepted;
-  stored_object object;
+  write_decision outcome = write_decision::kAccepted;
+  object_state object;
 };
 
 /// The platform's objects. kUnavailable from Write leaves open whether the
@@ -51,7 +51,7 @@
 template <typename T>
 concept object_api = requires(T api, std::string_view key,
                               const conditional_write& write) {
-  { api.Get(key) } -> std::same_as<result<stored_object>>;
+  { api.Get(key) } -> std::same_as<result<object_state>>;
   { api.Write(write) } -> std::same_as<result<write_answer>>;
   { api.List(key) } -> std::same_as<result<std::vector<named_object>>>;
   { api.Wait() } -> std::same_as<bool>;
--- a/src/ctl/object_commands.h
+++ b/src/ctl/object_commands.h
@@ -51,8 +51,8 @@
   if (!answer) {
     return answer.error();
   }
-  const stored_object& object = answer.value().object;
-  if (answer.value().outcome == write_outcome::kLostRace) {
+  const object_state& object = answer.value().object;
+  if (answer.value().outcome == write_decision::kLostRace) {
     return error{
         error_code::kConflict, write.key,
         "somebody else was first; there stands now " +
@@ -88,7 +88,7 @@
     return found.error();
   }
   conditional_write write{std::string(kDrainsPrefix) + name, nlohmann::json()};
-  const result<stored_object> read = ReadObject(api, write.key);
+  const result<object_state> read = ReadObject(api, write.key);
   if (!read) {
     return read.error();
   }
@@ -108,7 +108,7 @@
 result<report> Undrain(Api& api, std::string_view what,
                        const std::string& name) {
   conditional_write write{std::string(kDrainsPrefix) + name, std::nullopt};
-  const result<stored_object> read = ReadObject(api, write.key);
+  const result<object_state> read = ReadObject(api, write.key);
   if (!read) {
     return read.error();
   }
@@ -122,7 +122,7 @@
                             drains.value());
   }
   write.expected_revision = read.value().revision;
-  const auto is_gone = [](const stored_object& object) {
+  const auto is_gone = [](const object_state& object) {
     return object.revision == 0;
   };
   return WriteReport(WriteOnce(api, write, is_gone), write,
@@ -173,7 +173,7 @@
 result<report> ResetRange(Api& api, const std::string& range,
                           const std::string& host, bool yes) {
   conditional_write write{std::string(kRangesPrefix) + range, nlohmann::json()};
-  const result<stored_object> read = ReadObject(api, write.key);
+  const result<object_state> read = ReadObject(api, write.key);
   if (!read) {
     return read.error();
   }
@@ -198,7 +198,7 @@
   write.expected_revision = read.value().revision;
   write.value = read.value().value;
   (*write.value)[std::string(kDeclaredDead)].push_back(host);
-  const auto is_declared = [&host](const stored_object& object) {
+  const auto is_declared = [&host](const object_state& object) {
     return IsDeclaredDead(object.value, host);
   };
   return WriteReport(WriteOnce(api, write, is_declared), write,
--- a/tests/fake_objects.h
+++ b/tests/fake_objects.h
@@ -17,7 +17,7 @@
 
 class fake_objects {
  public:
-  result<stored_object> Get(std::string_view key) {
+  result<object_state> Get(std::string_view key) {
     ++reads;
     if (Refuses()) {
       return Down();
@@ -32,9 +32,9 @@
     if (Refuses()) {
       return Down();
     }
-    const stored_object current = At(write.key);
+    const object_state current = At(write.key);
     if (current.revision != write.expected_revision) {
-      return write_answer{write_outcome::kLostRace, current};
+      return write_answer{write_decision::kLostRace, current};
     }
     ++writes;
     ++revision;
@@ -46,7 +46,7 @@
       --lose_answers;
       return Down();
     }
-    return write_answer{write_outcome::kAccepted, {revision, {}}};
+    return write_answer{write_decision::kAccepted, {revision, {}}};
   }
 
   result<std::vector<named_object>> List(std::string_view prefix) {
@@ -74,12 +74,12 @@
     objects[key] = {++revision, std::move(value)};
   }
 
-  stored_object At(const std::string& key) const {
+  object_state At(const std::string& key) const {
     const auto found = objects.find(key);
-    return found == objects.end() ? stored_object{} : found->second;
+    return found == objects.end() ? object_state{} : found->second;
   }
 
-  std::map<std::string, stored_object> objects;
+  std::map<std::string, object_state> objects;
   uint64_t revision = 0;
   int refuse_calls = 0;  ///< So many calls find the platform down.
   int lose_answers = 0;  ///< So many writes take effect unheard.
