--- a/tests/ctl_config_test.cc
+++ b/tests/ctl_config_test.cc
@@ -85,7 +85,7 @@
   const auto switched = Switch("peak", Act("switch"));
   ASSERT_TRUE(switched) << switched.error().Message();
   EXPECT_EQ(objects_.writes, 2);
-  EXPECT_EQ(switched.value().data["revision"], objects_.revision);
+  EXPECT_EQ(switched.value().data["revision"], objects_.Revision());
   EXPECT_EQ(Stored().preset, "peak");
 }
 
@@ -172,7 +172,7 @@
 // before the apply. What would be put in force is not what was reviewed.
 TEST_F(CtlConfigTest, ApplyOfAReviewedRevisionRefusesAnother) {
   operator_act act = Act("apply");
-  act.seen_revision = objects_.revision;
+  act.seen_revision = objects_.Revision();
   ASSERT_TRUE(Switch("peak", Act("other")));
   const auto lost = ApplyDeclarations(objects_, files_, act);
   ASSERT_FALSE(lost);
--- a/tests/fake_objects.h
+++ b/tests/fake_objects.h
@@ -2,27 +2,28 @@
 #define FOXTAILSPREAD_TESTS_FAKE_OBJECTS_H_
 
 /// @file
-/// The platform's objects in memory, with the faults that writers meet.
+/// The platform's objects for tests of writers: the object store in memory,
+/// with the faults that writers meet.
 
 #include <functional>
-#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "ctl/object_api.h"
+#include "foxtailspread/object_store.h"
 
 namespace foxtailspread {
 
+/// Satisfies object_api.
 class fake_objects {
  public:
   result<object_state> Get(std::string_view key) {
-    ++reads;
     if (Refuses()) {
       return Down();
     }
-    return At(std::string(key));
+    return At(key);
   }
 
   result<write_answer> Write(const conditional_write& write) {
@@ -32,21 +33,21 @@
     if (Refuses()) {
       return Down();
     }
-    const object_state current = At(write.key);
-    if (current.revision != write.expected_revision) {
-      return write_answer{write_decision::kLostRace, current};
+    const write_outcome done =
+        write.value
+            ? store_
+                  .Put(write.key, write.value->dump(), write.expected_revision)
+                  .value()
+            : store_.Remove(write.key, write.expected_revision);
+    if (done.verdict != write_verdict::kWritten) {
+      return write_answer{write_decision::kLostRace, At(write.key)};
     }
     ++writes;
-    ++revision;
-    objects.erase(write.key);
-    if (write.value) {
-      objects[write.key] = {revision, *write.value};
-    }
     if (lose_answers > 0) {
       --lose_answers;
       return Down();
     }
-    return write_answer{write_decision::kAccepted, {revision, {}}};
+    return write_answer{write_decision::kAccepted, {done.revision, {}}};
   }
 
   result<std::vector<named_object>> List(std::string_view prefix) {
@@ -54,9 +55,9 @@
       return Down();
     }
     std::vector<named_object> listed;
-    for (const auto& [key, object] : objects) {
-      if (key.starts_with(prefix)) {
-        listed.push_back({key, object});
+    for (const stored_object& object : store_.Changes(kNoRevision)) {
+      if (!object.deleted && object.key.starts_with(prefix)) {
+        listed.push_back({object.key, At(object.key)});
       }
     }
     return listed;
@@ -69,23 +70,29 @@
     return waits_left-- > 0;
   }
 
-  /// Puts a value without any condition, as another writer would.
-  void Put(const std::string& key, nlohmann::json value) {
-    objects[key] = {++revision, std::move(value)};
+  /// Puts a value over whatever stands there, as another writer would.
+  void Put(const std::string& key, const nlohmann::json& value) {
+    const result<write_outcome> done =
+        store_.Put(key, value.dump(), At(key).revision);
+    if (!done) {
+      throw std::invalid_argument(done.error().Message());
+    }
   }
 
-  object_state At(const std::string& key) const {
-    const auto found = objects.find(key);
-    return found == objects.end() ? object_state{} : found->second;
+  object_state At(std::string_view key) const {
+    const stored_object* found = store_.Get(key);
+    if (found == nullptr) {
+      return {};
+    }
+    return {found->revision, nlohmann::json::parse(found->value)};
   }
 
-  std::map<std::string, object_state> objects;
-  uint64_t revision = 0;
+  uint64_t Revision() const { return store_.Revision(); }
+
   int refuse_calls = 0;  ///< So many calls find the platform down.
   int lose_answers = 0;  ///< So many writes take effect unheard.
   int waits_left = 10;
-  int reads = 0;
-  int writes = 0;
+  int writes = 0;                      ///< Accepted through Write.
   std::function<void()> before_write;  ///< Runs once.
   std::function<void()> on_wait;
 
@@ -96,6 +103,8 @@
     return error{error_code::kUnavailable, "", "the connection was closed",
                  "try again"};
   }
+
+  object_store store_;
 };
 
 }  // namespace foxtailspread
