Round archive's slots up and let urgent runs go ahead for longer

Cause: with 9 slots of a range, a fifth rounded down left archive work one slot, 11 %, and it was refused while slots stood idle. And with four starts allowed ahead of an organisation's share, a chance run of urgent requests waited behind the others' ordinary ones.

--- a/benchmark/policy_experiment.cc
+++ b/benchmark/policy_experiment.cc
@@ -114,7 +114,13 @@
   run_result (*run)(const run_config&);
 };
 
+/// Set by --steward-only, to try a change without the baselines.
+bool without_baselines = false;
+
 std::vector<policy> PoliciesFor(const service_shape& shape) {
+  if (without_baselines) {
+    return {{"steward", RunSteward<least_loaded_picker>}};
+  }
   if (shape.keyed) {
     return {{"steward", RunSteward<least_loaded_picker>},
             {"hash ring, each host", RunIndependent<random_picker>}};
@@ -175,11 +181,14 @@
   return t;
 }
 
-table Latency(uint64_t seed) {
-  table t{"latency and goodput by load", {}};
+table Latency(uint64_t seed, bool tripled) {
+  table t{tripled ? "latency and goodput by load, three times the hosts"
+                  : "latency and goodput by load",
+          {}};
   std::vector<service_shape> shapes = Shapes();
-  shapes.push_back(Tripled(shapes[0]));
-  shapes.push_back(Tripled(shapes[2]));
+  if (tripled) {
+    shapes = {Tripled(shapes[0]), Tripled(shapes[2])};
+  }
   for (const service_shape& shape : shapes) {
     for (const policy& p : PoliciesFor(shape)) {
       double peak = 0;
@@ -258,7 +267,8 @@
            {{"others answered", worst},
             {"calm", before.figures.AnsweredPart(1)},
             {"its own", r.figures.AnsweredPart(0)},
-            {"urgent p99", r.figures.LatencyMs(urgency::kUrgent, 0.99)}}});
+            {"their urgent p99", r.figures.OthersUrgentMs(0.99)},
+            {"calm p99", before.figures.OthersUrgentMs(0.99)}}});
     }
   }
   return t;
@@ -415,7 +425,8 @@
                           0.18, false);
        }},
       {"churn", [] { return Churn(); }},
-      {"latency", [=] { return Latency(seed); }},
+      {"latency", [=] { return Latency(seed, false); }},
+      {"tripled", [=] { return Latency(seed, true); }},
       {"retries", [=] { return Retries(seed); }},
       {"shares", [=] { return Shares(seed); }},
       {"poison", [=] { return Poison(seed); }},
@@ -430,10 +441,13 @@
   uint64_t seed = 1;
   bool json = false;
   std::vector<std::string> only;
+  bool steward_only = false;
   app.add_option("--seed", seed, "Seed of the traffic");
   app.add_option("--only", only, "Names of the tables to make");
+  app.add_flag("--steward-only", steward_only, "Leave out the baselines");
   app.add_flag("--json", json, "Print JSON in place of tables");
   CLI11_PARSE(app, argc, argv);
+  foxtailspread::experiment::without_baselines = steward_only;
   nlohmann::json all = nlohmann::json::array();
   for (const auto& [name, make] : foxtailspread::experiment::Scenarios(seed)) {
     if (!only.empty() &&
--- a/benchmark/recorder.h
+++ b/benchmark/recorder.h
@@ -46,6 +46,9 @@
     answered_++;
     latencies_[static_cast<size_t>(request.level)].push_back(
         static_cast<double>(took.count()) / 1000);
+    if (request.level == urgency::kUrgent && request.organisation > 0) {
+      others_urgent_.push_back(static_cast<double>(took.count()) / 1000);
+    }
     answered_by_org_.resize(
         std::max(answered_by_org_.size(),
                  static_cast<size_t>(request.organisation) + 1));
@@ -87,6 +90,10 @@
   double LatencyMs(urgency level, double part) const {
     return Percentile(latencies_[static_cast<size_t>(level)], part);
   }
+  /// Of the urgent requests of all organisations but the first.
+  double OthersUrgentMs(double part) const {
+    return Percentile(others_urgent_, part);
+  }
   double Imbalance() const { return Mean(imbalances_); }
   double WorstImbalance() const { return Percentile(imbalances_, 0.95); }
   double Variation() const { return Mean(variations_); }
@@ -108,6 +115,7 @@
   std::vector<double> arrived_by_org_;
   std::vector<double> answered_by_org_;
   std::array<std::vector<double>, kUrgencyCount> latencies_;
+  std::vector<double> others_urgent_;
   std::vector<double> by_second_;
   std::vector<double> imbalances_;
   std::vector<double> variations_;
--- a/benchmark/steward_model.h
+++ b/benchmark/steward_model.h
@@ -53,6 +53,7 @@
         balance_weight_(balance_weight),
         zones_(static_cast<size_t>(shape.zones)) {
     std::vector<std::string> names;
+    names.reserve(zones_.size());
     std::vector<zone_weight> weights;
     for (int z = 0; z < shape.zones; ++z) {
       names.push_back("zone-" + std::to_string(z));
@@ -125,6 +126,7 @@
     at.first_target = next_target_;
     next_target_ += count;
     std::vector<target_config> configs;
+    configs.reserve(static_cast<size_t>(count));
     for (int t = 0; t < count; ++t) {
       configs.push_back(
           {.name = "target-" + std::to_string(t), .address = {}, .zone = {}});
@@ -252,6 +254,7 @@
       key.load = (f.count - f.error) * kNewPart;
     }
     std::vector<hot_key> listed;
+    listed.reserve(keys.size());
     for (const auto& [hash, key] : keys) {
       listed.push_back(key);
     }
--- a/include/foxtailspread/dispatcher-inl.h
+++ b/include/foxtailspread/dispatcher-inl.h
@@ -449,9 +449,12 @@
 bool basic_dispatcher<picker>::ArchiveAllowed(target_index target) const {
   const int slots = targets_.UsableSlots();
   const double share = preset_.archive_share;
-  const int most = std::max(1, static_cast<int>(share * slots));
+  // Rounded up: of few slots, rounding down leaves archive work below its
+  // share while slots stand idle.
+  const int most = std::max(1, static_cast<int>(std::ceil(share * slots)));
   const target_state& state = targets_.At(target);
-  const int most_here = std::max(1, static_cast<int>(share * state.slots));
+  const int most_here =
+      std::max(1, static_cast<int>(std::ceil(share * state.slots)));
   return targets_.ArchiveRunning() < most && state.archive_running < most_here;
 }
 
--- a/include/foxtailspread/fair_queue.h
+++ b/include/foxtailspread/fair_queue.h
@@ -64,8 +64,11 @@
   /// goes slowly under load, but it goes.
   static constexpr int kArchiveEvery = 64;
   /// An organisation may be ahead by so many starts and still be within its
-  /// share, so that a short run of urgent requests is not held up.
-  static constexpr int kBurst = 4;
+  /// share. With few, a chance run of urgent requests waits behind others'
+  /// ordinary ones.
+  static constexpr int kMostAhead = 16;
+  /// An organisation held back may be behind by so many starts.
+  static constexpr int kMostBehind = 4;
 
   fair_queue() = default;
   fair_queue(const fair_queue&) = delete;
--- a/src/core/fair_queue.cc
+++ b/src/core/fair_queue.cc
@@ -119,8 +119,8 @@
       continue;
     }
     class_flow& first = *order.begin();
-    const double burst = kBurst * cost / first.owner->share;
-    if (first.owner->virtual_time <= virtual_time_ + burst) {
+    const double ahead = kMostAhead * cost / first.owner->share;
+    if (first.owner->virtual_time <= virtual_time_ + ahead) {
       return &first;
     }
     lent = lent == nullptr ? &first : lent;
@@ -134,8 +134,8 @@
   virtual_time_ += cost / shares;
   // An organisation held back by the cap on archive work falls behind; if it
   // kept all of that, its next urgent run would shut everybody else out.
-  const double burst = kBurst * cost / charged.share;
-  const double begin = std::max(charged.virtual_time, virtual_time_ - burst);
+  const double behind = kMostBehind * cost / charged.share;
+  const double begin = std::max(charged.virtual_time, virtual_time_ - behind);
   Reorder(charged, begin + cost / charged.share);
   // Nobody waits who is not ahead of the queue's time: catch up, or all
   // would count as borrowing and urgency alone would decide.
