--- a/src/programs/foxtailspreadd/admin_pages.cc
+++ b/src/programs/foxtailspreadd/admin_pages.cc
@@ -39,12 +39,66 @@
   server.Route("/health", [](const http_request&, const responder_ptr& to) {
     to->Answer({.body = "{\"ok\":true}"});
   });
+  for (const char* path : {"/v1/burn", "/v1/metrics"}) {
+    server.Route(path, [this](const http_request& request,
+                              const responder_ptr& to) { Own(request, to); });
+  }
   server.Route(std::string(kAdminPrefix),
                [this](const http_request& request, const responder_ptr& to) {
                  Admin(request, to);
                });
 }
 
+void admin_pages::Count(const request_report& report, time_point now) {
+  const deployment_config* config = host_.config();
+  const service_config* service =
+      config == nullptr ? nullptr : config->FindService(report.service);
+  if (service == nullptr) {
+    return;
+  }
+  burn_.SetTarget(report.service, service->objective.target);
+  // A request that the caller got wrong says nothing of the service.
+  const bool callers_fault = report.outcome == request_outcome::kNotRun &&
+                             report.status >= kHttpBadRequest &&
+                             report.status < kHttpInternalError;
+  if (!callers_fault) {
+    const bool good = report.outcome == request_outcome::kDone &&
+                      report.latency <= service->objective.latency;
+    burn_.Record(now, report.organisation, report.service, good);
+  }
+  const std::string outcome(ToString(report.outcome));
+  metrics_.Count("requests." + report.service + "." + outcome,
+                 report.organisation);
+  metrics_.AddLatency("latency." + report.service, report.latency,
+                      report.organisation);
+}
+
+void admin_pages::Own(const http_request& request,
+                      const responder_ptr& to) const {
+  const std::string_view header = request.Header("Authorization").value_or("");
+  const deployment_config* config = host_.config();
+  const organisation_config* caller = nullptr;
+  if (config != nullptr && header.starts_with(kScheme)) {
+    const std::string digest = Sha256Hex(header.substr(kScheme.size()));
+    for (const organisation_config& organisation : config->organisations) {
+      const auto& known = organisation.token_digests;
+      if (std::find(known.begin(), known.end(), digest) != known.end()) {
+        caller = &organisation;
+      }
+    }
+  }
+  if (caller == nullptr) {
+    to->Answer(ErrorPage(kHttpUnauthorized, "unauthenticated",
+                         "the credential is missing or not known",
+                         "send the organisation's token as a bearer token"));
+    return;
+  }
+  const json body = request.Path() == "/v1/burn"
+                        ? BurnToJson(burn_.RowsOf(Now(), caller->name))
+                        : metrics_.JsonFor(caller->name);
+  to->Answer({.body = body.dump()});
+}
+
 bool admin_pages::Authorised(const http_request& request) const {
   const std::string_view header = request.Header("Authorization").value_or("");
   if (!header.starts_with(kScheme)) {
@@ -70,9 +124,13 @@
     body = Ownership();
   } else if (page == "hosts") {
     body = Hosts();
+  } else if (page == "burn") {
+    body = BurnToJson(burn_.AllRows(Now()));
+  } else if (page == "metrics") {
+    body = metrics_.JsonForOperators();
   } else {
     to->Answer(ErrorPage(kHttpNotFound, "unknown-name", "no such page",
-                         "use status, ownership or hosts"));
+                         "use status, ownership, hosts, burn or metrics"));
     return;
   }
   to->Answer({.body = body.dump()});
--- a/src/programs/foxtailspreadd/admin_pages.h
+++ b/src/programs/foxtailspreadd/admin_pages.h
@@ -7,13 +7,16 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 
+#include "foxtailspread/burn.h"
 #include "foxtailspread/entry_host.h"
 #include "foxtailspread/host_settings.h"
+#include "foxtailspread/metrics.h"
 #include "net/http_server.h"
 
 namespace foxtailspread {
 
-/// The pages under /admin, and /ready and /health.
+/// The pages under /admin, /ready and /health, and what an organisation may
+/// read of itself under /v1/burn and /v1/metrics.
 class admin_pages {
  public:
   /// Both must outlive the pages.
@@ -21,7 +24,12 @@
 
   void Route(http_server& server);
 
+  /// Counts one ended request.
+  void Count(const request_report& report, time_point now);
+
  private:
+  /// What an organisation reads of its own: burn and metrics.
+  void Own(const http_request& request, const responder_ptr& to) const;
   void Admin(const http_request& request, const responder_ptr& to);
   bool Authorised(const http_request& request) const;
   nlohmann::json Status() const;
@@ -30,6 +38,8 @@
 
   const entry_host& host_;
   const host_settings& settings_;
+  burn_ledger burn_;
+  metric_registry metrics_;
 };
 
 }  // namespace foxtailspread
--- a/src/programs/foxtailspreadd/host_daemon.cc
+++ b/src/programs/foxtailspreadd/host_daemon.cc
@@ -18,6 +18,7 @@
 
 constexpr duration kTick{std::chrono::milliseconds{10}};
 constexpr duration kGrantTimeout{std::chrono::milliseconds{300}};
+constexpr duration kLastAnswers{std::chrono::seconds{1}};
 constexpr duration kOverloadReturn{std::chrono::milliseconds{500}};
 constexpr int kTargetConnections = 512;
 constexpr int kHostConnections = 256;
@@ -326,6 +327,9 @@
   if (trace_ != nullptr) {
     trace_->Write(event, now, actions);
   }
+  for (const request_report& report : host_->TakeReports()) {
+    admin_->Count(report, now);
+  }
   CarryOut(actions);
 }
 
@@ -535,9 +539,10 @@
                    {"seq", action.seq},           {"echo_us", action.echo_us},
                    {"lease_us", action.lease_us}, {"buckets", action.buckets}}
                   .dump();
-  targets_.Send(std::move(call), [this, action](const http_call_result& result) {
-    OnGrantResult(action, result);
-  });
+  targets_.Send(std::move(call),
+                [this, action](const http_call_result& result) {
+                  OnGrantResult(action, result);
+                });
 }
 
 void host_daemon::OnGrantResult(const grant_action& order,
@@ -577,8 +582,14 @@
 }
 
 void host_daemon::Do(const stop_action&) {
+  // The last answers may still be on their way out; each connection closes
+  // behind its answer.
   server_.Drain();
-  on_stop_();
+  tick_ = RunEvery(kTick, [this, ends = Now() + kLastAnswers] {
+    if (server_.ConnectionCount() == 0 || Now() >= ends) {
+      on_stop_();
+    }
+  });
 }
 
 }  // namespace foxtailspread
--- a/src/programs/foxtailspreadd/platform_client.cc
+++ b/src/programs/foxtailspreadd/platform_client.cc
@@ -117,9 +117,10 @@
       request.timeout += duration{action.wait_us};
       break;
   }
-  client_.Send(std::move(request), [this, action](const http_call_result& result) {
-    on_ended_(ReadPlatformAnswer(action, result));
-  });
+  client_.Send(std::move(request),
+               [this, action](const http_call_result& result) {
+                 on_ended_(ReadPlatformAnswer(action, result));
+               });
 }
 
 }  // namespace foxtailspread
