--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -92,7 +92,14 @@
     return false;
   }
   message_.reset(soup_message_new_from_uri(request_.method.c_str(), uri.get()));
-  soup_message_set_flags(message_.get(), SOUP_MESSAGE_NO_REDIRECT);
+  // Without the flag, libsoup opens a connection for each POST, because it
+  // would send the request again if a kept one had closed. Start() rules that
+  // out, and a target's few connections would soon be used up.
+  const SoupMessageFlags use = request_.connection == http_connection_use::kKept
+                                   ? SOUP_MESSAGE_IDEMPOTENT
+                                   : SOUP_MESSAGE_NEW_CONNECTION;
+  soup_message_set_flags(message_.get(), static_cast<SoupMessageFlags>(
+                                             SOUP_MESSAGE_NO_REDIRECT | use));
   SoupMessageHeaders* headers =
       soup_message_get_request_headers(message_.get());
   for (const http_header& header : request_.headers) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -41,6 +41,14 @@
   kMaybeWritten,  ///< Cannot be excluded.
 };
 
+/// Which connection a call may use.
+enum class http_connection_use {
+  kKept,  ///< A kept connection if one is free.
+  /// A connection of its own. Costs its set-up, and spares the call the unknown
+  /// end that comes when the server closes a kept connection at this moment.
+  kNew,
+};
+
 /// One call.
 struct http_call_request {
   std::string method = "GET";
@@ -50,6 +58,7 @@
   std::string content_type{kJsonType};  ///< Used when the body is not empty.
   duration timeout{std::chrono::seconds{5}};
   size_t max_body = size_t{4} << 20;
+  http_connection_use connection = http_connection_use::kKept;
 };
 
 /// How a call ended, with the answer when there is a whole one.
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -295,6 +295,19 @@
   EXPECT_EQ(gone_, 0);
 }
 
+// A target accepts few connections. If each POST took a new one, they would be
+// used up by idle ones and callers would be turned away.
+TEST_F(HttpTest, PostsInTurnShareOneConnection) {
+  Listen();
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(Call({.method = "POST", .url = Url("/echo"), .body = "x"}).body,
+              "x");
+  }
+  EXPECT_EQ(server_->ConnectionCount(), 1U);
+  Call({.url = Url("/echo"), .connection = http_connection_use::kNew});
+  EXPECT_EQ(server_->ConnectionCount(), 2U);
+}
+
 // The server takes the request and never answers. The caller hears within its
 // own limit that the outcome is open, and the connection is not used again.
 TEST_F(HttpTest, SilentServerIsReportedAsTimeoutThatMayHaveRun) {
