Show ownership by range and bucket; wait only for hosts still behind

A host's ownership page names ranges SERVICE@ZONE and lists buckets one by one; the command shows both as tables. Hosts that are leaving are not waited for: they stop before they would report.

Seen failing without the look at leaving hosts and with hosts that lag taken for done.

--- a/src/ctl/invocation.cc
+++ b/src/ctl/invocation.cc
@@ -196,14 +196,15 @@
   }
 
   void AddRangeCommands() {
-    CLI::App* group = Group("range", "Act on ranges of buckets",
-                            "range reset history-r3 --host-is-dead entry-3");
+    CLI::App* group =
+        Group("range", "Act on ranges of buckets",
+              "range reset inspection-history@trnje --host-is-dead entry-3");
     CLI::App* reset = Command(
         *group, "reset", command_kind::kRangeReset,
         "Give your word that a host is dead, so that a range whose stewards "
         "are lost can be taken over.\nDANGER: if that host still runs, keys "
         "get two owners and single-use actions can run twice.",
-        "range reset history-r3 --host-is-dead entry-3 --yes");
+        "range reset inspection-history@trnje --host-is-dead entry-3 --yes");
     reset->add_option("RANGE", out_.name, "The range")->required();
     reset
         ->add_option("--host-is-dead", out_.dead_host,
@@ -218,6 +219,9 @@
                 "Show which target owns what, as one entry host knows it",
                 "--host 127.0.0.1:7001 ownership inspection-history");
     ownership->add_option("SERVICE", out_.name, "Only this service");
+    Command(app_, "hosts", command_kind::kHosts,
+            "Show the entry hosts, as one of them sees them",
+            "--host 127.0.0.1:7001 hosts");
     Command(app_, "status", command_kind::kStatus,
             "Show the status of one entry host",
             "--host 127.0.0.1:7001 status");
--- a/src/ctl/invocation.h
+++ b/src/ctl/invocation.h
@@ -36,6 +36,7 @@
   kUndrainHost,
   kRangeReset,
   kOwnership,
+  kHosts,
   kStatus,
   kBurn,
   kMetrics,
--- a/src/ctl/object_commands.h
+++ b/src/ctl/object_commands.h
@@ -171,7 +171,8 @@
 /// Adds `host` to the hosts declared dead of a range.
 template <object_api Api>
 result<report> ResetRange(Api& api, const std::string& range,
-                          const std::string& host, bool yes) {
+                          const std::string& host, bool yes,
+                          const operator_act& act) {
   conditional_write write{std::string(kRangesPrefix) + range, nlohmann::json()};
   const result<object_state> read = ReadObject(api, write.key);
   if (!read) {
@@ -198,6 +199,7 @@
   write.expected_revision = read.value().revision;
   write.value = read.value().value;
   (*write.value)[std::string(kDeclaredDead)].push_back(host);
+  (*write.value)["mark"] = act.mark;
   const auto is_declared = [&host](const object_state& object) {
     return IsDeclaredDead(object.value, host);
   };
--- a/src/ctl/run_command.h
+++ b/src/ctl/run_command.h
@@ -37,7 +37,7 @@
 inline bool AsksHost(command_kind command) {
   return command == command_kind::kOwnership ||
          command == command_kind::kStatus || command == command_kind::kBurn ||
-         command == command_kind::kMetrics;
+         command == command_kind::kMetrics || command == command_kind::kHosts;
 }
 
 /// Whether the command records who gave it.
@@ -202,9 +202,11 @@
     case command_kind::kUndrainHost:
       return Undrain(session, "host", what.name);
     case command_kind::kRangeReset:
-      return ResetRange(session, what.name, what.dead_host, what.yes);
+      return ResetRange(session, what.name, what.dead_host, what.yes, act);
     case command_kind::kOwnership:
       return ShowOwnership(session, what.host, what.name);
+    case command_kind::kHosts:
+      return ShowHost(session, what.host, "/admin/hosts");
     case command_kind::kStatus:
       return ShowHost(session, what.host, "/admin/status");
     case command_kind::kBurn:
--- a/tests/ctl_arguments_test.cc
+++ b/tests/ctl_arguments_test.cc
@@ -78,6 +78,7 @@
                                     {"range"},
                                     {"range", "reset"},
                                     {"ownership"},
+                                    {"hosts"},
                                     {"status"},
                                     {"burn"},
                                     {"metrics"},
--- a/tests/ctl_objects_test.cc
+++ b/tests/ctl_objects_test.cc
@@ -39,6 +39,11 @@
     return Drain(objects_, "target", name, {"archive-01", "archive-02"}, Act());
   }
 
+  result<report> Reset(const std::string& range, const std::string& host,
+                       bool yes) {
+    return ResetRange(objects_, range, host, yes, Act());
+  }
+
   void PutHost(const std::string& name, const std::string& address,
                uint64_t version) {
     objects_.Put("hosts/" + name, {{"http", address}});
@@ -99,7 +104,7 @@
 // have two owners; so the command must explain and ask for a deliberate word.
 TEST_F(CtlObjectsTest, RangeResetWithoutYesExplainsTheDangerAndWritesNothing) {
   objects_.Put("ranges/r3", {{"steward", "entry-3"}, {"epoch", 4}});
-  const auto refused = ResetRange(objects_, "r3", "entry-3", false);
+  const auto refused = Reset("r3", "entry-3", false);
   ASSERT_FALSE(refused);
   EXPECT_EQ(ExitStatusOf(refused.error().code), exit_status::kRefused);
   EXPECT_THAT(refused.error().Message(), HasSubstr("two owners"));
@@ -110,11 +115,11 @@
   objects_.Put(
       "ranges/r3",
       {{"steward", "entry-3"}, {"epoch", 4}, {"declared_dead", {"entry-1"}}});
-  ASSERT_TRUE(ResetRange(objects_, "r3", "entry-3", true));
+  ASSERT_TRUE(Reset("r3", "entry-3", true));
   const nlohmann::json range = objects_.At("ranges/r3").value;
   EXPECT_EQ(range["epoch"], 4);
   EXPECT_EQ(range["declared_dead"], nlohmann::json({"entry-1", "entry-3"}));
-  EXPECT_FALSE(ResetRange(objects_, "r3", "entry-3", true));
+  EXPECT_FALSE(Reset("r3", "entry-3", true));
 }
 
 // A successor takes the range over while the operator types. The word was
@@ -124,7 +129,7 @@
   objects_.before_write = [this] {
     objects_.Put("ranges/r3", {{"steward", "entry-2"}, {"epoch", 5}});
   };
-  const auto lost = ResetRange(objects_, "r3", "entry-3", true);
+  const auto lost = Reset("r3", "entry-3", true);
   ASSERT_FALSE(lost);
   EXPECT_EQ(ExitStatusOf(lost.error().code), exit_status::kLostRace);
   EXPECT_THAT(lost.error().reason, HasSubstr("entry-2"));
@@ -133,8 +138,8 @@
 
 TEST_F(CtlObjectsTest, RangeResetOfUnknownRangeOrHostWritesNothing) {
   objects_.Put("ranges/r3", {{"steward", "entry-3"}});
-  EXPECT_FALSE(ResetRange(objects_, "r4", "entry-3", true));
-  EXPECT_FALSE(ResetRange(objects_, "r3", "entry-4", true));
+  EXPECT_FALSE(Reset("r4", "entry-3", true));
+  EXPECT_FALSE(Reset("r3", "entry-4", true));
   EXPECT_EQ(objects_.writes, 0);
 }
 
@@ -162,14 +167,28 @@
   EXPECT_THAT(done.value().text, HasSubstr("accepted"));
 }
 
+TEST_F(CtlObjectsTest, AwaitPassesOverHostsThatAreLeaving) {
+  PutHost("entry-1", "10.0.0.1:80", 7);
+  objects_.Put("hosts/entry-2", {{"http", "10.0.0.2:80"}, {"leaving", true}});
+  const auto done = AwaitInForce(objects_, hosts_, Accepted());
+  ASSERT_TRUE(done);
+  EXPECT_EQ(done.value().status, exit_status::kOk);
+}
+
 TEST_F(CtlObjectsTest, OwnershipIsFilteredByServiceAndUnknownOnesAreNamed) {
   hosts_.answers["10.0.0.1:80/admin/ownership"] = {
+      {"host", "entry-1"},
       {"ranges",
-       {{{"service", "archive"}, {"range", "r1"}},
-        {{"service", "deposits"}, {"range", "r2"}}}}};
+       {{{"range", "archive@trnje"},
+         {"acting", true},
+         {"order", {{{"host", "entry-1"}}, {{"host", "entry-2"}}}},
+         {"owners", {{"archive-01", {3, 1, 0, 2, 8}}}}},
+        {{"range", "deposits@trnje"}, {"acting", false}}}}};
   const auto shown = ShowOwnership(hosts_, "10.0.0.1:80", "archive");
   ASSERT_TRUE(shown);
   EXPECT_EQ(shown.value().data["ranges"].size(), 1U);
+  EXPECT_THAT(shown.value().text, HasSubstr("entry-1 entry-2"));
+  EXPECT_THAT(shown.value().text, HasSubstr("0-3,8"));
   const auto failed = ShowOwnership(hosts_, "10.0.0.1:80", "archiv");
   ASSERT_FALSE(failed);
   EXPECT_THAT(failed.error().remedy, HasSubstr("\"archive\""));
