--- a/src/core/config.cc
+++ b/src/core/config.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "core/named_value.h"
 #include "foxtailspread/nearest_name.h"
 
 namespace foxtailspread {
@@ -20,22 +21,6 @@
   return found == items.end() ? nullptr : &*found;
 }
 
-/// Finds the value whose ToString is `text` among `values`.
-template <typename T, size_t kCount>
-result<T> ParseByName(std::string_view text,
-                      const std::array<T, kCount>& values) {
-  std::vector<std::string> names;
-  for (const T value : values) {
-    if (ToString(value) == text) {
-      return value;
-    }
-    names.emplace_back(ToString(value));
-  }
-  return error{error_code::kUnknownName, "",
-               Quoted(text) + " is not one of the known words",
-               KnownNameRemedy(text, names)};
-}
-
 bool IsLetterOrDigit(char c) {
   return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
 }
--- a/src/core/host_settings.cc
+++ b/src/core/host_settings.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <set>
 
+#include "core/named_value.h"
 #include "foxtailspread/address.h"
 #include "foxtailspread/config.h"
 #include "foxtailspread/json_reader.h"
@@ -25,20 +26,9 @@
 constexpr int kRenewalsPerLease = 3;
 
 result<log_level> ParseLogLevel(std::string_view text) {
-  constexpr std::array kLevels{log_level::kTrace, log_level::kDebug,
-                               log_level::kInfo, log_level::kWarn,
-                               log_level::kError};
-  std::vector<std::string> names;
-  names.reserve(kLevels.size());
-  for (const log_level level : kLevels) {
-    if (ToString(level) == text) {
-      return level;
-    }
-    names.emplace_back(ToString(level));
-  }
-  return error{error_code::kUnknownName, "",
-               Quoted(text) + " is no level of the log",
-               KnownNameRemedy(text, names)};
+  return ParseByName(
+      text, std::array{log_level::kTrace, log_level::kDebug, log_level::kInfo,
+                       log_level::kWarn, log_level::kError});
 }
 
 void ReadName(object_reader& reader, std::string_view field, std::string& out) {
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -4,6 +4,12 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <regex>
+#include <set>
+
 #include "config_samples.h"
 
 namespace foxtailspread {
@@ -218,5 +224,35 @@
   EXPECT_EQ(config.RuleFor("office", "history").max_queued, 256);
 }
 
+/// Collects the names of all fields of `value`, at any depth.
+void CollectFields(const nlohmann::json& value, std::set<std::string>& fields) {
+  for (const auto& [name, part] : value.items()) {
+    if (value.is_object()) {
+      fields.insert(name);
+    }
+    if (part.is_structured()) {
+      CollectFields(part, fields);
+    }
+  }
+}
+
+// A field is added and the operators' page is not changed. Operators cannot
+// know of it, nor of its unit and range.
+TEST(ConfigTest, EveryFieldStandsOnTheOperatorsPage) {
+  std::ifstream in(std::string(PROJECT_DIR) + "/docs/CONFIGURATION.md");
+  const std::string page{std::istreambuf_iterator<char>(in), {}};
+  deployment_config config = SampleConfig();
+  config.mark = "mark";
+  std::set<std::string> fields;
+  CollectFields(nlohmann::json::parse(FormatConfig(config)), fields);
+  ASSERT_GT(fields.size(), 30U);
+  for (const std::string& field : fields) {
+    // As `field`, as `outer.field`, as `field.inner` or in an example.
+    const std::regex mention("[`.\"]" + field + "[`.\"]");
+    const bool listed = std::regex_search(page, mention);
+    EXPECT_TRUE(listed) << field;
+  }
+}
+
 }  // namespace
 }  // namespace foxtailspread
