Keep standing urgent queues short, share crash marks, suspect refusers

Urgent requests at 300 % of capacity waited for nearly their deadline, while a short queue answers as many. Once urgent requests have waited for 100 ms without a break, more are admitted only for a short wait. Crash marks are given to the other hosts at once. A target that only refuses and never answers is suspected, so that its keys can move. A retry after the authority is lost ends at once, as not run.

A test showed that the periodic checks were put off by each start after an idle moment and so never came while short requests followed one another; they are now put off only after idle time.

Two failure tests that no broken mechanism could make fail (the retry budget and the other target of a retry) are replaced by ones seen failing.

--- a/benchmark/policy_experiment.cc
+++ b/benchmark/policy_experiment.cc
@@ -261,14 +261,13 @@
       for (size_t organisation = 1; organisation < 4; ++organisation) {
         worst = std::min(worst, r.figures.AnsweredPart(organisation));
       }
-      t.rows.push_back(
-          {shape.name,
-           p.name,
-           {{"others answered", worst},
-            {"calm", before.figures.AnsweredPart(1)},
-            {"its own", r.figures.AnsweredPart(0)},
-            {"their urgent p99", r.figures.OthersUrgentMs(0.99)},
-            {"calm p99", before.figures.OthersUrgentMs(0.99)}}});
+      t.rows.push_back({shape.name,
+                        p.name,
+                        {{"others answered", worst},
+                         {"calm", before.figures.AnsweredPart(1)},
+                         {"its own", r.figures.AnsweredPart(0)},
+                         {"their urgent p99", r.figures.OthersUrgentMs(0.99)},
+                         {"calm p99", before.figures.OthersUrgentMs(0.99)}}});
     }
   }
   return t;
--- a/benchmark/steward_model.h
+++ b/benchmark/steward_model.h
@@ -38,6 +38,8 @@
   /// A request crosses one more host than without a steward: there and back.
   static constexpr duration kExtraHop{200};
   static constexpr duration kPlacementPeriod{std::chrono::seconds{1}};
+  /// From a crash until the other zones' stewards know.
+  static constexpr duration kShareTime{std::chrono::milliseconds{20}};
   /// Time without an owner in a planned move.
   static constexpr duration kMoveGap{std::chrono::milliseconds{3}};
   /// From suspicion to new owners: the lease of the lost target has to lapse.
@@ -203,9 +205,23 @@
       results_.Answered(at.requests.at(*answered), loop_.Now(), kExtraHop);
       at.requests.erase(*answered);
     }
+    ShareMarks(z);
     CarryOut(z);
   }
 
+  void ShareMarks(int from) {
+    const std::vector<poison_mark> news =
+        zones_[static_cast<size_t>(from)].range->TakePoisonNews(loop_.Now());
+    if (news.empty()) {
+      return;
+    }
+    loop_.After(kShareTime, [this, news] {
+      for (zone& at : zones_) {
+        at.range->ImportPoison(news, loop_.Now());
+      }
+    });
+  }
+
   /// Takes a suspected keyed target's buckets away, and tries it again after
   /// a while.
   void Suspected(int z, target_index target) {
--- a/include/foxtailspread/dispatcher-inl.h
+++ b/include/foxtailspread/dispatcher-inl.h
@@ -197,6 +197,16 @@
   if (needed > left) {
     return refusal{finish_reason::kTooLate, needed - left};
   }
+  // A queue that stands for long only adds its length to every answer: as
+  // many are answered with a short one. A surveyor is better served by one
+  // answer soon and one refusal than by two late answers.
+  const bool stands = request.level == urgency::kUrgent &&
+                      queue.Size(urgency::kUrgent) > 0 &&
+                      now - queue.UrgentWaitsSince() > kStandingTime;
+  if (stands && wait > kStandingTurns * mean) {
+    return refusal{finish_reason::kTooLate,
+                   dispatch_internal::Microseconds(wait)};
+  }
   return std::nullopt;
 }
 
@@ -283,6 +293,7 @@
     }
   }
   live.place = request_place::kQueued;
+  live.queued_since = now;
   SetDue(live, live.request.deadline);
   CountWaiting(live, 1);
   if (front) {
@@ -516,7 +527,9 @@
   live.last_target = target;
   const time_point deadline = std::min(live.request.deadline, authority_);
   SetDue(live, deadline);
-  if (!targets_.AnyRunning()) {
+  // Only after idle time: put off by every start, checks would never come
+  // while short requests follow one another.
+  if (!targets_.AnyRunning() && waiting_ == 0 && next_check_ < now) {
     next_check_ = now + kCheckPeriod;
   }
   targets_.Started(attempt, now);
@@ -651,7 +664,7 @@
     case attempt_end::kRefusedOwner:
       break;
     case attempt_end::kConnectFailed:
-      if (Keyed()) {
+      if (Keyed() && !suspended_) {
         // Its gate bounds how often the owner is tried; no budget is needed.
         Place(live, /*front=*/true, now);
         return;
@@ -677,6 +690,10 @@
       Finish(live, finish_reason::kCancelled, later, out);
       return;
   }
+  if (suspended_ || now >= authority_) {
+    Finish(live, finish_reason::kNoAuthority, kUnknownReturn, out);
+    return;
+  }
   if (!SpendRetry()) {
     Finish(live, finish_reason::kRetryBudget, later, out);
     return;
@@ -703,6 +720,9 @@
 void basic_dispatcher<picker>::Rescue(target_index target, time_point now,
                                       decisions& out) {
   targets_.At(target).rescue = false;
+  if (suspended_) {
+    return;
+  }
   for (running_attempt& attempt : targets_.At(target).attempts) {
     live_request* live = attempt.request;
     if (live == nullptr || !live->request.repeatable || !SpendRetry()) {
--- a/include/foxtailspread/dispatcher.h
+++ b/include/foxtailspread/dispatcher.h
@@ -72,6 +72,11 @@
   static constexpr duration kOwnerWait{std::chrono::milliseconds{1500}};
   /// How often gates, silence and held requests are looked at.
   static constexpr duration kCheckPeriod{std::chrono::milliseconds{10}};
+  /// Once urgent requests have been waiting for this long without a break,
+  /// further ones are admitted only if they wait no longer than so many mean
+  /// service times.
+  static constexpr duration kStandingTime{std::chrono::milliseconds{100}};
+  static constexpr double kStandingTurns = 4;
   /// Retries saved up at the most.
   static constexpr double kRetryBurst = 10;
   /// When to come back if nothing better is known.
@@ -128,6 +133,10 @@
   void Suspend(time_point now, std::vector<dispatch_decision>& out);
   void Resume() { suspended_ = false; }
 
+  /// Marks of the poison guard; see there.
+  std::vector<poison_mark> TakePoisonNews(time_point now) {
+    return poison_.TakeNews(now);
+  }
   std::vector<poison_mark> ExportPoison(time_point now) const {
     return poison_.Export(now);
   }
--- a/include/foxtailspread/fair_queue.h
+++ b/include/foxtailspread/fair_queue.h
@@ -35,6 +35,7 @@
   boost::intrusive::unordered_set_member_hook<> id_hook;
   dispatch_request request;
   time_point due;  ///< When it ends at the latest, as things stand.
+  time_point queued_since;
   running_attempt* attempt = nullptr;
   target_index last_target = kNoTarget;
   target_index queued_at = kNoTarget;  ///< Whose queue, in a keyed service.
@@ -94,6 +95,9 @@
   int Size() const { return size_; }
   /// Returns how many wait in this class, all organisations together.
   int Size(urgency level) const { return by_class_[Index(level)].size; }
+  /// Returns since when there was always an urgent request waiting; of use
+  /// only while there is one.
+  time_point UrgentWaitsSince() const { return urgent_since_; }
   /// Returns how many of the organisation wait that go before a new one.
   int SizeAhead(int32_t organisation, urgency level) const;
   /// Returns the organisation's part among those that wait, itself included.
@@ -154,6 +158,7 @@
   double waiting_share_ = 0;  // sum over organisations that wait
   int size_ = 0;
   int since_archive_ = 0;
+  time_point urgent_since_;
 };
 
 template <typename visitor>
--- a/include/foxtailspread/poison_guard.h
+++ b/include/foxtailspread/poison_guard.h
@@ -60,7 +60,12 @@
   /// Returns whether the content is to be refused.
   bool IsQuarantined(uint64_t content_hash, time_point now) const;
 
-  /// Returns all marks, to be given to other hosts.
+  /// Returns the marks set by crashes seen here since the last call. Sent to
+  /// the other hosts at once, they keep one request from taking targets down
+  /// zone by zone. Marks learnt by Import are not in it, so that a mark that
+  /// was cleared is not handed round for ever.
+  std::vector<poison_mark> TakeNews(time_point now);
+  /// Returns all marks, for a host that starts.
   std::vector<poison_mark> Export(time_point now) const;
   /// Takes over marks of another host where they say more than the own.
   void Import(std::span<const poison_mark> marks, time_point now);
@@ -72,6 +77,7 @@
     uint64_t content_hash = 0;
     int crashes = 0;
     time_point marked_at;
+    bool news = false;
   };
   struct hash_of_entry {
     using type = uint64_t;
@@ -97,6 +103,7 @@
   entry_set by_hash_;
   entry_list in_use_;  // least recently marked first
   entry_list free_;
+  bool any_news_ = false;
 };
 
 }  // namespace foxtailspread
--- a/include/foxtailspread/target_table.h
+++ b/include/foxtailspread/target_table.h
@@ -107,6 +107,7 @@
  public:
   static constexpr int kRampSuccesses = 4;
   static constexpr int kFailuresToEject = 3;
+  static constexpr int kRefusalsToSuspect = 6;
   static constexpr int kMostEjectedDivisor = 3;
   static constexpr duration kFirstEjection{std::chrono::milliseconds{250}};
   static constexpr duration kLongestEjection{std::chrono::seconds{10}};
--- a/src/core/fair_queue.cc
+++ b/src/core/fair_queue.cc
@@ -99,6 +99,9 @@
   if (kind.waiting.empty()) {
     by_class_[level].order.insert(kind);
   }
+  if (level == Index(urgency::kUrgent) && by_class_[level].size == 0) {
+    urgent_since_ = waiting.queued_since;
+  }
   f.size++;
   by_class_[level].size++;
   size_++;
--- a/src/core/poison_guard.cc
+++ b/src/core/poison_guard.cc
@@ -21,6 +21,8 @@
   entry& marked = FindOrInsert(content_hash, now);
   marked.crashes++;
   marked.marked_at = now;
+  marked.news = true;
+  any_news_ = true;
 }
 
 void poison_guard::TakeBackCrash(uint64_t content_hash) {
@@ -53,6 +55,22 @@
   return Crashes(content_hash, now) >= kQuarantineCrashes;
 }
 
+std::vector<poison_mark> poison_guard::TakeNews(time_point now) {
+  std::vector<poison_mark> marks;
+  if (!any_news_) {
+    return marks;
+  }
+  any_news_ = false;
+  for (entry& marked : in_use_) {
+    if (marked.news) {
+      marks.push_back(
+          {marked.content_hash, marked.crashes, now - marked.marked_at});
+      marked.news = false;
+    }
+  }
+  return marks;
+}
+
 std::vector<poison_mark> poison_guard::Export(time_point now) const {
   std::vector<poison_mark> marks;
   marks.reserve(in_use_.size());
@@ -96,6 +114,7 @@
   free_.pop_front();
   fresh.content_hash = content_hash;
   fresh.crashes = 0;
+  fresh.news = false;
   fresh.marked_at = time_point{};
   in_use_.push_back(fresh);
   by_hash_.insert(fresh);
--- a/src/core/target_table.cc
+++ b/src/core/target_table.cc
@@ -194,7 +194,10 @@
     Gate(target, now);
   }
   UpdateAllowance(index, now);
-  const bool lost = !shed && target.failures >= kFailuresToEject;
+  // A target that sheds now and then answers in between. One that sheds and
+  // never answers serves nobody, whatever its health endpoint says.
+  const bool lost =
+      target.failures >= (shed ? kRefusalsToSuspect : kFailuresToEject);
   if (!lost || target.suspected) {
     return false;
   }
--- a/tests/dispatcher_property_test.cc
+++ b/tests/dispatcher_property_test.cc
@@ -244,7 +244,7 @@
   }
   RC_ASSERT(starts[0] + starts[1] == 900);
   const double expected = 900.0 / (weight + 1);
-  RC_ASSERT(std::abs(starts[1] - expected) < 0.05 * expected + 8);
+  RC_ASSERT(std::abs(starts[1] - expected) <= fair_queue::kMostAhead + kSlots);
 }
 
 }  // namespace
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -114,8 +114,20 @@
   EXPECT_TRUE(Starts(out).empty());
 }
 
-// A target sheds load. It promised that it did not begin, so the order can
-// go to another one; the same target would only refuse it again.
+// A lookup times out at a target that is otherwise fine and has the least to
+// do. Repeated there, it would most likely meet the same trouble.
+TEST_F(DispatcherTest, RepeatedLookupStartsOnAnotherTarget) {
+  dispatch_request lookup = Request(1);
+  lookup.repeatable = true;
+  const auto first = Starts(Submit(pooled_, lookup)).at(0);
+  for (uint64_t id = 2; id <= 4; ++id) {
+    Submit(pooled_, Request(id));
+  }
+  const auto out = End(pooled_, first.attempt_id, attempt_end::kTimedOut, 11);
+  ASSERT_EQ(Starts(out).size(), 1U);
+  EXPECT_NE(Starts(out)[0].target, first.target);
+}
+
 TEST_F(DispatcherTest, RefusedRequestStartsOnAnotherTarget) {
   const auto first = Starts(Submit(pooled_, Request(1)));
   const auto out =
@@ -124,21 +136,27 @@
   EXPECT_NE(Starts(out)[0].target, first[0].target);
 }
 
-// All targets refuse. Retries on top of the first attempts would add to the
-// load that made them refuse.
+// An owner refuses everything as stale. Retries on top of the first attempts
+// would add to the load of a target that is busy taking over.
 TEST_F(DispatcherTest, RetriesStayWithinTheBudget) {
+  std::vector<start_attempt> starts;
   for (uint64_t id = 1; id <= 400; ++id) {
-    auto starts = Starts(Submit(pooled_, Request(id), static_cast<int>(id)));
-    for (size_t i = 0; i < starts.size(); ++i) {
-      const auto more =
-          Starts(End(pooled_, starts[i].attempt_id, attempt_end::kNotStarted,
-                     static_cast<int>(id)));
+    const auto now = static_cast<int64_t>(id);
+    auto begun = Starts(Submit(keyed_, Request(id), now));
+    starts.insert(starts.end(), begun.begin(), begun.end());
+    begun = Starts(Tick(keyed_, now));
+    starts.insert(starts.end(), begun.begin(), begun.end());
+    while (!starts.empty()) {
+      const uint64_t attempt = starts.back().attempt_id;
+      starts.pop_back();
+      const auto out = End(keyed_, attempt, attempt_end::kRefusedOwner, now);
+      const auto more = Starts(out);
       starts.insert(starts.end(), more.begin(), more.end());
     }
   }
-  const dispatch_counters& counters = pooled_.Counters();
+  const dispatch_counters& counters = keyed_.Counters();
   const double allowed = 10 + 0.1 * static_cast<double>(counters.first_starts);
-  EXPECT_GT(counters.retries, 0U);
+  EXPECT_GT(counters.retries, 10U);
   EXPECT_LE(static_cast<double>(counters.retries), allowed);
 }
 
@@ -219,6 +237,52 @@
   EXPECT_EQ(ejected, 1);
 }
 
+// A target refuses everything and never answers while its health endpoint
+// says that all is well. Its keys are unavailable until they move.
+TEST_F(DispatcherTest, TargetThatOnlyRefusesIsSuspected) {
+  std::vector<dispatch_decision> seen;
+  int64_t now = 10;
+  for (; now < 1000 && All<target_suspected>(seen).empty(); now += 10) {
+    auto out = Submit(keyed_, Request(static_cast<uint64_t>(now)), now);
+    const auto ticked = Tick(keyed_, now);
+    out.insert(out.end(), ticked.begin(), ticked.end());
+    for (const start_attempt& start : Starts(out)) {
+      const auto ended =
+          End(keyed_, start.attempt_id, attempt_end::kNotStarted, now);
+      seen.insert(seen.end(), ended.begin(), ended.end());
+    }
+  }
+  EXPECT_EQ(All<target_suspected>(seen).size(), 1U);
+  EXPECT_LT(now, 500);
+}
+
+// Far more urgent lookups come than fit. If all that can still meet their
+// deadline wait, every surveyor waits for nearly the whole deadline.
+TEST_F(DispatcherTest, StandingQueueOfUrgentRequestsIsKeptShort) {
+  dispatch_request urgent = Request(0);
+  urgent.level = urgency::kUrgent;
+  std::vector<uint64_t> running;
+  int queued_at_most = 0;
+  for (int64_t now = 10; now < 600; ++now) {
+    urgent.deadline = At(now + 2000);
+    auto out = End(keyed_, running.empty() ? 0 : running.front(),
+                   attempt_end::kAnswered, now);
+    running.erase(running.begin(), running.begin() + (running.empty() ? 0 : 1));
+    for (int i = 0; i < 3; ++i) {
+      urgent.request_id++;
+      keyed_.Submit(urgent, At(now), out);
+    }
+    for (const start_attempt& start : Starts(out)) {
+      running.push_back(start.attempt_id);
+    }
+    if (now > 500) {
+      queued_at_most = std::max(queued_at_most, keyed_.Waiting());
+    }
+  }
+  EXPECT_GT(queued_at_most, 0);
+  EXPECT_LE(queued_at_most, 300);
+}
+
 TEST_F(DispatcherTest, NewlyUsableTargetStartsWithOneSlot) {
   const auto now = At(50);
   keyed_.SetTargetUsability(0, target_usability::kDown, now);
@@ -267,8 +331,11 @@
   keyed_.Suspend(At(11), out);
   ASSERT_EQ(Finishes(out).size(), 1U);
   EXPECT_EQ(Finishes(out)[0].reason, finish_reason::kNoAuthority);
-  EXPECT_TRUE(
-      Starts(End(keyed_, attempts[0], attempt_end::kAnswered, 12)).empty());
+  // One that a target refuses now is not tried again either.
+  const auto refused = End(keyed_, attempts[0], attempt_end::kNotStarted, 12);
+  EXPECT_TRUE(Starts(refused).empty());
+  ASSERT_EQ(Finishes(refused).size(), 1U);
+  EXPECT_EQ(Finishes(refused)[0].outcome, dispatch_outcome::kNotRun);
   EXPECT_TRUE(Starts(Submit(keyed_, Request(5), 12)).empty());
 }
 
