Count usable targets when they change, not with each request

Admission and the cap on archive work went over all targets.

The tests of noise in the measurement and of standing urgent queues did not fail with the mechanism removed; both now do.

--- a/include/foxtailspread/target_table.h
+++ b/include/foxtailspread/target_table.h
@@ -142,9 +142,9 @@
   }
   /// Returns whether the target is in the list and not said to be unusable.
   bool Usable(target_index index) const;
-  int UsableCount() const;
+  int UsableCount() const { return usable_count_; }
   /// Returns the slots of all usable targets.
-  int UsableSlots() const;
+  int UsableSlots() const { return usable_slots_; }
   int ArchiveRunning() const { return archive_running_; }
   bool AnyRunning() const { return running_ > 0; }
   const service_estimator& Service() const { return service_; }
@@ -168,6 +168,7 @@
 
  private:
   static size_t Slot(target_index index) { return static_cast<size_t>(index); }
+  void CountUsable();
   void UpdateAllowance(target_index index, time_point now);
   bool MayEject() const;
   void Gate(target_state& target, time_point now);
@@ -179,6 +180,8 @@
   service_estimator service_;
   time_point last_answer_;
   int running_ = 0;
+  int usable_count_ = 0;
+  int usable_slots_ = 0;
   int archive_running_ = 0;
 };
 
--- a/src/core/target_table.cc
+++ b/src/core/target_table.cc
@@ -81,6 +81,7 @@
     const auto place = static_cast<size_t>(unused - targets_.begin());
     loads_[place] = {.served = served / loads_.size()};
   }
+  CountUsable();
   for (size_t i = 0; i < targets_.size(); ++i) {
     UpdateAllowance(static_cast<target_index>(i), last_answer_);
   }
@@ -111,6 +112,7 @@
   }
   target.rescue = usability == target_usability::kDown;
   target.usability = usability;
+  CountUsable();
   UpdateAllowance(index, now);
 }
 
@@ -119,20 +121,15 @@
   return target.present && target.usability == target_usability::kUsable;
 }
 
-int target_table::UsableCount() const {
-  int count = 0;
+void target_table::CountUsable() {
+  usable_count_ = 0;
+  usable_slots_ = 0;
   for (int i = 0; i < Size(); ++i) {
-    count += Usable(i) ? 1 : 0;
-  }
-  return count;
-}
-
-int target_table::UsableSlots() const {
-  int slots = 0;
-  for (int i = 0; i < Size(); ++i) {
-    slots += Usable(i) ? At(i).slots : 0;
+    if (Usable(i)) {
+      usable_count_++;
+      usable_slots_ += At(i).slots;
+    }
   }
-  return slots;
 }
 
 void target_table::Started(running_attempt& attempt, time_point now) {
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -280,7 +280,7 @@
     }
   }
   EXPECT_GT(queued_at_most, 0);
-  EXPECT_LE(queued_at_most, 300);
+  EXPECT_LE(queued_at_most, 100);
 }
 
 TEST_F(DispatcherTest, NewlyUsableTargetStartsWithOneSlot) {
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <random>
 #include <string>
 
 #include "fixed_seed.h"
@@ -166,10 +167,11 @@
 // near the limit must not have its buckets sent to and fro.
 TEST(PlacementTest, NoiseOfTheMeasurementMovesNothing) {
   placed_range range = EvenRange(256, 4);
+  std::mt19937 random(7);
+  std::uniform_real_distribution<double> noisy(8, 12);
   for (int round = 0; round < 50; ++round) {
-    for (size_t b = 0; b < range.loads.size(); ++b) {
-      const size_t noise = (b * 31 + static_cast<size_t>(round) * 17) % 11;
-      range.loads[b] = 9.5 + 0.1 * static_cast<double>(noise);
+    for (double& load : range.loads) {
+      load = noisy(random);
     }
     EXPECT_TRUE(range.Plan().empty());
   }
