Spread the load tool's calls over sessions; report error codes

With 2,400 calls in flight in one libsoup session a trial of the tool spent over a minute in going over its connections and printed nothing (seen in a stack of the running program). Codes of errors show why requests were not done.

--- a/src/load/statistics.cc
+++ b/src/load/statistics.cc
@@ -116,6 +116,9 @@
       burn_[{std::string(outcome.organisation), std::string(outcome.service)}];
   ++current.sent;
   ++burn.counts.total;
+  if (!outcome.code.empty()) {
+    ++service.per_code[std::string(outcome.code)];
+  }
   switch (outcome.outcome) {
     case action_outcome::kNotRun:
       ++second.not_run;
@@ -158,6 +161,7 @@
   summary.p999 = state.latency.Quantile(0.999);
   summary.imbalance = Imbalance(state.per_target);
   summary.per_target = state.per_target;
+  summary.per_code = state.per_code;
   return summary;
 }
 
@@ -198,7 +202,8 @@
                         {"p999_ms", ToMilliseconds(s.p999)},
                         {"unavailable_ms", ToMilliseconds(s.unavailable)},
                         {"imbalance", s.imbalance},
-                        {"per_target", s.per_target}});
+                        {"per_target", s.per_target},
+                        {"per_code", s.per_code}});
   }
   nlohmann::json json = BurnToJson(statistics.Burn());
   // The run is one window; two equal ones would only mislead.
@@ -227,6 +232,9 @@
                   ToMilliseconds(s.p999), ToMilliseconds(s.unavailable),
                   s.imbalance);
     text += line.data();
+    for (const auto& [code, count] : s.per_code) {
+      text += "    " + code + ": " + std::to_string(count) + '\n';
+    }
   }
   return text;
 }
--- a/src/load/statistics.h
+++ b/src/load/statistics.h
@@ -52,6 +52,7 @@
   duration latency{};  ///< From when it was due to its last answer.
   action_outcome outcome = action_outcome::kUnknown;
   std::string_view target;  ///< That answered, "" if none said so.
+  std::string_view code;    ///< Of the error, "" if done.
 };
 
 /// One second of one service, by when the requests were due.
@@ -75,6 +76,7 @@
   duration unavailable{};  ///< Slots with requests of which none was done.
   double imbalance = 0;    ///< Most loaded target over the mean; 0 if none.
   std::map<std::string, uint64_t> per_target;
+  std::map<std::string, uint64_t> per_code;  ///< Of those not done.
 };
 
 /// Collects the results of a run.
@@ -98,6 +100,7 @@
     std::vector<load_second> seconds;
     std::vector<slot> slots;
     std::map<std::string, uint64_t> per_target;
+    std::map<std::string, uint64_t> per_code;
     latency_histogram latency;
   };
   struct burn_state {
--- a/src/programs/foxtail-load/load_runner.cc
+++ b/src/programs/foxtail-load/load_runner.cc
@@ -12,6 +12,11 @@
 
 constexpr duration kTick{std::chrono::milliseconds{1}};
 constexpr int kConnectionsPerHost = 2000;
+// libsoup goes over all waiting calls and all connections of a session at each
+// event. With some thousands of both in one session the tool does nothing
+// else (seen: 2,400 calls in flight kept it busy for over a minute), so calls
+// are spread over many sessions.
+constexpr size_t kClients = 64;
 constexpr size_t kKeptActions = 16;
 // A request told `not run` that starts all the same does so a little later;
 // logs read at once would not show it.
@@ -35,6 +40,20 @@
   return std::chrono::seconds{HeaderNumber(answer, "Retry-After")};
 }
 
+// The error's code for the report, or how the call failed.
+std::string CodeOf(const http_call_result& answer) {
+  if (answer.outcome != http_outcome::kAnswered) {
+    return std::string(ToString(answer.outcome));
+  }
+  const nlohmann::json json =
+      nlohmann::json::parse(answer.body, nullptr, /*allow_exceptions=*/false);
+  const nlohmann::json::json_pointer place("/error/code");
+  if (json.is_object() && json.contains(place) && json[place].is_string()) {
+    return json[place].get<std::string>();
+  }
+  return "http-" + std::to_string(answer.status);
+}
+
 // The request itself is at fault; the same again gets the same answer.
 bool IsRequestAtFault(int status) {
   return status == kHttpBadRequest || status == kHttpUnauthorized ||
@@ -48,9 +67,12 @@
                          std::function<void()> finished)
     : scenario_(scenario),
       finished_(std::move(finished)),
-      client_({.max_connections_per_host = kConnectionsPerHost}),
       statistics_(scenario),
       next_actions_(scenario.streams.size()) {
+  for (size_t i = 0; i < kClients; ++i) {
+    clients_.push_back(std::make_unique<http_client>(
+        http_client_settings{.max_connections_per_host = kConnectionsPerHost}));
+  }
   for (size_t i = 0; i < scenario.streams.size(); ++i) {
     generators_.emplace_back(scenario, i);
   }
@@ -152,7 +174,7 @@
   call.headers = {Authorization(e.stream)};
   call.body = nlohmann::json({{"service", stream.service}}).dump();
   call.timeout = stream.deadline;
-  e.call = client_.Send(
+  e.call = ClientOf(id).Send(
       std::move(call),
       [this, id](const http_call_result& answer) { OnMinted(id, answer); });
 }
@@ -169,6 +191,7 @@
     Send(id);
     return;
   }
+  e.code = CodeOf(answer);
   if (!MaySendAgain(e, answer)) {
     Finish(id);
     return;
@@ -199,7 +222,7 @@
   call.body = e.body;
   call.content_type = "text/plain";
   call.timeout = stream.deadline + scenario_.retries.timeout_slack;
-  e.call = client_.Send(
+  e.call = ClientOf(id).Send(
       std::move(call),
       [this, id](const http_call_result& answer) { OnAnswer(id, answer); });
 }
@@ -232,6 +255,7 @@
   exchange& e = *exchanges_.at(id);
   NoteAnswer(e, answer);
   const bool done = e.record.answers.back().outcome == action_outcome::kDone;
+  e.code = done ? "" : CodeOf(answer);
   if (done || !MaySendAgain(e, answer)) {
     Finish(id);
     return;
@@ -284,6 +308,7 @@
   outcome.outcome =
       never_left ? action_outcome::kNotRun : e.record.answers.back().outcome;
   outcome.target = e.target;
+  outcome.code = e.code;
   statistics_.Add(outcome);
   switch (outcome.outcome) {
     case action_outcome::kDone:
@@ -320,10 +345,10 @@
     call.url = "http://" + target.address + "/admin/runs";
     call.timeout = kLogTimeout;
     call.max_body = kMaxLogBytes;
-    client_.Send(std::move(call),
-                 [this, &target](const http_call_result& answer) {
-                   OnRuns(target, answer);
-                 });
+    ClientOf(0).Send(std::move(call),
+                     [this, &target](const http_call_result& answer) {
+                       OnRuns(target, answer);
+                     });
   }
 }
 
--- a/src/programs/foxtail-load/load_runner.h
+++ b/src/programs/foxtail-load/load_runner.h
@@ -61,6 +61,7 @@
     std::string action;
     request_record record;
     std::string target;
+    std::string code;  // of the last answer's error
     int sends = 0;
     bool may_have_arrived = false;
     timer wait;
@@ -81,6 +82,7 @@
   duration WaitBefore(const http_call_result& answer) const;
   void SendLater(uint64_t id, duration wait);
   void Finish(uint64_t id);
+  http_client& ClientOf(uint64_t id) { return *clients_[id % clients_.size()]; }
   std::string NextHost();
   http_header Authorization(size_t stream) const;
   void KeepNextAction(size_t stream, const http_call_result& answer);
@@ -89,7 +91,7 @@
 
   const load_scenario& scenario_;
   std::function<void()> finished_;
-  http_client client_;
+  std::vector<std::unique_ptr<http_client>> clients_;
   std::vector<load_generator> generators_;
   load_statistics statistics_;
   std::vector<request_record> records_;
--- a/tests/load_test.cc
+++ b/tests/load_test.cc
@@ -143,7 +143,7 @@
  protected:
   void Add(duration at, action_outcome outcome, std::string_view target = "",
            duration latency = milliseconds(1)) {
-    statistics_.Add({"shop", "proofs", at, latency, outcome, target});
+    statistics_.Add({"shop", "proofs", at, latency, outcome, target, ""});
   }
   service_summary Summary() const { return statistics_.Summaries().at(0); }
 
