Plan again when a target stops answering

Cause: owners were planned anew only when a target's lease lapsed. At that moment the target may still count as answering, because that time runs from a later reply; the plan then left it its buckets, and nothing planned again. Ruled out: the dispatcher (its target was down) and the lease's end (the bucket's holder was cleared).

--- a/include/foxtailspread/range_steward.h
+++ b/include/foxtailspread/range_steward.h
@@ -177,7 +177,8 @@
   std::vector<target_config> targets_;  ///< Of this range.
   std::vector<bool> draining_;          ///< By index into targets_.
   std::vector<int> owner_index_;        ///< targets_ index to owners_ index.
-  std::vector<int> homed_;              ///< Buckets homed in this range.
+  std::vector<bool> answering_;  ///< By index into targets_, when last planned.
+  std::vector<int> homed_;       ///< Buckets homed in this range.
   std::unordered_map<std::string, int> organisations_;
 
   uint64_t epoch_ = 0;
--- a/src/core/range_steward.cc
+++ b/src/core/range_steward.cc
@@ -250,6 +250,16 @@
       changed = true;
     }
   }
+  // A target may still pass for answering when its lease ends. A plan made
+  // only then would leave it its buckets for good, and their keys unserved.
+  std::vector<bool> answering;
+  for (const int target : owner_index_) {
+    answering.push_back(owners_.Answering(target, now));
+  }
+  if (answering != answering_) {
+    answering_ = std::move(answering);
+    changed = true;
+  }
   if (changed) {
     PlanOwners(now);
   }
