--- a/tests/support/virtual_deployment.cc
+++ b/tests/support/virtual_deployment.cc
@@ -44,6 +44,10 @@
     for (int i = 1; i <= options_.hosts_per_zone; ++i) {
       fake_host& host = hosts_[HostName(zone, i)];
       host.offset_us = static_cast<int64_t>(random_() % 1'000'000'000);
+      if (options_.most_drift_ppm > 0) {
+        const int64_t most = options_.most_drift_ppm;
+        host.drift_ppm = static_cast<int64_t>(random_() % (2 * most)) - most;
+      }
       host.identity.self.name = HostName(zone, i);
       host.identity.self.zone = zone;
       host.identity.self.http = "http:" + HostName(zone, i);
@@ -85,7 +89,8 @@
 }
 
 time_point virtual_deployment::HostClock(const fake_host& host) const {
-  return time_point{duration{now_us_ + host.offset_us}};
+  const int64_t drift = (now_us_ - kStartUs) * host.drift_ppm / 1'000'000;
+  return time_point{duration{now_us_ + host.offset_us + drift}};
 }
 
 time_point virtual_deployment::TargetClock(const fake_target& target) const {
@@ -145,6 +150,11 @@
   return hosts_.at(name).decisions != nullptr;
 }
 
+bool virtual_deployment::HostReady(const std::string& name) const {
+  const fake_host& host = hosts_.at(name);
+  return host.decisions != nullptr && host.decisions->Ready(HostClock(host));
+}
+
 void virtual_deployment::KillHost(const std::string& name) {
   fake_host& host = hosts_.at(name);
   ++host.starts;
@@ -235,7 +245,9 @@
   trace_step step{HostClock(host), event, {}};
   host.decisions->Handle(event, step.at, step.actions);
   host.decisions->TakeReports();
-  host.trace += FormatTraceStep(step) + "\n";
+  if (options_.keep_traces) {
+    host.trace += FormatTraceStep(step) + "\n";
+  }
   const deployment_config* config = host.decisions->config();
   if (config != nullptr) {
     if (config->version < host.last_config) {
@@ -623,6 +635,18 @@
   }
 }
 
+void virtual_deployment::SetTargetFaults(const std::string& name,
+                                         const target_faults& faults) {
+  fake_target& target = targets_.at(name);
+  if (target.machine != nullptr) {
+    target.machine->SetFaults(faults, TargetClock(target));
+    if (faults.freeze_ms > 0) {
+      target.freezes.emplace_back(now_us_, now_us_ + faults.freeze_ms * 1000);
+    }
+    TakeOutcomes(name);
+  }
+}
+
 void virtual_deployment::DoGrant(const std::string& name,
                                  const grant_action& action) {
   const uint64_t start = hosts_.at(name).starts;
@@ -853,6 +877,50 @@
   return "";
 }
 
+std::string virtual_deployment::DoubleOwners() const {
+  std::string found;
+  std::map<std::string, std::string> stewards;
+  for (const auto& [name, host] : hosts_) {
+    if (host.decisions == nullptr) {
+      continue;
+    }
+    for (const auto& [range, node] : host.decisions->ranges().ranges()) {
+      if (node.authority == nullptr ||
+          HostClock(host) >= node.authority->ActingUntil()) {
+        continue;
+      }
+      const auto [other, first] = stewards.emplace(range, name);
+      if (!first) {
+        found += range + " has stewards " + other->second + " and " + name +
+                 " at " + std::to_string(now_us_ - kStartUs) + "\n";
+      }
+    }
+  }
+  std::map<std::pair<std::string, int>, std::string> owners;
+  for (const auto& [name, target] : targets_) {
+    if (target.machine == nullptr) {
+      continue;
+    }
+    for (const std::string& zone : options_.config.zones) {
+      const held_range* held =
+          target.machine->Held(RangeName(target.service, zone));
+      if (held == nullptr || TargetClock(target) >= held->valid_until) {
+        continue;
+      }
+      for (const int bucket : held->buckets) {
+        const auto [other, first] =
+            owners.emplace(std::pair{target.service, bucket}, name);
+        if (!first) {
+          found += "bucket " + std::to_string(bucket) + " of " +
+                   target.service + " is leased to " + other->second + " and " +
+                   name + " at " + std::to_string(now_us_ - kStartUs) + "\n";
+        }
+      }
+    }
+  }
+  return found;
+}
+
 std::string virtual_deployment::TraceOf(const std::string& host) const {
   return hosts_.at(host).trace;
 }
@@ -885,12 +953,20 @@
         continue;
       }
       const bool open = run.end == run_end::kRunning;
-      const int64_t ended =
+      const int64_t started =
+          run.started.time_since_epoch().count() - target.offset_us;
+      int64_t ended =
           open ? now_us_
                : run.ended.time_since_epoch().count() - target.offset_us;
+      // A frozen target does nothing. What ends the moment it wakes ended, for
+      // everybody else, when it froze.
+      for (const auto& [from, to] : target.freezes) {
+        if (started <= from && ended > from && ended <= to) {
+          ended = from;
+        }
+      }
       by_bucket[{target.service, run.bucket}].push_back(
-          stay{run.started.time_since_epoch().count() - target.offset_us, ended,
-               name});
+          stay{started, ended, name});
     }
   }
   for (auto& [bucket, stays] : by_bucket) {
--- a/tests/support/virtual_deployment.h
+++ b/tests/support/virtual_deployment.h
@@ -63,6 +63,9 @@
   duration link_delay{std::chrono::microseconds{500}};
   duration work_time{std::chrono::milliseconds{2}};
   decision_timing timing;
+  /// The clocks of entry hosts run wrong by up to so many parts in a million.
+  int64_t most_drift_ppm = 450;
+  bool keep_traces = true;  ///< Off for long runs.
 };
 
 /// Entry hosts, targets and a platform in virtual time.
@@ -94,6 +97,8 @@
   void PauseHost(const std::string& name, duration length);
   void LeaveHost(const std::string& name);
   bool HostRuns(const std::string& name) const;
+  /// Returns whether the balancer would send callers to the host.
+  bool HostReady(const std::string& name) const;
   entry_host& Host(const std::string& name) {
     return *hosts_.at(name).decisions;
   }
@@ -107,6 +112,7 @@
   target_machine& Target(const std::string& name) {
     return *targets_.at(name).machine;
   }
+  void SetTargetFaults(const std::string& name, const target_faults& faults);
   /// Returns the target that owns the key according to its steward, or "".
   std::string OwnerOf(const std::string& service, const std::string& key) const;
 
@@ -127,6 +133,11 @@
   /// Orders a target to be drained, as an operator would.
   void Drain(const std::string& name);
 
+  /// Returns what breaks single ownership at this moment, "" if nothing: two
+  /// hosts that each believe to be steward of a range, or two targets that
+  /// each hold a lease on a bucket.
+  std::string DoubleOwners() const;
+
   /// Returns what was broken of all that must always hold, "" if nothing:
   /// overlapping owners of a bucket, second runs, false "not run", foreign
   /// answers, "not run" after "unknown", versions that went back.
@@ -145,6 +156,7 @@
     host_identity identity;
     std::unique_ptr<entry_host> decisions;
     int64_t offset_us = 0;
+    int64_t drift_ppm = 0;
     int64_t paused_until = 0;
     bool cut = false;
     uint64_t starts = 0;
@@ -167,6 +179,7 @@
     /// Where the outcome of a ticket goes.
     std::map<target_ticket, std::pair<std::string, uint64_t>> tickets;
     std::deque<target_run> former_runs;
+    std::vector<std::pair<int64_t, int64_t>> freezes;  ///< From and to.
   };
 
   void Push(int64_t delay_us, std::function<void()> action);
