--- a/src/ctl/config_diff.cc
+++ b/src/ctl/config_diff.cc
@@ -1,5 +1,6 @@
 #include "ctl/config_diff.h"
 
+#include <algorithm>
 #include <set>
 
 #include "foxtailspread/json_reader.h"
@@ -9,6 +10,8 @@
 
 using nlohmann::json;
 
+constexpr size_t kMostInOneLine = 8;
+
 /// Returns what an entry of a list is known by: its name, or for a rule the
 /// organisation and the service.
 std::string EntryName(const json& entry) {
@@ -101,6 +104,18 @@
   return text;
 }
 
+std::string ChangesInOneLine(const std::vector<config_change>& changes) {
+  const size_t shown = std::min(changes.size(), kMostInOneLine);
+  const std::vector<config_change> first(changes.data(),
+                                         changes.data() + shown);
+  std::string line = FormatChanges(first);
+  std::replace(line.begin(), line.end(), '\n', ';');
+  if (changes.size() > shown) {
+    return line + " and " + std::to_string(changes.size() - shown) + " more";
+  }
+  return line.substr(0, line.size() - (line.empty() ? 0 : 1));
+}
+
 json ChangesToJson(const std::vector<config_change>& changes) {
   json list = json::array();
   for (const config_change& change : changes) {
--- a/src/ctl/config_diff.h
+++ b/src/ctl/config_diff.h
@@ -28,6 +28,9 @@
 /// "~ path: before -> after".
 std::string FormatChanges(const std::vector<config_change>& changes);
 
+/// Returns the first few changes in one line, for an error's message.
+std::string ChangesInOneLine(const std::vector<config_change>& changes);
+
 /// Returns the changes for scripts.
 nlohmann::json ChangesToJson(const std::vector<config_change>& changes);
 
--- a/src/ctl/config_store.h
+++ b/src/ctl/config_store.h
@@ -75,11 +75,7 @@
   }
   const result<deployment_config> won = ConfigOf(winner);
   if (base && won) {
-    for (const config_change& change : DiffConfigs(*base, won.value())) {
-      std::string line = FormatChanges({change});
-      line.pop_back();
-      lost.reason += "; " + line;
-    }
+    lost.reason += "; " + ChangesInOneLine(DiffConfigs(*base, won.value()));
   }
   return lost;
 }
--- a/src/ctl/http_session.cc
+++ b/src/ctl/http_session.cc
@@ -5,6 +5,7 @@
 
 #include "foxtailspread/json_reader.h"
 #include "foxtailspread/nearest_name.h"
+#include "foxtailspread/object_store.h"
 
 namespace foxtailspread {
 namespace {
@@ -141,6 +142,9 @@
 }
 
 result<object_state> http_session::Get(std::string_view key) {
+  if (const status sound = CheckObjectKey(key); !sound) {
+    return sound.error();
+  }
   const result<http_call_result> answer =
       CallPlatform({.url = "/v1/objects/" + std::string(key)});
   if (!answer) {
@@ -157,6 +161,9 @@
 }
 
 result<write_answer> http_session::Write(const conditional_write& write) {
+  if (const status sound = CheckObjectKey(write.key); !sound) {
+    return sound.error();
+  }
   http_call_request request{.method = write.value ? "PUT" : "DELETE",
                             .url = "/v1/objects/" + write.key};
   request.headers.push_back(
--- a/tests/ctl_programs_test.cc
+++ b/tests/ctl_programs_test.cc
@@ -67,6 +67,8 @@
   EXPECT_EQ(Ctl({"drain", "target", "deposits-01"}).status, 5);
   EXPECT_EQ(Ctl({"undrain", "target", "deposits-01"}).status, 0);
   EXPECT_EQ(Ctl({"undrain", "target", "deposits-01"}).status, 2);
+  EXPECT_THAT(Ctl({"undrain", "target", "deposits 01?"}).err,
+              HasSubstr("drains/deposits 01?"));
 }
 
 // The platform carries the write out and closes the connection in place of an
