--- a/src/ctl/config_store.h
+++ b/src/ctl/config_store.h
@@ -14,6 +14,7 @@
 #include "ctl/marked_write.h"
 #include "foxtailspread/config.h"
 #include "foxtailspread/json_reader.h"
+#include "foxtailspread/nearest_name.h"
 
 namespace foxtailspread {
 
@@ -74,6 +75,9 @@
     lost.reason += " instead of " + std::to_string(base->version);
   }
   const result<deployment_config> won = ConfigOf(winner);
+  if (won) {
+    lost.reason += ", with the mark " + Quoted(won.value().mark);
+  }
   if (base && won) {
     lost.reason += "; " + ChangesInOneLine(DiffConfigs(*base, won.value()));
   }
--- a/src/programs/foxtailctl/main.cc
+++ b/src/programs/foxtailctl/main.cc
@@ -14,10 +14,11 @@
 
 constexpr int kMarkWords = 4;
 
-/// Returns 128 random bits in hex, so that no two runs share a mark.
-std::string NewMark() {
+/// Returns who acts and 128 random bits in hex: no two runs share a mark, and
+/// whoever loses a race sees whose write won.
+std::string NewMark(const std::string& who) {
   std::random_device random;
-  std::string mark;
+  std::string mark = who + ".";
   for (int i = 0; i < kMarkWords; ++i) {
     std::array<char, 9> word{};
     (void)std::snprintf(word.data(), word.size(), "%08x", random());
@@ -52,7 +53,8 @@
   if (!token) {
     return token.error();
   }
-  const operator_act act{what.as, what.why, UtcNow(), NewMark(), what.revision};
+  const operator_act act{what.as, what.why, UtcNow(), NewMark(what.as),
+                         what.revision};
   const auto timeout = std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(what.timeout_s));
   http_session session({what.platform, token.value(), timeout});
--- a/tests/ctl_config_test.cc
+++ b/tests/ctl_config_test.cc
@@ -147,6 +147,7 @@
   EXPECT_THAT(lost.error().reason,
               HasSubstr("preset.name: \"everyday\" -> \"maintenance\""));
   EXPECT_THAT(lost.error().reason, HasSubstr("\"ivo\""));
+  EXPECT_THAT(lost.error().reason, HasSubstr("the mark \"other\""));
   EXPECT_EQ(Stored().preset, "maintenance");
 }
 
