Plan owners by measured load, hand identifiers out in turn, heed the list

Three causes of uneven or late behaviour, found in a trial with the Vlahović declarations (12 entry hosts, 36 targets, 4 to 5 s each on a busy machine): - buckets were spread by number, whatever their load: the planner now gets the measured load and the hottest keys, which may be owned apart; - callers chained identifiers of one range, so the load of the pooled action services stayed where chance had put it (max/mean 1.5 to 4.0): hosts hold identifiers of all ranges ready and hand them out in turn; - a leaving target was known from its own refusals and operators only: the zone's watcher reads the platform's list and its beacon carries the names. Also: marks of contents that crash targets travel with greetings, an operator's drain of a host makes it leave, and a configuration of another deployment is refused.

--- a/include/foxtailspread/entry_host.h
+++ b/include/foxtailspread/entry_host.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,7 @@
 /// What an entry host is told at its start.
 struct host_identity {
   host_entry self;                ///< With a life no former start had.
+  std::string deployment;         ///< The only one whose configuration counts.
   std::vector<host_entry> seeds;  ///< Hosts to ask while the platform is down.
   action_secret secret;
 };
@@ -84,10 +86,12 @@
   void TickLeaving(time_point now, steward_output& out);
   void Flush(action_list& out);
   size_t Rank() const;
+  void NoteLeaving();
   target_notices Notices() const;
 
   decision_timing timing_;
   host_entry self_;
+  std::string deployment_;
   peer_directory directory_;
   object_sync sync_;
   promise_ledger ledger_;
@@ -99,6 +103,7 @@
   std::optional<deployment_config> config_;
   uint64_t refused_config_ = 0;
   bool targets_changed_ = false;
+  std::set<std::string> listed_leaving_;  ///< By the platform.
   time_point next_hello_{};
   std::optional<time_point> first_peer_batch_;
   bool started_ = false;
--- a/include/foxtailspread/host_io.h
+++ b/include/foxtailspread/host_io.h
@@ -96,6 +96,8 @@
   int status = 0;
   request_outcome outcome = request_outcome::kUnknown;
   int64_t retry_after_us = 0;
+  /// Identifiers of actions that came with it, or empty.
+  std::string next_action{};
 };
 
 /// How a grant order ended.
@@ -131,6 +133,8 @@
   platform_end end = platform_end::kFailed;
   object_change object;  ///< For gets, puts and conflicts.
   change_batch changes;  ///< For watches.
+  /// For lists of hosts: the names of those that are leaving.
+  std::vector<std::string> leaving{};
 };
 
 /// The operator asked the host to stop gracefully.
@@ -233,7 +237,7 @@
   peer_message message;
 };
 
-enum class platform_call_kind { kGet, kPut, kWatch };
+enum class platform_call_kind { kGet, kPut, kWatch, kListHosts };
 
 /// Call the platform.
 struct platform_action {
--- a/include/foxtailspread/object_sync.h
+++ b/include/foxtailspread/object_sync.h
@@ -7,8 +7,9 @@
 /// One host of each zone holds the platform's watch; the others get what it
 /// learns from their neighbours. A relayed message is a hint: whoever misses
 /// it sees from the next greeting's revision that it is behind, and asks. The
-/// watcher's progress travels as a beacon; hosts that see none for a while
-/// start a watch of their own, the first in rank first.
+/// watcher's progress travels as a beacon, with the names that the platform
+/// lists as leaving; hosts that see none for a while start a watch of their
+/// own, the first in rank first.
 
 #include <cstdint>
 #include <functional>
@@ -29,6 +30,7 @@
   duration watch_wait{std::chrono::seconds{2}};      ///< Of one waiting watch.
   duration beacon_silence{std::chrono::seconds{5}};  ///< Then rank 0 watches.
   duration rank_stagger{std::chrono::seconds{1}};
+  duration list_period{std::chrono::seconds{1}};  ///< Of the list of hosts.
   duration retry_first{std::chrono::milliseconds{100}};
   duration retry_most{std::chrono::seconds{2}};
 };
@@ -94,6 +96,7 @@
     backoff pause;
   };
 
+  bool IsWatcher() const { return beacon_ && beacon_->watcher == host_; }
   void StartWatch(time_point now, action_list& out);
   bool ShouldWatch(time_point now, size_t rank) const;
   std::vector<object_change> OnWatch(const platform_ended& ended,
@@ -114,6 +117,8 @@
   bool platform_answers_ = false;
   uint64_t next_call_ = 1;
   uint64_t watch_call_ = 0;
+  uint64_t list_call_ = 0;
+  time_point next_list_{};
   time_point watch_not_before_{};
   backoff watch_pause_;
   std::map<std::string, write_state, std::less<>> writes_;
--- a/include/foxtailspread/peer_message.h
+++ b/include/foxtailspread/peer_message.h
@@ -36,6 +36,8 @@
   std::string zone;
   std::string watcher;
   uint64_t seq = 0;
+  /// The hosts and targets that the platform lists as leaving.
+  std::vector<std::string> leaving{};
 };
 
 /// One message. Every part is optional and idempotent.
--- a/include/foxtailspread/range_steward.h
+++ b/include/foxtailspread/range_steward.h
@@ -21,6 +21,7 @@
 #include "foxtailspread/dispatcher.h"
 #include "foxtailspread/host_io.h"
 #include "foxtailspread/range.h"
+#include "foxtailspread/range_balance.h"
 
 namespace foxtailspread {
 
@@ -135,12 +136,21 @@
   struct live_attempt {
     uint64_t dispatch_id = 0;
     uint64_t request_id = 0;
-    int bucket = kNoBucket;
+    int bucket = kNoBucket;  ///< A key slot's number where one is in force.
+    uint64_t key_hash = 0;
     int target = -1;
     std::string organisation;
     std::string action;  ///< Empty for lookups.
   };
 
+  /// A key that is owned apart from its bucket, under a number of its own.
+  struct key_slot {
+    int bucket = -1;
+    int slot = -1;
+    int starting = -1;       ///< Its owner once nothing of the key runs.
+    bool returning = false;  ///< On its way back to its bucket.
+  };
+
   void Carry(std::vector<dispatch_decision>& decisions, time_point now,
              steward_output& out);
   void Start(const start_attempt& start, time_point now, steward_output& out);
@@ -160,6 +170,9 @@
   std::string NextAction(std::string_view organisation);
   void ApplyOwnerChanges(const ownership_step& step);
   void PlanOwners(time_point now);
+  void MoveKey(const placement_move& move);
+  void StepKeys();
+  void ForgetKeys();
   void UpdateUsability(time_point now);
   void RebuildMap();
   int OrganisationIndex(std::string_view organisation);
@@ -195,6 +208,11 @@
   std::unordered_map<uint64_t, live_attempt> attempts_;
   std::unordered_map<uint64_t, uint64_t> attempt_ids_;  ///< From dispatch ids.
   std::unordered_map<int, int> running_by_bucket_;
+  std::unordered_map<uint64_t, int> running_by_key_;
+  std::optional<range_balance> balance_;
+  bool allow_rebalance_ = true;
+  std::map<uint64_t, key_slot> keys_;
+  std::vector<int> free_slots_;
 };
 
 }  // namespace foxtailspread
--- a/include/foxtailspread/range_table.h
+++ b/include/foxtailspread/range_table.h
@@ -106,6 +106,8 @@
   void OnGrant(const grant_ended& ended, time_point now, steward_output& out);
   void OnAttempt(const attempt_ended& ended, time_point now,
                  steward_output& out);
+  /// Returns the marks of contents that crashed targets, for other hosts.
+  std::vector<poison_mark> ExportPoison(time_point now) const;
   /// Takes the marks of contents that crashed targets elsewhere.
   void ImportPoison(std::span<const poison_mark> marks, time_point now);
 
--- a/include/foxtailspread/request_front.h
+++ b/include/foxtailspread/request_front.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "foxtailspread/action_pool.h"
 #include "foxtailspread/config.h"
 #include "foxtailspread/host_io.h"
 #include "foxtailspread/range_table.h"
@@ -114,6 +115,8 @@
   void Answer(const front_request& request, answer_action answer,
               time_point now, steward_output& out);
   void RetryLater(front_request& request, time_point now);
+  /// Keeps what a steward minted and returns one identifier for the caller.
+  std::string PoolActions(const front_request& request, std::string minted);
 
   const host_context& context_;
   range_table& ranges_;
@@ -124,6 +127,7 @@
   std::unordered_map<uint64_t, forwarded_state> forwarded_;
   std::unordered_map<uint64_t, uint64_t> forwards_;  ///< Forward to request.
   std::vector<request_report> reports_;
+  action_pool actions_;
 };
 
 }  // namespace foxtailspread
--- /dev/null
+++ b/src/core/action_pool.cc
@@ -0,0 +1,52 @@
+#include "foxtailspread/action_pool.h"
+
+#include "foxtailspread/range.h"
+
+namespace foxtailspread {
+
+std::string action_pool::NextRange(const service_config& service) {
+  auto found = turns_.find(service.name);
+  if (found == turns_.end()) {
+    found = turns_.emplace(service.name, 0).first;
+  }
+  const size_t turn = found->second++ % service.targets.size();
+  return RangeName(service.name, service.targets[turn].zone);
+}
+
+void action_pool::Keep(std::string_view organisation, std::string_view range,
+                       std::string id) {
+  auto& kept = kept_[holder(organisation, range)];
+  if (kept.size() < kMostKept) {
+    kept.push_back(std::move(id));
+  }
+}
+
+std::optional<std::string> action_pool::Take(std::string_view organisation,
+                                             std::string_view range) {
+  const auto found = kept_.find(holder(organisation, range));
+  if (found == kept_.end() || found->second.empty()) {
+    return std::nullopt;
+  }
+  std::string id = std::move(found->second.front());
+  found->second.pop_front();
+  return id;
+}
+
+void action_pool::Forget(std::string_view range) {
+  std::erase_if(kept_, [range](const auto& entry) {
+    return entry.first.second == range;
+  });
+}
+
+std::vector<std::string> SplitActions(std::string_view text) {
+  std::vector<std::string> ids;
+  while (!text.empty()) {
+    const size_t comma = text.find(',');
+    ids.emplace_back(text.substr(0, comma));
+    text.remove_prefix(comma == std::string_view::npos ? text.size()
+                                                       : comma + 1);
+  }
+  return ids;
+}
+
+}  // namespace foxtailspread
--- a/src/core/entry_host.cc
+++ b/src/core/entry_host.cc
@@ -33,6 +33,7 @@
                        const decision_timing& timing)
     : timing_(timing),
       self_(identity.self),
+      deployment_(identity.deployment),
       directory_(identity.self),
       sync_(identity.self.name, identity.self.zone, timing.sync),
       ledger_(identity.self.life, timing.authority),
@@ -76,6 +77,7 @@
   } else if (const auto* e = std::get_if<platform_ended>(&event)) {
     const uint64_t before = sync_.cache().revision();
     const auto news = sync_.OnPlatform(*e, now);
+    NoteLeaving();
     TakeNews(news, now, out);
     Relay(news, before, "");
   } else if (std::holds_alternative<leave_requested>(event)) {
@@ -136,12 +138,15 @@
   if (due) {
     next_hello_ = now + timing_.hello;
   }
+  // A content that crashed a target here may be sent to any other range next.
+  const std::vector<poison_mark> marks = ranges_.ExportPoison(now);
   for (const std::string& name : directory_.Neighbours()) {
     peer_message& message = outbox_[name];
     message.leaving = leaving_;
     if (sync_.beacon()) {
       message.beacons.push_back(*sync_.beacon());
     }
+    message.poison = marks;
   }
 }
 
@@ -171,6 +176,7 @@
   for (const watch_beacon& beacon : message.beacons) {
     sync_.OnBeacon(beacon, now);
   }
+  NoteLeaving();
   for (const range_map_notice& notice : message.maps) {
     ranges_.OnMap(notice);
   }
@@ -214,6 +220,9 @@
       }
     } else if (change.key.starts_with(kDrainKeyPrefix)) {
       targets_changed_ = true;
+      if (After(change.key, kDrainKeyPrefix) == self_.name && !change.deleted) {
+        OnLeave(now);
+      }
     }
   }
 }
@@ -227,6 +236,12 @@
     return;
   }
   result<deployment_config> parsed = ParseConfig(change.value);
+  if (parsed && !deployment_.empty() &&
+      parsed.value().deployment != deployment_) {
+    parsed = error{error_code::kConflict, "deployment",
+                   "the configuration is that of " + parsed.value().deployment,
+                   "correct this host's settings or its platform's address"};
+  }
   if (!parsed) {
     refused_config_ = change.revision;
     out.push_back(log_action{event_id::kConfigRefused,
@@ -251,11 +266,24 @@
   front_.Configure(&*config_);
 }
 
+void entry_host::NoteLeaving() {
+  if (!sync_.beacon()) {
+    return;
+  }
+  const auto& names = sync_.beacon()->leaving;
+  std::set<std::string> leaving(names.begin(), names.end());
+  if (leaving != listed_leaving_) {
+    listed_leaving_ = std::move(leaving);
+    targets_changed_ = true;
+  }
+}
+
 target_notices entry_host::Notices() const {
   target_notices notices;
   notices.draining = [this](std::string_view target) {
-    const std::string key = std::string(kDrainKeyPrefix) + std::string(target);
-    return sync_.cache().Find(key) != nullptr;
+    const std::string name(target);
+    return listed_leaving_.contains(name) ||
+           sync_.cache().Find(std::string(kDrainKeyPrefix) + name) != nullptr;
   };
   return notices;
 }
--- a/src/core/object_sync.cc
+++ b/src/core/object_sync.cc
@@ -24,6 +24,14 @@
   if (due && ShouldWatch(now, rank)) {
     StartWatch(now, out);
   }
+  if (IsWatcher() && list_call_ == 0 && now >= next_list_) {
+    next_list_ = now + timing_.list_period;
+    platform_action call;
+    call.call_id = next_call_++;
+    call.kind = platform_call_kind::kListHosts;
+    list_call_ = call.call_id;
+    out.push_back(std::move(call));
+  }
 }
 
 bool object_sync::ShouldWatch(time_point now, size_t rank) const {
@@ -32,7 +40,7 @@
   if (!synced_) {
     return true;
   }
-  if (beacon_ && beacon_->watcher == host_) {
+  if (IsWatcher()) {
     return true;
   }
   const duration patience =
@@ -57,6 +65,16 @@
   if (ended.call_id == watch_call_) {
     return OnWatch(ended, now);
   }
+  if (ended.call_id == list_call_) {
+    list_call_ = 0;
+    if (ended.end == platform_end::kOk && IsWatcher() &&
+        ended.leaving != beacon_->leaving) {
+      beacon_->leaving = ended.leaving;
+      ++beacon_->seq;
+      beacon_news_ = true;
+    }
+    return {};
+  }
   const auto found = write_calls_.find(ended.call_id);
   if (found == write_calls_.end()) {
     return {};
@@ -79,10 +97,12 @@
   std::vector<object_change> news = cache_.Apply(ended.changes);
   // The first read only fills the copy. The duty to watch goes to whoever the
   // zone's beacon names, or by rank when there is none.
-  const bool own = beacon_ && beacon_->watcher == host_;
   const bool silent = now >= beacon_at_ + timing_.beacon_silence;
-  if (!first || own || silent) {
-    beacon_ = watch_beacon{zone_, host_, beacon_ ? beacon_->seq + 1 : 1};
+  if (!first || IsWatcher() || silent) {
+    std::vector<std::string> leaving =
+        beacon_ ? beacon_->leaving : std::vector<std::string>{};
+    beacon_ = watch_beacon{zone_, host_, beacon_ ? beacon_->seq + 1 : 1,
+                           std::move(leaving)};
     beacon_news_ = true;
     beacon_at_ = now;
   }
--- /dev/null
+++ b/src/core/range_balance.cc
@@ -0,0 +1,92 @@
+#include "foxtailspread/range_balance.h"
+
+#include <algorithm>
+#include <cmath>
+#include <unordered_map>
+
+namespace foxtailspread {
+namespace {
+
+constexpr size_t kSketchCounters = 256;
+constexpr int kMostMoves = 8;
+
+double DecayFactor() {
+  const auto period = static_cast<double>(range_balance::kPeriod.count());
+  const auto half = static_cast<double>(range_balance::kHalfLife.count());
+  return std::exp2(-period / half);
+}
+
+}  // namespace
+
+range_balance::range_balance(int buckets)
+    : load_(buckets, 0.0), hot_(kSketchCounters) {}
+
+void range_balance::Record(int bucket, uint64_t key_hash) {
+  load_[bucket] += 1;
+  hot_.Record(key_hash, bucket);
+}
+
+bool range_balance::Due(time_point now) {
+  if (now < next_) {
+    return false;
+  }
+  next_ = now + kPeriod;
+  const double factor = DecayFactor();
+  for (double& load : load_) {
+    load *= factor;
+  }
+  hot_.Decay(factor);
+  return true;
+}
+
+std::vector<placement_move> range_balance::Plan(
+    const balance_state& state) const {
+  std::vector<double> loads;
+  std::unordered_map<int, int> position;
+  loads.reserve(state.buckets.size());
+  for (const int bucket : state.buckets) {
+    position[bucket] = static_cast<int>(loads.size());
+    loads.push_back(load_[bucket]);
+  }
+  std::vector<hot_key> keys;
+  const auto add = [&](uint64_t key_hash, int bucket, double load,
+                       target_index owner) {
+    const auto found = position.find(bucket);
+    const bool known = std::any_of(
+        keys.begin(), keys.end(),
+        [&](const hot_key& key) { return key.key_hash == key_hash; });
+    if (found != position.end() && !known) {
+      keys.push_back(hot_key{key_hash, found->second, load, owner});
+    }
+  };
+  const std::vector<frequent_key> top = hot_.Top(kMaxKeys);
+  for (const placed_key& placed : state.keys) {
+    const auto measured =
+        std::find_if(top.begin(), top.end(), [&](const frequent_key& key) {
+          return key.key_hash == placed.key_hash;
+        });
+    const double load =
+        measured == top.end() ? 0 : measured->count - measured->error;
+    add(placed.key_hash, placed.bucket, load, placed.owner);
+  }
+  for (const frequent_key& key : top) {
+    if (keys.size() < kMaxKeys) {
+      add(key.key_hash, key.bucket, key.count - key.error, kNoTarget);
+    }
+  }
+  placement_input input;
+  input.bucket_load = loads;
+  input.owners = state.owners;
+  input.targets = state.targets;
+  input.hot_keys = keys;
+  input.balance_weight = state.balance_weight;
+  input.max_moves = kMostMoves;
+  input.allow_rebalance = state.allow_rebalance;
+  std::vector<placement_move> moves = PlanPlacement(input);
+  for (placement_move& move : moves) {
+    move.bucket = state.buckets[move.bucket];
+  }
+  return moves;
+}
+
+}  // namespace foxtailspread
--- a/src/core/range_steward.cc
+++ b/src/core/range_steward.cc
@@ -56,6 +56,10 @@
   for (const target_config& target : targets_) {
     draining_.push_back(notices.draining(target.name));
   }
+  if (keyed && !balance_) {
+    balance_.emplace(service_->buckets);
+  }
+  allow_rebalance_ = config.PresetInForce().allow_rebalance;
   homed_ = keyed ? BucketsOfZone(*service_, zone_) : std::vector<int>{};
 
   std::vector<organisation_rule> rules;
@@ -94,6 +98,9 @@
   }
 
   const bool keyed = service_->placement == placement_kind::kKeyed;
+  // Keys go back to their buckets: whoever owned them apart has no valid lease
+  // any more, or gets a grant without them before anything else.
+  ForgetKeys();
   owners_.Begin(keyed ? service_->buckets : 0);
   for (const auto& [target, buckets] : last.buckets) {
     const std::string& name = target;
@@ -157,6 +164,10 @@
   acting_until_ = acting_until;
   dispatcher_->SetAuthority(acting_until);
   UpdateUsability(now);
+  if (balance_ && balance_->Due(now) && active_) {
+    PlanOwners(now);
+  }
+  StepKeys();
   ownership_step step;
   owners_.Step(
       now, acting_until, [this](int bucket) { return BucketRunning(bucket); },
@@ -188,6 +199,12 @@
     }
     if (change.bucket < service_->buckets) {
       dispatcher_->SetOwner(change.bucket, owner);
+      continue;
+    }
+    for (const auto& [key_hash, key] : keys_) {
+      if (key.slot == change.bucket) {
+        dispatcher_->SetKeyOwner(key_hash, owner);
+      }
     }
   }
   if (!step.changes.empty()) {
@@ -270,47 +287,98 @@
   if (homed_.empty() || targets_.empty()) {
     return;
   }
-  // Draining and silent targets get nothing while there is any other.
-  std::vector<int> eligible;
+  std::map<int, target_index> position;
+  std::vector<placement_target> targets;
   for (size_t i = 0; i < targets_.size(); ++i) {
-    if (!draining_[i] && owners_.Answering(owner_index_[i], now)) {
-      eligible.push_back(owner_index_[i]);
-    }
+    position[owner_index_[i]] = static_cast<target_index>(i);
+    targets.push_back(placement_target{
+        !draining_[i] && owners_.Answering(owner_index_[i], now), 1});
   }
-  if (eligible.empty()) {
-    return;
+  const auto position_of = [&](int owner) {
+    const auto found = position.find(owner);
+    return found == position.end() ? kNoTarget : found->second;
+  };
+  std::vector<target_index> owners;
+  owners.reserve(homed_.size());
+  for (const int bucket : homed_) {
+    owners.push_back(position_of(owners_.Wanted(bucket)));
   }
-  std::map<int, int> load;
-  for (const int target : eligible) {
-    load[target] = 0;
+  std::vector<placed_key> keys;
+  for (const auto& [key_hash, key] : keys_) {
+    const int wanted =
+        key.starting >= 0 ? key.starting : owners_.Wanted(key.slot);
+    keys.push_back(placed_key{key_hash, key.bucket, position_of(wanted)});
   }
-  std::vector<int> homeless;
-  for (const int bucket : homed_) {
-    const int wanted = owners_.Wanted(bucket);
-    const auto found = load.find(wanted);
-    if (found == load.end()) {
-      homeless.push_back(bucket);
+  balance_state state;
+  state.buckets = homed_;
+  state.owners = owners;
+  state.targets = targets;
+  state.keys = keys;
+  state.balance_weight = service_->balance_weight;
+  state.allow_rebalance = allow_rebalance_;
+  for (const placement_move& move : balance_->Plan(state)) {
+    if (move.single_key) {
+      MoveKey(move);
     } else {
-      ++found->second;
+      owners_.Want(move.bucket, owner_index_[move.to]);
     }
   }
-  const auto by_load = [&](int a, int b) { return load[a] < load[b]; };
-  for (const int bucket : homeless) {
-    const int least =
-        *std::min_element(eligible.begin(), eligible.end(), by_load);
-    owners_.Want(bucket, least);
-    ++load[least];
+}
+
+void range_steward::MoveKey(const placement_move& move) {
+  const int to = owner_index_[move.to];
+  const auto found = keys_.find(move.key_hash);
+  if (found == keys_.end()) {
+    if (to == owners_.Wanted(move.bucket)) {
+      return;
+    }
+    key_slot key;
+    key.bucket = move.bucket;
+    key.starting = to;
+    if (free_slots_.empty()) {
+      key.slot = owners_.AddKeySlot();
+    } else {
+      key.slot = free_slots_.back();
+      free_slots_.pop_back();
+    }
+    keys_.emplace(move.key_hash, key);
+    // Nothing of the key starts until its new owner has its grant.
+    dispatcher_->SetKeyOwner(move.key_hash, kNoTarget);
+    return;
   }
-  for (const int bucket : homed_) {
-    const int least =
-        *std::min_element(eligible.begin(), eligible.end(), by_load);
-    const int wanted = owners_.Wanted(bucket);
-    if (load[wanted] > load[least] + 1) {
-      owners_.Want(bucket, least);
-      --load[wanted];
-      ++load[least];
+  key_slot& key = found->second;
+  key.returning = to == owners_.Wanted(key.bucket);
+  key.starting = -1;
+  owners_.Want(key.slot, key.returning ? -1 : to);
+}
+
+void range_steward::StepKeys() {
+  for (auto it = keys_.begin(); it != keys_.end();) {
+    key_slot& key = it->second;
+    const auto running = running_by_key_.find(it->first);
+    const bool runs = running != running_by_key_.end();
+    // What began under the bucket's owner ends before another target gets the
+    // key, or two targets would run it at once.
+    if (key.starting >= 0 && !runs) {
+      owners_.Want(key.slot, key.starting);
+      key.starting = -1;
+    }
+    if (key.returning && owners_.Holder(key.slot) < 0 && !runs) {
+      dispatcher_->ClearKeyOwner(it->first);
+      free_slots_.push_back(key.slot);
+      it = keys_.erase(it);
+      continue;
     }
+    ++it;
+  }
+}
+
+void range_steward::ForgetKeys() {
+  for (const auto& [key_hash, key] : keys_) {
+    dispatcher_->ClearKeyOwner(key_hash);
   }
+  keys_.clear();
+  free_slots_.clear();
 }
 
 const target_config* range_steward::TargetAt(int owners_index) const {
--- a/src/core/range_steward_requests.cc
+++ b/src/core/range_steward_requests.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "foxtailspread/action_pool.h"
 #include "foxtailspread/hash.h"
 #include "foxtailspread/placement.h"
 #include "foxtailspread/range_steward.h"
@@ -142,7 +143,9 @@
   live_request live;
   live.request = request;
   if (service_->placement == placement_kind::kKeyed) {
-    live.bucket = BucketOf(KeyHash(request.key), service_->buckets);
+    const uint64_t key_hash = KeyHash(request.key);
+    live.bucket = BucketOf(key_hash, service_->buckets);
+    balance_->Record(live.bucket, key_hash);
   }
   if (service_->at_most_once) {
     SubmitAction(std::move(live), now, out);
@@ -238,6 +241,11 @@
   attempt.dispatch_id = start.attempt_id;
   attempt.request_id = start.request_id;
   attempt.bucket = live.bucket;
+  attempt.key_hash = KeyHash(live.request.key);
+  const auto key = keys_.find(attempt.key_hash);
+  if (key != keys_.end()) {
+    attempt.bucket = key->second.slot;
+  }
   attempt.target = owner_index_[target - targets_.begin()];
   attempt.organisation = live.request.organisation;
   if (live.action) {
@@ -252,7 +260,7 @@
   action.address = target->address;
   action.range = range_;
   action.epoch = epoch_;
-  action.bucket = live.bucket;
+  action.bucket = attempt.bucket;
   action.key = live.request.key;
   action.not_after_us = acting_until_.time_since_epoch().count();
   action.time_left_us = (start.deadline - now).count();
@@ -261,7 +269,8 @@
       clock ? *clock + action.time_left_us : int64_t{0};
   action.keep_body = live.action.has_value();
   attempt_ids_[start.attempt_id] = id;
-  ++running_by_bucket_[live.bucket];
+  ++running_by_bucket_[attempt.bucket];
+  ++running_by_key_[attempt.key_hash];
   attempts_.emplace(id, std::move(attempt));
   out.actions.push_back(std::move(action));
 }
@@ -276,6 +285,10 @@
   attempts_.erase(found);
   attempt_ids_.erase(attempt.dispatch_id);
   --running_by_bucket_[attempt.bucket];
+  const auto key = running_by_key_.find(attempt.key_hash);
+  if (--key->second == 0) {
+    running_by_key_.erase(key);
+  }
   std::vector<dispatch_decision> decisions;
   const std::optional<uint64_t> answered =
       dispatcher_->AttemptEnded(attempt.dispatch_id, ended.end, now, decisions);
@@ -402,7 +415,10 @@
   answer.request_id = request.request_id;
   answer.outcome = request_outcome::kDone;
   answer.status = kHttpOk;
-  answer.next_action = NextAction(request.organisation);
+  for (int i = 0; i < action_pool::kBatch; ++i) {
+    answer.next_action += i == 0 ? "" : ",";
+    answer.next_action += NextAction(request.organisation);
+  }
   out.results.push_back(request_result{std::move(answer), false});
 }
 
--- a/src/core/range_table.cc
+++ b/src/core/range_table.cc
@@ -315,6 +315,17 @@
   }
 }
 
+std::vector<poison_mark> range_table::ExportPoison(time_point now) const {
+  std::vector<poison_mark> marks;
+  for (const auto& [name, node] : ranges_) {
+    if (node.acting) {
+      const auto own = node.steward->Dispatcher().ExportPoison(now);
+      marks.insert(marks.end(), own.begin(), own.end());
+    }
+  }
+  return marks;
+}
+
 void range_table::ImportPoison(std::span<const poison_mark> marks,
                                time_point now) {
   if (marks.empty()) {
--- a/src/core/request_front.cc
+++ b/src/core/request_front.cc
@@ -187,6 +187,16 @@
   front.arrived = now;
   front.deadline = now + front.service->default_deadline;
   front.mint = true;
+  front.range = actions_.NextRange(*front.service);
+  if (const auto ready_made = actions_.Take(front.organisation, front.range)) {
+    answer_action answer;
+    answer.request_id = front.request_id;
+    answer.outcome = request_outcome::kDone;
+    answer.status = 200;
+    answer.next_action = *ready_made;
+    out.actions.push_back(std::move(answer));
+    return;
+  }
   Accept(std::move(front), now, out);
 }
 
@@ -216,6 +226,12 @@
     return error{error_code::kUnavailable, service.name,
                  "the service has no targets", "ask the operator"};
   }
+  if (request.mint) {
+    const range_node* node = ranges_.Find(request.range);
+    const bool reachable =
+        node != nullptr && request.arrived >= node->avoid_until;
+    return reachable ? request.range : ChoosePooled(request);
+  }
   if (service.placement == placement_kind::kKeyed) {
     const int bucket = BucketOf(KeyHash(request.key), service.buckets);
     return RangeName(service.name, homes_.at(service.name)[bucket]);
@@ -394,6 +410,7 @@
     }
     answer.status = ended.status;
     answer.retry_after_us = ended.retry_after_us;
+    answer.next_action = ended.next_action;
     answer.source = body_source::kForward;
     answer.body_id = ended.forward_id;
     Answer(request, std::move(answer), now, out);
@@ -532,6 +549,29 @@
   out.results.clear();
 }
 
+std::string request_front::PoolActions(const front_request& request,
+                                       std::string minted) {
+  std::vector<std::string> ids = SplitActions(minted);
+  if (request.service == nullptr || request.mint) {
+    for (size_t i = 1; i < ids.size(); ++i) {
+      actions_.Keep(request.organisation, request.range, std::move(ids[i]));
+    }
+    return ids.front();
+  }
+  const std::string range = actions_.NextRange(*request.service);
+  if (range == request.range) {
+    return ids.front();
+  }
+  // Another range's turn: its identifier if one is at hand, and this one is
+  // kept for the range's own turn.
+  auto other = actions_.Take(request.organisation, range);
+  if (!other) {
+    return "";
+  }
+  actions_.Keep(request.organisation, request.range, std::move(ids.front()));
+  return *other;
+}
+
 void request_front::Refuse(uint64_t request_id, const error& e,
                            duration retry_after, steward_output& out) {
   answer_action answer;
@@ -547,6 +587,9 @@
 
 void request_front::Answer(const front_request& request, answer_action answer,
                            time_point now, steward_output& out) {
+  if (!answer.next_action.empty()) {
+    answer.next_action = PoolActions(request, std::move(answer.next_action));
+  }
   reports_.push_back(request_report{request.organisation, request.service_name,
                                     answer.outcome, answer.status,
                                     now - request.arrived});
--- a/src/core/trace.cc
+++ b/src/core/trace.cc
@@ -74,6 +74,7 @@
                              const decision_timing& timing) {
   return json{{"format", kTraceFormat},
               {"self", identity.self},
+              {"deployment", identity.deployment},
               {"seeds", identity.seeds},
               {"timing", timing}}
       .dump();
@@ -87,6 +88,7 @@
     }
     trace_start start;
     start.identity.self = value.at("self").get<host_entry>();
+    start.identity.deployment = value.at("deployment").get<std::string>();
     start.identity.seeds = value.at("seeds").get<std::vector<host_entry>>();
     start.timing = value.at("timing").get<decision_timing>();
     return start;
--- a/src/core/trace_json.h
+++ b/src/core/trace_json.h
@@ -20,7 +20,7 @@
                                    asked_at_us, verdict)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(range_release, range, epoch, actions)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(range_map_notice, range, map)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(watch_beacon, zone, watcher, seq)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(watch_beacon, zone, watcher, seq, leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(poison_mark, content_hash, crashes, age)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(object_change, key, revision, deleted, value)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_batch, since, revision, changes)
@@ -53,12 +53,12 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_ended, attempt_id, end, status, body,
                                    content_type)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(forward_ended, forward_id, end, status,
-                                   outcome, retry_after_us)
+                                   outcome, retry_after_us, next_action)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(grant_ended, range, target, seq, end,
                                    clock_us, epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(peer_received, message)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(platform_ended, call_id, end, object,
-                                   changes)
+                                   changes, leaving)
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(answer_action, request_id, outcome, status,
                                    code, reason, remedy, retry_after_us,
@@ -87,7 +87,8 @@
                                    stagger)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(lease_timing, lease, renew, answer_wait)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(sync_timing, watch_wait, beacon_silence,
-                                   rank_stagger, retry_first, retry_most)
+                                   rank_stagger, list_period, retry_first,
+                                   retry_most)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(decision_timing, authority, lease, sync,
                                    hello, peer_silence, first_record_wait,
                                    rank_stagger, map_record, map_notice,
--- a/src/programs/foxtailspreadd/host_daemon.cc
+++ b/src/programs/foxtailspreadd/host_daemon.cc
@@ -23,6 +23,7 @@
 constexpr int kTargetConnections = 512;
 constexpr int kHostConnections = 256;
 
+constexpr std::string_view kNextAction = "Foxtail-Next-Action";
 constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr std::string_view kKeyPart = "/keys/";
 
@@ -128,6 +129,7 @@
                            const std::string& http, const std::string& peer) {
   host_identity identity;
   identity.self.name = settings.name;
+  identity.deployment = settings.deployment;
   identity.self.zone = settings.zone;
   identity.self.http = http;
   identity.self.peer = peer;
@@ -359,6 +361,9 @@
     // The steward's answer is passed on as it came.
     http_answer answer{action.status, std::move(body.body),
                        std::move(body.content_type), std::move(body.headers)};
+    if (!action.next_action.empty()) {
+      answer.headers.push_back({std::string(kNextAction), action.next_action});
+    }
     to->Answer(answer);
     return;
   }
@@ -379,7 +384,7 @@
                          action.remedy, action.outcome, action.retry_after_us);
   }
   if (!action.next_action.empty()) {
-    answer.headers.push_back({"Foxtail-Next-Action", action.next_action});
+    answer.headers.push_back({std::string(kNextAction), action.next_action});
   }
   if (!action.target.empty()) {
     answer.headers.push_back({"Foxtail-Target", action.target});
@@ -504,7 +509,10 @@
                    result.Header("Foxtail-Retry-After-Ms").value_or("0"), 0);
     arrived_answer answer;
     for (const http_header& header : result.headers) {
-      if (header.name.starts_with("Foxtail-") || header.name == "Retry-After") {
+      if (header.name == kNextAction) {
+        event.next_action = header.value;
+      } else if (header.name.starts_with("Foxtail-") ||
+                 header.name == "Retry-After") {
         answer.headers.push_back(header);
       }
     }
--- a/src/programs/foxtailspreadd/peer_codec.cc
+++ b/src/programs/foxtailspreadd/peer_codec.cc
@@ -146,6 +146,7 @@
     entry.set_zone(beacon.zone);
     entry.set_watcher(beacon.watcher);
     entry.set_seq(beacon.seq);
+    entry.mutable_leaving()->Add(beacon.leaving.begin(), beacon.leaving.end());
   }
   return wire;
 }
@@ -179,7 +180,10 @@
   }
   for (const proto::Beacon& entry : wire.beacons()) {
     message.beacons.push_back(
-        watch_beacon{entry.zone(), entry.watcher(), entry.seq()});
+        watch_beacon{entry.zone(),
+                     entry.watcher(),
+                     entry.seq(),
+                     {entry.leaving().begin(), entry.leaving().end()}});
   }
   return message;
 }
--- a/src/programs/foxtailspreadd/platform_client.cc
+++ b/src/programs/foxtailspreadd/platform_client.cc
@@ -31,6 +31,16 @@
   return batch;
 }
 
+std::vector<std::string> LeavingFrom(const json& value) {
+  std::vector<std::string> leaving;
+  for (const json& host : value.at("hosts")) {
+    if (host.at("state").get<std::string>() == "leaving") {
+      leaving.push_back(host.at("name").get<std::string>());
+    }
+  }
+  return leaving;
+}
+
 /// Completes a write's answer, which names the revision but not the value.
 object_change Written(const platform_action& action, const json& value) {
   object_change object;
@@ -59,6 +69,9 @@
       case platform_call_kind::kWatch:
         ended.changes = BatchFrom(action.since, value);
         break;
+      case platform_call_kind::kListHosts:
+        ended.leaving = LeavingFrom(value);
+        break;
     }
     ended.end = platform_end::kOk;
   } else if (result.status < kHttpInternalError) {
@@ -111,6 +124,9 @@
             {"If-Match", std::to_string(action.if_revision)});
       }
       break;
+    case platform_call_kind::kListHosts:
+      request.url = base + "hosts";
+      break;
     case platform_call_kind::kWatch:
       request.url = base + "changes?since=" + std::to_string(action.since) +
                     "&wait_ms=" + std::to_string(action.wait_us / 1000);
--- a/tests/support/virtual_deployment.cc
+++ b/tests/support/virtual_deployment.cc
@@ -182,7 +182,9 @@
     const uint64_t forward = entry.second.second;
     const uint64_t start = hosts_.at(origin).starts;
     Push(LinkDelay(), [this, origin, start, forward] {
-      Deliver(origin, start, forward_ended{forward, forward_end::kBroken});
+      Deliver(
+          origin, start,
+          forward_ended{.forward_id = forward, .end = forward_end::kBroken});
     });
   }
   host.forwards_in.clear();
@@ -391,6 +393,7 @@
   call_result answer;
   if (action.source == body_source::kForward) {
     answer = host.forward_results[action.body_id];
+    answer.next_action = action.next_action;
     host.forward_results.erase(action.body_id);
   } else {
     answer.outcome = action.outcome;
@@ -419,8 +422,12 @@
       if (!Connected(name, origin) || hosts_.at(origin).starts != start) {
         return;
       }
-      forward_ended ended{id, forward_end::kAnswered, answer.status,
-                          answer.outcome, answer.retry_after_us};
+      forward_ended ended{id,
+                          forward_end::kAnswered,
+                          answer.status,
+                          answer.outcome,
+                          answer.retry_after_us,
+                          answer.next_action};
       if (answer.status == kMisdirected) {
         ended.end = forward_end::kNotSteward;
       } else {
@@ -460,7 +467,9 @@
   }
   if (hosts_.at(to).decisions == nullptr) {
     Push(2 * LinkDelay(), [this, name, start, id] {
-      Deliver(name, start, forward_ended{id, forward_end::kConnectFailed});
+      Deliver(
+          name, start,
+          forward_ended{.forward_id = id, .end = forward_end::kConnectFailed});
     });
     return;
   }
@@ -484,7 +493,8 @@
       return;
     }
     if (receiver.starts != to_start || receiver.decisions == nullptr) {
-      Deliver(name, start, forward_ended{id, forward_end::kBroken});
+      Deliver(name, start,
+              forward_ended{.forward_id = id, .end = forward_end::kBroken});
       return;
     }
     event.request_id = receiver.next_request++;
@@ -791,6 +801,9 @@
       }
       break;
     }
+    case platform_call_kind::kListHosts:
+      ended.leaving = {listed_leaving_.begin(), listed_leaving_.end()};
+      break;
     case platform_call_kind::kWatch:
       ended.changes.since = action.since;
       ended.changes.revision = store_.Revision();
--- a/tests/support/virtual_deployment.h
+++ b/tests/support/virtual_deployment.h
@@ -130,6 +130,8 @@
   uint64_t platform_calls() const { return platform_calls_; }
   /// Writes the configuration as an operator would; returns its revision.
   uint64_t Apply(const deployment_config& config);
+  /// Makes the platform list a host or target as leaving.
+  void ListLeaving(const std::string& name) { listed_leaving_.insert(name); }
   /// Orders a target to be drained, as an operator would.
   void Drain(const std::string& name);
 
@@ -218,6 +220,7 @@
   std::set<std::string> zones_without_platform_;
   std::set<std::pair<std::string, std::string>> cut_pairs_;
   object_store store_;
+  std::set<std::string> listed_leaving_;
   platform_faults platform_faults_;
   uint64_t platform_calls_ = 0;
   uint64_t next_call_ = 1;
