Give a forward up when its host answers no probe

Cause: a host that had greeted this one once, while the ring of neighbours was still forming, counted as silent for the next ten seconds and was left out. Ruled out: lapsed authority (16 stewards began, none ended) and the connections (no connect failure). Silence is now judged only of hosts that are being probed because a forward to them takes long, and a forward to a steward that was replaced is given up at once.

--- a/include/foxtailspread/peer_message.h
+++ b/include/foxtailspread/peer_message.h
@@ -53,12 +53,14 @@
   std::vector<poison_mark> poison;
   std::vector<watch_beacon> beacons;
   bool leaving = false;
+  bool probe = false;  ///< Asks for any message in return.
 
   /// True when the message carries nothing but its sender's revision.
   bool Empty() const {
     return asks.empty() && answers.empty() && releases.empty() && !changes &&
            !wants_changes && maps.empty() && poison.empty() &&
-           beacons.empty() && !leaving;
+           beacons.empty() && !leaving &&
+           !probe;
   }
 };
 
--- a/include/foxtailspread/request_front.h
+++ b/include/foxtailspread/request_front.h
@@ -86,6 +86,8 @@
     bool at_steward = false;
     uint64_t forward_id = 0;
     std::string forward_host;
+    time_point forwarded_at{};
+    uint64_t forward_epoch = 0;  ///< Of the steward that was meant.
     int tries = 0;
   };
   struct forwarded_state {
@@ -115,6 +117,9 @@
   void Answer(const front_request& request, answer_action answer,
               time_point now, steward_output& out);
   void RetryLater(front_request& request, time_point now);
+  /// Probes the host of a forward that takes long; returns whether the
+  /// forward is to be given up.
+  bool ForwardLost(const front_request& request, time_point now);
   /// Keeps what a steward minted and returns one identifier for the caller.
   std::string PoolActions(const front_request& request, std::string minted);
 
@@ -128,6 +133,12 @@
   std::unordered_map<uint64_t, uint64_t> forwards_;  ///< Forward to request.
   std::vector<request_report> reports_;
   action_pool actions_;
+  struct probe_state {
+    time_point since{};
+    time_point next{};
+    time_point avoid_until{};
+  };
+  std::map<std::string, probe_state, std::less<>> probes_;  ///< By host.
 };
 
 }  // namespace foxtailspread
--- a/src/core/entry_host.cc
+++ b/src/core/entry_host.cc
@@ -170,6 +170,9 @@
   if (message.wants_changes && own > message.revision) {
     outbox_[from].changes = sync_.cache().ChangesSince(message.revision);
   }
+  if (message.probe) {
+    outbox_[from];  // Even an empty message is an answer.
+  }
   if (message.revision > own) {
     outbox_[from].wants_changes = true;
   }
--- a/src/core/request_front.cc
+++ b/src/core/request_front.cc
@@ -11,8 +11,11 @@
 
 constexpr duration kComeBackSoon{std::chrono::milliseconds{500}};
 constexpr duration kAvoidUnreachable{std::chrono::seconds{1}};
-/// A forward is given up when its host was silent for so long.
-constexpr duration kForwardSilence{std::chrono::milliseconds{600}};
+/// A forward that takes longer has its host probed.
+constexpr duration kProbeAfter{std::chrono::milliseconds{150}};
+constexpr duration kProbePeriod{std::chrono::milliseconds{50}};
+/// A forward is given up when its host, being probed, was silent for so long.
+constexpr duration kProbeSilence{std::chrono::milliseconds{350}};
 constexpr size_t kMaxKeyLength = 256;
 
 int StatusOf(error_code code) {
@@ -299,6 +302,9 @@
   ++request.tries;
   request.forward_id = context_.ids.Next();
   request.forward_host = host->name;
+  request.forwarded_at = now;
+  request.forward_epoch =
+      node->record ? node->record->order.front().epoch : uint64_t{0};
   forwards_[request.forward_id] = request.request_id;
   forward_action forward;
   forward.request_id = request.request_id;
@@ -324,11 +330,8 @@
     if (entry == nullptr || entry->http.empty() || name == context_.self.host) {
       return;
     }
-    // A host that greets this one and fell silent is left out; of others
-    // nothing is known.
-    const auto silence = context_.directory.Silence(name, now);
-    if (silence && *silence > kForwardSilence &&
-        *silence < kAvoidUnreachable * 10) {
+    const auto probed = probes_.find(name);
+    if (probed != probes_.end() && now < probed->second.avoid_until) {
       return;
     }
     hosts.push_back(entry);
@@ -411,7 +414,9 @@
     answer.status = ended.status;
     answer.retry_after_us = ended.retry_after_us;
     answer.next_action = ended.next_action;
-    answer.source = body_source::kForward;
+    // What a steward mints is a batch; the caller gets one of it.
+    const bool minted = request.mint && !ended.next_action.empty();
+    answer.source = minted ? body_source::kNone : body_source::kForward;
     answer.body_id = ended.forward_id;
     Answer(request, std::move(answer), now, out);
     return;
@@ -482,11 +487,7 @@
     }
     front_request& request = found->second;
     if (request.forward_id != 0) {
-      const auto silence =
-          context_.directory.Silence(request.forward_host, now);
-      const bool lost = silence && *silence > kForwardSilence &&
-                        *silence < kAvoidUnreachable * 10;
-      if (lost || now >= request.deadline) {
+      if (ForwardLost(request, now) || now >= request.deadline) {
         out.actions.push_back(cancel_forward_action{request.forward_id});
         forwards_.erase(request.forward_id);
         request.maybe_started = true;
@@ -503,6 +504,39 @@
   }
 }
 
+bool request_front::ForwardLost(const front_request& request, time_point now) {
+  const range_node* node = ranges_.Find(request.range);
+  // The former steward was cut off or paused if another took over meanwhile;
+  // it may never answer.
+  const bool replaced =
+      node != nullptr && node->record &&
+      node->record->order.front().epoch != request.forward_epoch &&
+      node->record->order.front().who.host != request.forward_host;
+  if (replaced) {
+    return true;
+  }
+  if (now < request.forwarded_at + kProbeAfter) {
+    return false;
+  }
+  // Work may take long, so a late answer says nothing; a host that answers no
+  // probe either cannot be reached.
+  probe_state& probe = probes_[request.forward_host];
+  const auto silence = context_.directory.Silence(request.forward_host, now);
+  const bool heard = silence && *silence < kProbeSilence;
+  if (heard || probe.since < request.forwarded_at) {
+    probe.since = heard ? now - *silence : now;
+  }
+  if (now >= probe.next) {
+    probe.next = now + kProbePeriod;
+    context_.outbox[request.forward_host].probe = true;
+  }
+  if (heard || now < probe.since + kProbeSilence) {
+    return false;
+  }
+  probe.avoid_until = now + kAvoidUnreachable;
+  return true;
+}
+
 void request_front::GiveUp(front_request& request, time_point now,
                            steward_output& out) {
   range_node* node = ranges_.Find(request.range);
--- a/src/core/trace_json.h
+++ b/src/core/trace_json.h
@@ -26,7 +26,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_batch, since, revision, changes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(peer_message, from, revision, asks, answers,
                                    releases, changes, wants_changes, maps,
-                                   poison, beacons, leaving)
+                                   poison, beacons, leaving, probe)
 
 inline void to_json(nlohmann::json& value, const tick_event&) {
   value = nlohmann::json::object();
--- a/src/programs/foxtailspreadd/peer_codec.cc
+++ b/src/programs/foxtailspreadd/peer_codec.cc
@@ -117,6 +117,7 @@
   wire.set_revision(message.revision);
   wire.set_wants_changes(message.wants_changes);
   wire.set_leaving(message.leaving);
+  wire.set_probe(message.probe);
   for (const promise_ask& ask : message.asks) {
     EncodeAsk(ask, *wire.add_asks());
   }
@@ -157,6 +158,7 @@
   message.revision = wire.revision();
   message.wants_changes = wire.wants_changes();
   message.leaving = wire.leaving();
+  message.probe = wire.probe();
   for (const proto::PromiseAsk& ask : wire.asks()) {
     message.asks.push_back(DecodeAsk(ask));
   }
