--- a/benchmark/policy_experiment.cc
+++ b/benchmark/policy_experiment.cc
@@ -57,7 +57,11 @@
 
 template <typename front_type>
 void Play(event_loop& loop, target_fleet& fleet, front_type& front,
-          const run_config& config) {
+          recorder& figures, const run_config& config) {
+  for (int s = 1; s <= config.traffic.length / seconds{1}; ++s) {
+    loop.At(time_point{seconds{s}},
+            [&] { figures.Second(fleet.TakeStarts(), loop.Now()); });
+  }
   std::vector<arrival> arrivals = DrawTraffic(config.traffic);
   arrivals.insert(arrivals.end(), config.extra.begin(), config.extra.end());
   std::stable_sort(
@@ -84,11 +88,7 @@
   run_result result;
   independent_hosts<picker> front(loop, fleet, result.figures,
                                   config.shape.hosts, config.shape.keyed);
-  for (int s = 1; s <= config.traffic.length / seconds{1}; ++s) {
-    loop.At(time_point{seconds{s}},
-            [&] { result.figures.Second(fleet.TakeStarts(), loop.Now()); });
-  }
-  Play(loop, fleet, front, config);
+  Play(loop, fleet, front, result.figures, config);
   result.crashes = fleet.Crashes();
   return result;
 }
@@ -102,7 +102,7 @@
   steward_zones<picker> front(
       loop, fleet, result.figures, config.shape,
       static_cast<int>(config.traffic.organisations.size()));
-  Play(loop, fleet, front, config);
+  Play(loop, fleet, front, result.figures, config);
   result.crashes = fleet.Crashes();
   result.moves = front.Moves();
   result.key_moves = front.KeyMoves();
@@ -147,11 +147,15 @@
   return shape;
 }
 
+/// Set by --wide.
+service_spread spread = service_spread::kModerate;
+
 run_config Base(const service_shape& shape, uint64_t seed, double load) {
   run_config config;
   config.shape = shape;
   config.traffic.seed = seed;
   config.traffic.rate = load * Capacity(shape);
+  config.traffic.spread = spread;
   return config;
 }
 
@@ -441,12 +445,18 @@
   bool json = false;
   std::vector<std::string> only;
   bool steward_only = false;
+  bool wide = false;
   app.add_option("--seed", seed, "Seed of the traffic");
   app.add_option("--only", only, "Names of the tables to make");
   app.add_flag("--steward-only", steward_only, "Leave out the baselines");
+  app.add_flag("--wide", wide, "Service times with a long tail");
   app.add_flag("--json", json, "Print JSON in place of tables");
   CLI11_PARSE(app, argc, argv);
   foxtailspread::experiment::without_baselines = steward_only;
+  if (wide) {
+    foxtailspread::experiment::spread =
+        foxtailspread::experiment::service_spread::kWide;
+  }
   nlohmann::json all = nlohmann::json::array();
   for (const auto& [name, make] : foxtailspread::experiment::Scenarios(seed)) {
     if (!only.empty() &&
--- a/benchmark/routing_benchmark.cc
+++ b/benchmark/routing_benchmark.cc
@@ -129,7 +129,7 @@
 };
 
 /// Args: targets, buckets (0: pooled), organisations, queue length.
-void BM_DispatchDecision(benchmark::State& state) {
+void DispatchDecision(benchmark::State& state) {
   const auto targets = static_cast<int>(state.range(0));
   const auto buckets = static_cast<int>(state.range(1));
   const auto placement =
@@ -155,7 +155,7 @@
   state.counters["queued"] = range.Range().Waiting();
   state.SetLabel("one request: admitted, started and ended");
 }
-BENCHMARK(BM_DispatchDecision)
+BENCHMARK(DispatchDecision)
     ->ArgNames({"targets", "buckets", "organisations", "queue"})
     ->Args({3, 0, 4, 0})
     ->Args({3, 512, 4, 0})
@@ -170,7 +170,7 @@
     ->Args({300, 4096, 200, 10000});
 
 /// A refusal while the queue is full: the path of overload.
-void BM_Refusal(benchmark::State& state) {
+void Refusal(benchmark::State& state) {
   steady_range range(placement_kind::kPooled, 3, 0, 4);
   const std::vector<organisation_rule> rules(4, {.share = 1, .max_queued = 64});
   range.Range().SetPolicy(preset_config{}, rules);
@@ -185,10 +185,10 @@
       benchmark::Counter(static_cast<double>(allocations - before),
                          benchmark::Counter::kAvgIterations);
 }
-BENCHMARK(BM_Refusal);
+BENCHMARK(Refusal);
 
 /// Args: buckets, single keys placed alone.
-void BM_OwnershipLookup(benchmark::State& state) {
+void OwnershipLookup(benchmark::State& state) {
   const auto buckets = static_cast<int>(state.range(0));
   steady_range range(placement_kind::kKeyed, 8, buckets, 4);
   for (int64_t k = 0; k < state.range(1); ++k) {
@@ -201,21 +201,21 @@
         range.Range().OwnerOf(BucketOf(hash, buckets), hash));
   }
 }
-BENCHMARK(BM_OwnershipLookup)
+BENCHMARK(OwnershipLookup)
     ->ArgNames({"buckets", "keys"})
     ->Args({256, 0})
     ->Args({4096, 0})
     ->Args({4096, 64});
 
-void BM_KeyToBucket(benchmark::State& state) {
+void KeyToBucket(benchmark::State& state) {
   const std::string key = "property/zagreb/dubrava/004217/reading";
   for (auto _ : state) {
     benchmark::DoNotOptimize(BucketOf(KeyHash(key), 512));
   }
 }
-BENCHMARK(BM_KeyToBucket);
+BENCHMARK(KeyToBucket);
 
-void BM_HotKeyRecord(benchmark::State& state) {
+void HotKeyRecord(benchmark::State& state) {
   hot_key_sketch sketch(static_cast<size_t>(state.range(0)));
   std::mt19937_64 random(1);
   const uint64_t before = allocations;
@@ -224,10 +224,10 @@
   }
   state.counters["allocations"] = static_cast<double>(allocations - before);
 }
-BENCHMARK(BM_HotKeyRecord)->Arg(64)->Arg(256)->Arg(1024);
+BENCHMARK(HotKeyRecord)->Arg(64)->Arg(256)->Arg(1024);
 
 /// Args: buckets, targets. One round with nothing to move.
-void BM_PlanPlacement(benchmark::State& state) {
+void PlacementRound(benchmark::State& state) {
   const auto buckets = static_cast<size_t>(state.range(0));
   const auto count = static_cast<size_t>(state.range(1));
   const std::vector<double> loads(buckets, 10);
@@ -246,7 +246,7 @@
                                             .allow_rebalance = true}));
   }
 }
-BENCHMARK(BM_PlanPlacement)->Args({512, 4})->Args({4096, 300});
+BENCHMARK(PlacementRound)->Args({512, 4})->Args({4096, 300});
 
 }  // namespace
 }  // namespace foxtailspread
--- a/benchmark/steward_model.h
+++ b/benchmark/steward_model.h
@@ -37,7 +37,7 @@
  public:
   /// A request crosses one more host than without a steward: there and back.
   static constexpr duration kExtraHop{200};
-  static constexpr duration kPlacementPeriod{std::chrono::seconds{1}};
+  static constexpr duration kPlacementPeriod{std::chrono::milliseconds{500}};
   /// From a crash until the other zones' stewards know.
   static constexpr duration kShareTime{std::chrono::milliseconds{20}};
   /// Time without an owner in a planned move.
@@ -254,7 +254,6 @@
         Replan(z);
       }
     }
-    results_.Second(fleet_.TakeStarts(), loop_.Now());
     loop_.After(kPlacementPeriod, [this] { Period(); });
   }
 
