--- a/benchmark/policy_experiment.cc
+++ b/benchmark/policy_experiment.cc
@@ -58,6 +58,7 @@
 template <typename front_type>
 void Play(event_loop& loop, target_fleet& fleet, front_type& front,
           recorder& figures, const run_config& config) {
+  figures.SetZones(config.shape.zones);
   for (int s = 1; s <= config.traffic.length / seconds{1}; ++s) {
     loop.At(time_point{seconds{s}},
             [&] { figures.Second(fleet.TakeStarts(), loop.Now()); });
@@ -176,6 +177,7 @@
            p.name,
            {{"max/mean", r.figures.Imbalance()},
             {"p95", r.figures.WorstImbalance()},
+            {"zone max/mean", r.figures.ZoneImbalance()},
             {"CV", r.figures.Variation()},
             {"bucket moves", r.moves},
             {"key moves", r.key_moves},
--- a/benchmark/recorder.h
+++ b/benchmark/recorder.h
@@ -60,6 +60,9 @@
     by_second_[second]++;
   }
   void Attempted(bool first) { first ? first_attempts_++ : retries_++; }
+  /// Tells how targets are divided over zones, to part the imbalance between
+  /// zones from that within them.
+  void SetZones(int zones) { zones_ = static_cast<size_t>(zones); }
   /// Takes the starts per target of one second.
   void Second(const std::vector<double>& starts, time_point now) {
     if (now <= kWarmUp) {
@@ -71,6 +74,7 @@
     if (mean <= 0) {
       return;
     }
+    zone_imbalances_.push_back(ZoneImbalance(starts, mean));
     double squares = 0;
     for (const double s : starts) {
       squares += (s - mean) * (s - mean);
@@ -95,6 +99,8 @@
     return Percentile(others_urgent_, part);
   }
   double Imbalance() const { return Mean(imbalances_); }
+  /// The highest mean of a zone's targets over the mean of all.
+  double ZoneImbalance() const { return Mean(zone_imbalances_); }
   double WorstImbalance() const { return Percentile(imbalances_, 0.95); }
   double Variation() const { return Mean(variations_); }
   double Amplification() const {
@@ -103,6 +109,21 @@
   const std::vector<double>& BySecond() const { return by_second_; }
 
  private:
+  double ZoneImbalance(const std::vector<double>& starts, double mean) const {
+    double highest = 0;
+    size_t first = 0;
+    for (size_t z = 0; z < zones_; ++z) {
+      const size_t count =
+          starts.size() / zones_ + (z < starts.size() % zones_ ? 1 : 0);
+      const auto begin = starts.begin() + static_cast<int64_t>(first);
+      const double sum =
+          std::accumulate(begin, begin + static_cast<int64_t>(count), 0.0);
+      highest = std::max(highest, sum / static_cast<double>(count));
+      first += count;
+    }
+    return highest / mean;
+  }
+
   static double Mean(const std::vector<double>& values) {
     return std::accumulate(values.begin(), values.end(), 0.0) /
            std::max(static_cast<double>(values.size()), 1.0);
@@ -117,7 +138,9 @@
   std::array<std::vector<double>, kUrgencyCount> latencies_;
   std::vector<double> others_urgent_;
   std::vector<double> by_second_;
+  size_t zones_ = 1;
   std::vector<double> imbalances_;
+  std::vector<double> zone_imbalances_;
   std::vector<double> variations_;
 };
 
