Check each send of a lookup on its own; say how late the tool was

A lookup carries no identifier, so a resend is a request of its own to the system. A trial in which an entry host was killed reported a false not-run for a lookup whose first send had run and whose second was truly refused. Resends now also go to another host than the failed send.

The tool prints how late it began requests, so that its own delay is not taken for the system's.

--- a/src/programs/foxtail-load/load_runner.cc
+++ b/src/programs/foxtail-load/load_runner.cc
@@ -104,15 +104,16 @@
     ++dropped_;
     return;
   }
+  // A tool that is late itself adds to every latency; the report says so.
+  const duration late = Now() - started_ - arrival.at;
+  progress_.behind = std::max(progress_.behind, late);
+  behind_ = std::max(behind_, late);
   const uint64_t id = next_id_++;
   auto e = std::make_unique<exchange>();
   e->stream = stream;
   e->arrival = std::move(arrival);
-  e->body = MakeBody(stream, e->arrival);
-  e->record.service = scenario_.streams[stream].service;
-  e->record.key = e->arrival.key;
-  e->record.body_sum = XXH3_64bits(e->body.data(), e->body.size());
-  e->record.at_most_once = scenario_.streams[stream].at_most_once;
+  e->host = static_cast<size_t>(id);
+  MakeRecord(*e);
   const bool needs_action = e->record.at_most_once;
   exchanges_.emplace(id, std::move(e));
   ++progress_.sent;
@@ -125,19 +126,43 @@
 
 // The start of the run in the body keeps the hashes of several runs against
 // the same targets apart.
-std::string load_runner::MakeBody(size_t stream,
-                                  const load_arrival& arrival) const {
-  std::string body = "load " +
-                     std::to_string(started_.time_since_epoch().count()) + ' ' +
-                     std::to_string(next_id_);
-  if (arrival.poisoned) {
-    body += ' ' + scenario_.streams[stream].poison.text;
-  }
-  return body;
+void load_runner::MakeRecord(exchange& e) {
+  const load_stream& stream = scenario_.streams[e.stream];
+  e.body = "load " + std::to_string(started_.time_since_epoch().count()) + ' ' +
+           std::to_string(next_body_++);
+  if (e.arrival.poisoned) {
+    e.body += ' ' + stream.poison.text;
+  }
+  e.record = {};
+  e.record.service = stream.service;
+  e.record.key = e.arrival.key;
+  e.record.body_sum = XXH3_64bits(e.body.data(), e.body.size());
+  e.record.at_most_once = stream.at_most_once;
 }
 
-std::string load_runner::NextHost() {
-  const size_t index = next_host_++ % scenario_.entry_hosts.size();
+// Nothing tells the system that a lookup is sent again: `not run` is said of
+// the send that it answers, and an earlier one may have run all the same (seen
+// when a host was killed). So each send of a lookup gets a body and a record
+// of its own. A poisoned one keeps its body, by which the system knows it,
+// and its further sends are not checked.
+void load_runner::PrepareResend(exchange& e) {
+  if (e.record.at_most_once) {
+    return;
+  }
+  if (e.recorded) {
+    records_.push_back(e.record);
+  }
+  e.may_have_arrived = false;
+  if (e.arrival.poisoned) {
+    e.recorded = false;
+    return;
+  }
+  MakeRecord(e);
+}
+
+// The hosts in turn, and after a failure always another one.
+std::string load_runner::NextHost(exchange& e) {
+  const size_t index = e.host++ % scenario_.entry_hosts.size();
   return "http://" + scenario_.entry_hosts[index];
 }
 
@@ -170,7 +195,7 @@
   ++e.sends;
   http_call_request call;
   call.method = "POST";
-  call.url = NextHost() + "/v1/actions";
+  call.url = NextHost(e) + "/v1/actions";
   call.headers = {Authorization(e.stream)};
   call.body = nlohmann::json({{"service", stream.service}}).dump();
   call.timeout = stream.deadline;
@@ -208,7 +233,7 @@
   http_call_request call;
   call.method = "POST";
   call.url =
-      NextHost() + "/v1/services/" + stream.service + "/keys/" + e.arrival.key;
+      NextHost(e) + "/v1/services/" + stream.service + "/keys/" + e.arrival.key;
   call.headers = {Authorization(e.stream),
                   {"Foxtail-Urgency", std::string(ToString(e.arrival.level))},
                   {"Foxtail-Deadline-Ms", std::to_string(deadline.count())}};
@@ -277,7 +302,9 @@
 }
 
 void load_runner::SendLater(uint64_t id, duration wait) {
-  exchanges_.at(id)->wait = RunAfter(wait, [this, id] { Send(id); });
+  exchange& e = *exchanges_.at(id);
+  PrepareResend(e);
+  e.wait = RunAfter(wait, [this, id] { Send(id); });
 }
 
 // Identifiers of a steward that was lost since read `unknown`, so the newest
@@ -322,7 +349,9 @@
       ++progress_.unknown;
       break;
   }
-  records_.push_back(std::move(e.record));
+  if (e.recorded) {
+    records_.push_back(std::move(e.record));
+  }
   exchanges_.erase(found);
 }
 
--- a/src/programs/foxtail-load/load_runner.h
+++ b/src/programs/foxtail-load/load_runner.h
@@ -28,6 +28,7 @@
   uint64_t unknown = 0;
   uint64_t in_flight = 0;
   uint64_t dropped = 0;  ///< Arrivals beyond max_in_flight, since the start.
+  duration behind{};     ///< The longest that a request began after its time.
   latency_histogram latency;
 };
 
@@ -47,6 +48,8 @@
   load_progress TakeProgress();
   const load_statistics& statistics() const { return statistics_; }
   uint64_t dropped() const { return dropped_; }
+  /// The longest that a request of the run began after its time.
+  duration behind() const { return behind_; }
 
   /// Reads the logs of all targets and checks the run against them. Call it
   /// after the run.
@@ -63,6 +66,8 @@
     std::string target;
     std::string code;  // of the last answer's error
     int sends = 0;
+    size_t host = 0;  // that the next send goes to
+    bool recorded = true;
     bool may_have_arrived = false;
     timer wait;
     http_call_ptr call;
@@ -71,7 +76,7 @@
 
   void Tick();
   void Begin(size_t stream, load_arrival arrival);
-  std::string MakeBody(size_t stream, const load_arrival& arrival) const;
+  void MakeRecord(exchange& e);
   void ObtainAction(uint64_t id);
   void Mint(uint64_t id);
   void OnMinted(uint64_t id, const http_call_result& answer);
@@ -83,7 +88,8 @@
   void SendLater(uint64_t id, duration wait);
   void Finish(uint64_t id);
   http_client& ClientOf(uint64_t id) { return *clients_[id % clients_.size()]; }
-  std::string NextHost();
+  std::string NextHost(exchange& e);
+  void PrepareResend(exchange& e);
   http_header Authorization(size_t stream) const;
   void KeepNextAction(size_t stream, const http_call_result& answer);
   void ReadLogs();
@@ -99,8 +105,9 @@
   std::vector<std::vector<std::string>> next_actions_;
   std::unordered_map<uint64_t, exchange_ptr> exchanges_;
   uint64_t next_id_ = 0;
-  size_t next_host_ = 0;
+  uint64_t next_body_ = 0;
   uint64_t dropped_ = 0;
+  duration behind_{};
   bool stopped_ = false;
   load_progress progress_;
   time_point started_{};
--- a/src/programs/foxtail-load/main.cc
+++ b/src/programs/foxtail-load/main.cc
@@ -61,15 +61,18 @@
   return scenario;
 }
 
-void PrintProgress(int second, const load_progress& p) {
+double ToMilliseconds(duration value) {
   constexpr double kMicrosecondsPerMillisecond = 1000;
+  return static_cast<double>(value.count()) / kMicrosecondsPerMillisecond;
+}
+
+void PrintProgress(int second, const load_progress& p) {
   std::fprintf(stderr,
                "%4d s  sent %lu  done %lu  not-run %lu  unknown %lu  "
-               "in flight %lu  dropped %lu  p99 %.2f ms\n",
+               "in flight %lu  dropped %lu  p99 %.2f ms  behind %.1f ms\n",
                second, p.sent, p.done, p.not_run, p.unknown, p.in_flight,
-               p.dropped,
-               static_cast<double>(p.latency.Quantile(0.99).count()) /
-                   kMicrosecondsPerMillisecond);
+               p.dropped, ToMilliseconds(p.latency.Quantile(0.99)),
+               ToMilliseconds(p.behind));
 }
 
 bool WriteFile(const std::string& path, const std::string& text) {
@@ -88,9 +91,12 @@
 
 bool WriteReports(const load_options& options, const load_runner& runner,
                   const check_report* check) {
-  std::cout << SummariesToText(runner.statistics());
+  std::cout << SummariesToText(runner.statistics()) << std::flush;
   nlohmann::json json = SummariesToJson(runner.statistics());
+  std::printf("dropped %lu; requests began up to %.1f ms late\n",
+              runner.dropped(), ToMilliseconds(runner.behind()));
   json["dropped"] = runner.dropped();
+  json["behind_ms"] = ToMilliseconds(runner.behind());
   if (check != nullptr) {
     std::cout << CheckToText(*check);
     json["check"] = CheckToJson(*check);
