Let targets refuse by their own clock what arrives too late

Ruled out: the leases (never two at a time) and the steward (it had given the attempts up). The entry hosts already sent Foxtail-Deadline-Clock-Us, an absolute deadline on the target's clock; the stand-in did not read it. Now it does, and the protocol names it.

The fakes no longer carry the end of a connection across a cut link.

--- a/include/foxtailspread/target_machine.h
+++ b/include/foxtailspread/target_machine.h
@@ -99,7 +99,9 @@
   std::string range{};
   uint64_t epoch = 0;
   int bucket = -1;  ///< -1 for services whose targets are interchangeable.
-  std::optional<duration> deadline{};   ///< Time left.
+  std::optional<duration> deadline{};  ///< Time left.
+  /// A reading of this target's clock after which it may not start or run.
+  std::optional<time_point> clock_deadline{};
   std::optional<duration> work_time{};  ///< In place of the configured one.
   std::string body{};
 };
@@ -112,6 +114,7 @@
   std::optional<std::string_view> epoch{};
   std::optional<std::string_view> bucket{};
   std::optional<std::string_view> deadline_ms{};
+  std::optional<std::string_view> deadline_clock_us{};
   std::optional<std::string_view> work_ms{};
 };
 
--- a/src/core/target_machine.cc
+++ b/src/core/target_machine.cc
@@ -150,6 +150,14 @@
     return deadline.error();
   }
   request.deadline = deadline.value();
+  if (headers.deadline_clock_us) {
+    const auto clock = ParseNumber<int64_t>(
+        "Foxtail-Deadline-Clock-Us", *headers.deadline_clock_us, 0, INT64_MAX);
+    if (!clock) {
+      return clock.error();
+    }
+    request.clock_deadline = time_point{duration{clock.value()}};
+  }
   const auto work = ParseMilliseconds("X-Work-Ms", headers.work_ms);
   if (!work) {
     return work.error();
@@ -286,6 +294,11 @@
   if (request.deadline && request.deadline->count() <= 0) {
     return target_verdict::kExpiredUnstarted;
   }
+  // A request that was delivered while the target stood still may come from a
+  // steward whose time is over. Its age shows only on the target's own clock.
+  if (request.clock_deadline && *request.clock_deadline <= now) {
+    return target_verdict::kExpiredUnstarted;
+  }
   if (const auto verdict = Check(request, now)) {
     return verdict;
   }
@@ -316,6 +329,9 @@
   if (waiting.request.deadline) {
     waiting.deadline = now + *waiting.request.deadline;
   }
+  if (const auto& clock = waiting.request.clock_deadline) {
+    waiting.deadline = std::min(waiting.deadline.value_or(*clock), *clock);
+  }
   waiting_.push_back(std::move(waiting));
   StartWaiting(now);
   Remember(now);
--- a/src/programs/foxtail-target/target_service.cc
+++ b/src/programs/foxtail-target/target_service.cc
@@ -42,6 +42,7 @@
           .epoch = request.Header("Foxtail-Epoch"),
           .bucket = request.Header("Foxtail-Bucket"),
           .deadline_ms = request.Header("Foxtail-Deadline-Ms"),
+          .deadline_clock_us = request.Header("Foxtail-Deadline-Clock-Us"),
           .work_ms = request.Header("X-Work-Ms")};
 }
 
--- a/tests/support/virtual_deployment.cc
+++ b/tests/support/virtual_deployment.cc
@@ -190,7 +190,7 @@
       if (entry.second.first != name) {
         return false;
       }
-      if (target.machine != nullptr) {
+      if (target.machine != nullptr && TargetReachable(name, target_name)) {
         target.machine->Cancel(entry.first, TargetClock(target));
       }
       return true;
@@ -216,7 +216,7 @@
          [this, name, start] { Tick(name, start); });
     return;
   }
-  Push(kTickUs, [this, name, start] { Tick(name, start); });
+  Push(options_.tick.count(), [this, name, start] { Tick(name, start); });
   Handle(name, tick_event{});
 }
 
@@ -270,7 +270,9 @@
     for (auto& [target_name, target] : targets_) {
       std::erase_if(target.tickets, [&](const auto& entry) {
         const bool mine = entry.second == std::pair{name, a->attempt_id};
-        if (mine && target.machine != nullptr) {
+        // The end of a connection does not cross a cut link either.
+        if (mine && target.machine != nullptr &&
+            TargetReachable(name, target_name)) {
           target.machine->Cancel(entry.first, TargetClock(target));
         }
         return mine;
@@ -515,6 +517,10 @@
   request.epoch = action.epoch;
   request.bucket = action.bucket;
   request.deadline = duration{action.time_left_us};
+  if (action.target_clock_deadline_us != 0) {
+    request.clock_deadline =
+        time_point{duration{action.target_clock_deadline_us}};
+  }
   request.body = host.bodies[action.request_id];
   request.work_time = host.works[action.request_id];
   Push(LinkDelay(), [this, name, start, id, target_name, request] {
