End a keyed request with the lease of its target

Cause: an attempt could run until the end of the steward's promise, which may be younger than the lease of the target. Ruled out: cancellation, which does not cross the cut link, and the target's check of grants, which is done at the start only.

--- a/include/foxtailspread/bucket_owners.h
+++ b/include/foxtailspread/bucket_owners.h
@@ -112,6 +112,11 @@
 
   /// True while the target is certain to hold a valid lease.
   bool Leased(int target, time_point now) const;
+  /// Returns the time until which no other target can become owner of what
+  /// the target holds.
+  time_point LeaseBound(int target) const {
+    return targets_[target].lease_bound;
+  }
   /// True when the target answered lately.
   bool Answering(int target, time_point now) const;
   /// Returns the target's clock reading now, never ahead of the true one.
--- a/src/core/range_steward_requests.cc
+++ b/src/core/range_steward_requests.cc
@@ -7,6 +7,9 @@
 namespace foxtailspread {
 namespace {
 
+/// What a request's way to its target may take of the time it has there.
+constexpr duration kDeliveryMargin{std::chrono::milliseconds{2}};
+
 constexpr int kHttpOk = 200;
 constexpr int kHttpConflict = 409;
 constexpr int kHttpUnavailable = 503;
@@ -255,7 +258,15 @@
   action.bucket = live.bucket;
   action.key = live.request.key;
   action.not_after_us = acting_until_.time_since_epoch().count();
-  action.time_left_us = (start.deadline - now).count();
+  time_point run_until = start.deadline;
+  if (live.bucket != kNoBucket) {
+    // The promise that the deadline follows may be younger than the lease. If
+    // the target's link failed now, what runs past the lease would overlap
+    // with the next owner's runs of the same key.
+    run_until = std::min(run_until,
+                         owners_.LeaseBound(attempt.target) - kDeliveryMargin);
+  }
+  action.time_left_us = std::max<int64_t>(0, (run_until - now).count());
   const auto clock = owners_.TargetClock(attempt.target, now);
   action.target_clock_deadline_us =
       clock ? *clock + action.time_left_us : int64_t{0};
