Let pooled work run to its own deadline

Cause: every attempt ended with the promise that its steward held at the start, 300 to 400 ms later. Ruled out: the caller's deadline (2 s). Only keys have owners, so only attempts at keyed services have to end with the authority.

--- a/include/foxtailspread/dispatcher-inl.h
+++ b/include/foxtailspread/dispatcher-inl.h
@@ -511,7 +511,11 @@
   live.attempt = &attempt;
   live.place = request_place::kRunning;
   live.last_target = target;
-  const time_point deadline = std::min(live.request.deadline, authority_);
+  // Only a key has an owner. Work of a pooled service that were ended with the
+  // promise held at its start would be begun anew and never be done.
+  const time_point deadline = Keyed()
+                                  ? std::min(live.request.deadline, authority_)
+                                  : live.request.deadline;
   SetDue(live, deadline);
   if (!targets_.AnyRunning()) {
     next_check_ = now + kCheckPeriod;
--- a/include/foxtailspread/dispatcher.h
+++ b/include/foxtailspread/dispatcher.h
@@ -104,7 +104,7 @@
   void SetTargetUsability(target_index target, target_usability usability,
                           time_point now);
   /// Sets the end of this host's authority; nothing starts after it and no
-  /// attempt runs past it.
+  /// attempt of a keyed service runs past it.
   void SetAuthority(time_point until) { authority_ = until; }
 
   /// Takes a request on. Refusals are decided before it returns.
