--- a/tests/support/proof_world.cc
+++ b/tests/support/proof_world.cc
@@ -29,6 +29,7 @@
   made.seed = options.seed;
   made.work_time = options.work_time;
   made.keep_traces = false;
+  made.tick = options.tick;
   return made;
 }
 
--- a/tests/support/proof_world.h
+++ b/tests/support/proof_world.h
@@ -21,6 +21,7 @@
   bool all_services = false;  ///< Otherwise only the keyed one.
   /// One request in 40 of the load takes that long; 0 is none.
   duration long_work{0};
+  duration tick{std::chrono::milliseconds{10}};  ///< Longer for long runs.
 };
 
 /// A deployment that has come up, with a caller that retries.
--- a/tests/support/virtual_deployment.h
+++ b/tests/support/virtual_deployment.h
@@ -66,6 +66,7 @@
   /// The clocks of entry hosts run wrong by up to so many parts in a million.
   int64_t most_drift_ppm = 450;
   bool keep_traces = true;  ///< Off for long runs.
+  duration tick{std::chrono::milliseconds{10}};
 };
 
 /// Entry hosts, targets and a platform in virtual time.
