--- a/tests/support/virtual_deployment.cc
+++ b/tests/support/virtual_deployment.cc
@@ -194,7 +194,7 @@
       if (entry.second.first != name) {
         return false;
       }
-      if (target.machine != nullptr && TargetReachable(name, target_name)) {
+      if (target.machine != nullptr && TargetReachable(name, named.first)) {
         target.machine->Cancel(entry.first, TargetClock(target));
       }
       return true;
@@ -277,7 +277,7 @@
         const bool mine = entry.second == std::pair{name, a->attempt_id};
         // The end of a connection does not cross a cut link either.
         if (mine && target.machine != nullptr &&
-            TargetReachable(name, target_name)) {
+            TargetReachable(name, named.first)) {
           target.machine->Cancel(entry.first, TargetClock(target));
         }
         return mine;
@@ -538,7 +538,7 @@
   request.body = host.bodies[action.request_id];
   request.work_time = host.works[action.request_id];
   Push(LinkDelay(), [this, name, start, id, target_name, request] {
-    if (!TargetReachable(name, target_name) ||
+    if (!TargetReachable(name, named.first) ||
         hosts_.at(name).starts != start) {
       return;
     }
