--- a/include/foxtailspread/dispatcher-inl.h
+++ b/include/foxtailspread/dispatcher-inl.h
@@ -401,7 +401,7 @@
 template <target_picker picker>
 void basic_dispatcher<picker>::DispatchPooled(time_point now, decisions& out) {
   DispatchRetries(now, out);
-  while (!pooled_queue_.Empty()) {
+  while (!pooled_queue_.Empty() && targets_.AnyFree()) {
     const target_index target = picker_.Pick(targets_.Loads(), kNoTarget);
     if (target == kNoTarget) {
       return;
--- a/include/foxtailspread/target_table.h
+++ b/include/foxtailspread/target_table.h
@@ -140,6 +140,8 @@
     const target_load& load = loads_[Slot(index)];
     return load.running < load.allowance;
   }
+  /// Returns whether any target may run one more request now.
+  bool AnyFree() const { return free_count_ > 0; }
   /// Returns whether the target is in the list and not said to be unusable.
   bool Usable(target_index index) const;
   int UsableCount() const { return usable_count_; }
@@ -169,6 +171,7 @@
  private:
   static size_t Slot(target_index index) { return static_cast<size_t>(index); }
   void CountUsable();
+  void SetLoad(target_index index, int running, int allowance);
   void UpdateAllowance(target_index index, time_point now);
   bool MayEject() const;
   void Gate(target_state& target, time_point now);
@@ -180,6 +183,7 @@
   service_estimator service_;
   time_point last_answer_;
   int running_ = 0;
+  int free_count_ = 0;
   int usable_count_ = 0;
   int usable_slots_ = 0;
   int archive_running_ = 0;
--- a/src/core/target_table.cc
+++ b/src/core/target_table.cc
@@ -137,7 +137,7 @@
   target_load& load = loads_[Slot(attempt.target)];
   attempt.started = now;
   target.attempts.push_back(attempt);
-  load.running++;
+  SetLoad(attempt.target, load.running + 1, load.allowance);
   load.served++;
   running_++;
   if (attempt.level == urgency::kArchive) {
@@ -149,7 +149,8 @@
 void target_table::Released(running_attempt& attempt) {
   target_state& target = At(attempt.target);
   target.attempts.erase(target.attempts.iterator_to(attempt));
-  loads_[Slot(attempt.target)].running--;
+  const target_load& load = loads_[Slot(attempt.target)];
+  SetLoad(attempt.target, load.running - 1, load.allowance);
   running_--;
   if (attempt.level == urgency::kArchive) {
     target.archive_running--;
@@ -248,14 +249,21 @@
 
 void target_table::UpdateAllowance(target_index index, time_point now) {
   const target_state& target = At(index);
-  int& allowance = loads_[Slot(index)].allowance;
+  int allowance = std::min(target.ramp, target.slots);
   if (!Usable(index) || now < target.gate) {
     allowance = 0;
   } else if (target.probation) {
     allowance = 1;
-  } else {
-    allowance = std::min(target.ramp, target.slots);
   }
+  SetLoad(index, loads_[Slot(index)].running, allowance);
+}
+
+void target_table::SetLoad(target_index index, int running, int allowance) {
+  target_load& load = loads_[Slot(index)];
+  free_count_ -= load.running < load.allowance ? 1 : 0;
+  load.running = running;
+  load.allowance = allowance;
+  free_count_ += load.running < load.allowance ? 1 : 0;
 }
 
 bool target_table::MayEject() const {
