--- a/tests/load_program_test.cc
+++ b/tests/load_program_test.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -23,21 +24,24 @@
 // it "runs" each action it is sent and keeps the log of that.
 class LoadProgramTest : public ::testing::Test {
  protected:
-  using work_handler = std::function<void(const http_request&, responder_ptr)>;
+  using work_handler =
+      std::function<void(const http_request&, const responder_ptr&)>;
 
   void SetUp() override {
-    server_.Route("/v1/actions", [this](const http_request&, responder_ptr to) {
-      const std::string action = "fa1.minted-" + std::to_string(minted_++);
-      to->Answer({.body = json({{"action", action}}).dump()});
-    });
     server_.Route(
-        "/v1/services/", [this](const http_request& request, responder_ptr to) {
-          actions_.emplace_back(request.Header("Foxtail-Action").value_or(""));
-          work_(request, std::move(to));
+        "/v1/actions", [this](const http_request&, const responder_ptr& to) {
+          const std::string action = "fa1.minted-" + std::to_string(minted_++);
+          to->Answer({.body = json({{"action", action}}).dump()});
         });
-    server_.Route("/admin/runs", [this](const http_request&, responder_ptr to) {
-      to->Answer({.body = json({{"runs", runs_}}).dump()});
+    server_.Route("/v1/services/", [this](const http_request& request,
+                                          const responder_ptr& to) {
+      actions_.emplace_back(request.Header("Foxtail-Action").value_or(""));
+      work_(request, to);
     });
+    server_.Route("/admin/runs",
+                  [this](const http_request&, const responder_ptr& to) {
+                    to->Answer({.body = json({{"runs", runs_}}).dump()});
+                  });
     address_ = server_.Listen("127.0.0.1:0").value();
   }
 
@@ -65,9 +69,11 @@
                      {"Foxtail-Next-Action", "fa1.next"}}});
   }
 
-  // Runs the program for some requests and returns its exit status.
+  // Runs the program for some requests and returns its exit status. The port
+  // in the file's name keeps tests that run beside each other apart.
   int Run(const std::vector<std::string>& options = {"--check"}) {
-    const std::string path = ::testing::TempDir() + "/load_program_test.json";
+    const std::string path = ::testing::TempDir() + "/load-" +
+                             address_.substr(address_.find(':') + 1) + ".json";
     const json host = json::array({address_});
     const json organisation{{"name", "shop"}, {"token", "t"}};
     const json target{
@@ -105,6 +111,7 @@
     while (!ended) {
       g_main_context_iteration(nullptr, TRUE);
     }
+    std::filesystem::remove(path);
     return g_subprocess_get_if_exited(process.get())
                ? g_subprocess_get_exit_status(process.get())
                : kNoExit;
@@ -115,7 +122,8 @@
   std::vector<json> runs_;
   std::vector<std::string> actions_;
   int minted_ = 0;
-  work_handler work_ = [this](const http_request& request, responder_ptr to) {
+  work_handler work_ = [this](const http_request& request,
+                              const responder_ptr& to) {
     LogRun(request);
     Answer(request, to, "done");
   };
@@ -133,7 +141,7 @@
 // Two hosts each hand one action to a target. The load run is where this must
 // come to light, before a storefront pays twice.
 TEST_F(LoadProgramTest, SecondRunMakesTheCheckFail) {
-  work_ = [this](const http_request& request, responder_ptr to) {
+  work_ = [this](const http_request& request, const responder_ptr& to) {
     LogRun(request);
     LogRun(request);
     Answer(request, to, "done");
@@ -142,7 +150,7 @@
 }
 
 TEST_F(LoadProgramTest, FalseNotRunMakesTheCheckFail) {
-  work_ = [this](const http_request& request, responder_ptr to) {
+  work_ = [this](const http_request& request, const responder_ptr& to) {
     LogRun(request);
     Answer(request, to, "not-run");
   };
@@ -152,7 +160,7 @@
 // An entry host is lost before it answers. A caller sends the action again
 // with the same identifier; with another it would be a second order.
 TEST_F(LoadProgramTest, BrokenConnectionIsFollowedByTheSameIdentifier) {
-  work_ = [this](const http_request& request, responder_ptr to) {
+  work_ = [this](const http_request& request, const responder_ptr& to) {
     if (actions_.size() == 1) {
       to->Abort();
       return;
@@ -166,9 +174,10 @@
 }
 
 TEST_F(LoadProgramTest, UnreadableLogIsSaidToBeIncomplete) {
-  server_.Route("/admin/runs", [](const http_request&, responder_ptr to) {
-    to->Answer({.status = 404, .body = "{}"});
-  });
+  server_.Route("/admin/runs",
+                [](const http_request&, const responder_ptr& to) {
+                  to->Answer({.status = 404, .body = "{}"});
+                });
   EXPECT_EQ(Run(), 3);
 }
 
