--- a/include/foxtailspread/peer_message.h
+++ b/include/foxtailspread/peer_message.h
@@ -36,6 +36,8 @@
   std::string zone;
   std::string watcher;
   uint64_t seq = 0;
+  /// The hosts and targets that the platform lists as leaving.
+  std::vector<std::string> leaving{};
 };
 
 /// One message. Every part is optional and idempotent.
@@ -51,12 +53,14 @@
   std::vector<poison_mark> poison;
   std::vector<watch_beacon> beacons;
   bool leaving = false;
+  bool probe = false;  ///< Asks for any message in return.
 
   /// True when the message carries nothing but its sender's revision.
   bool Empty() const {
     return asks.empty() && answers.empty() && releases.empty() && !changes &&
            !wants_changes && maps.empty() && poison.empty() &&
-           beacons.empty() && !leaving;
+           beacons.empty() && !leaving &&
+           !probe;
   }
 };
 
--- a/src/core/request_front.cc
+++ b/src/core/request_front.cc
@@ -11,8 +11,11 @@
 
 constexpr duration kComeBackSoon{std::chrono::milliseconds{500}};
 constexpr duration kAvoidUnreachable{std::chrono::seconds{1}};
-/// A forward is given up when its host was silent for so long.
-constexpr duration kForwardSilence{std::chrono::milliseconds{600}};
+/// A forward that takes longer has its host probed.
+constexpr duration kProbeAfter{std::chrono::milliseconds{150}};
+constexpr duration kProbePeriod{std::chrono::milliseconds{50}};
+/// A forward is given up when its host, being probed, was silent for so long.
+constexpr duration kProbeSilence{std::chrono::milliseconds{350}};
 constexpr size_t kMaxKeyLength = 256;
 
 int StatusOf(error_code code) {
@@ -187,6 +190,16 @@
   front.arrived = now;
   front.deadline = now + front.service->default_deadline;
   front.mint = true;
+  front.range = actions_.NextRange(*front.service);
+  if (const auto ready_made = actions_.Take(front.organisation, front.range)) {
+    answer_action answer;
+    answer.request_id = front.request_id;
+    answer.outcome = request_outcome::kDone;
+    answer.status = 200;
+    answer.next_action = *ready_made;
+    out.actions.push_back(std::move(answer));
+    return;
+  }
   Accept(std::move(front), now, out);
 }
 
@@ -216,6 +229,12 @@
     return error{error_code::kUnavailable, service.name,
                  "the service has no targets", "ask the operator"};
   }
+  if (request.mint) {
+    const range_node* node = ranges_.Find(request.range);
+    const bool reachable =
+        node != nullptr && request.arrived >= node->avoid_until;
+    return reachable ? request.range : ChoosePooled(request);
+  }
   if (service.placement == placement_kind::kKeyed) {
     const int bucket = BucketOf(KeyHash(request.key), service.buckets);
     return RangeName(service.name, homes_.at(service.name)[bucket]);
@@ -283,6 +302,9 @@
   ++request.tries;
   request.forward_id = context_.ids.Next();
   request.forward_host = host->name;
+  request.forwarded_at = now;
+  request.forward_epoch =
+      node->record ? node->record->order.front().epoch : uint64_t{0};
   forwards_[request.forward_id] = request.request_id;
   forward_action forward;
   forward.request_id = request.request_id;
@@ -308,11 +330,8 @@
     if (entry == nullptr || entry->http.empty() || name == context_.self.host) {
       return;
     }
-    // A host that greets this one and fell silent is left out; of others
-    // nothing is known.
-    const auto silence = context_.directory.Silence(name, now);
-    if (silence && *silence > kForwardSilence &&
-        *silence < kAvoidUnreachable * 10) {
+    const auto probed = probes_.find(name);
+    if (probed != probes_.end() && now < probed->second.avoid_until) {
       return;
     }
     hosts.push_back(entry);
@@ -394,7 +413,10 @@
     }
     answer.status = ended.status;
     answer.retry_after_us = ended.retry_after_us;
-    answer.source = body_source::kForward;
+    answer.next_action = ended.next_action;
+    // What a steward mints is a batch; the caller gets one of it.
+    const bool minted = request.mint && !ended.next_action.empty();
+    answer.source = minted ? body_source::kNone : body_source::kForward;
     answer.body_id = ended.forward_id;
     Answer(request, std::move(answer), now, out);
     return;
@@ -465,11 +487,7 @@
     }
     front_request& request = found->second;
     if (request.forward_id != 0) {
-      const auto silence =
-          context_.directory.Silence(request.forward_host, now);
-      const bool lost = silence && *silence > kForwardSilence &&
-                        *silence < kAvoidUnreachable * 10;
-      if (lost || now >= request.deadline) {
+      if (ForwardLost(request, now) || now >= request.deadline) {
         out.actions.push_back(cancel_forward_action{request.forward_id});
         forwards_.erase(request.forward_id);
         request.maybe_started = true;
@@ -486,6 +504,39 @@
   }
 }
 
+bool request_front::ForwardLost(const front_request& request, time_point now) {
+  const range_node* node = ranges_.Find(request.range);
+  // The former steward was cut off or paused if another took over meanwhile;
+  // it may never answer.
+  const bool replaced =
+      node != nullptr && node->record &&
+      node->record->order.front().epoch != request.forward_epoch &&
+      node->record->order.front().who.host != request.forward_host;
+  if (replaced) {
+    return true;
+  }
+  if (now < request.forwarded_at + kProbeAfter) {
+    return false;
+  }
+  // Work may take long, so a late answer says nothing; a host that answers no
+  // probe either cannot be reached.
+  probe_state& probe = probes_[request.forward_host];
+  const auto silence = context_.directory.Silence(request.forward_host, now);
+  const bool heard = silence && *silence < kProbeSilence;
+  if (heard || probe.since < request.forwarded_at) {
+    probe.since = heard ? now - *silence : now;
+  }
+  if (now >= probe.next) {
+    probe.next = now + kProbePeriod;
+    context_.outbox[request.forward_host].probe = true;
+  }
+  if (heard || now < probe.since + kProbeSilence) {
+    return false;
+  }
+  probe.avoid_until = now + kAvoidUnreachable;
+  return true;
+}
+
 void request_front::GiveUp(front_request& request, time_point now,
                            steward_output& out) {
   range_node* node = ranges_.Find(request.range);
@@ -532,6 +583,29 @@
   out.results.clear();
 }
 
+std::string request_front::PoolActions(const front_request& request,
+                                       std::string minted) {
+  std::vector<std::string> ids = SplitActions(minted);
+  if (request.service == nullptr || request.mint) {
+    for (size_t i = 1; i < ids.size(); ++i) {
+      actions_.Keep(request.organisation, request.range, std::move(ids[i]));
+    }
+    return ids.front();
+  }
+  const std::string range = actions_.NextRange(*request.service);
+  if (range == request.range) {
+    return ids.front();
+  }
+  // Another range's turn: its identifier if one is at hand, and this one is
+  // kept for the range's own turn.
+  auto other = actions_.Take(request.organisation, range);
+  if (!other) {
+    return "";
+  }
+  actions_.Keep(request.organisation, request.range, std::move(ids.front()));
+  return *other;
+}
+
 void request_front::Refuse(uint64_t request_id, const error& e,
                            duration retry_after, steward_output& out) {
   answer_action answer;
@@ -547,6 +621,9 @@
 
 void request_front::Answer(const front_request& request, answer_action answer,
                            time_point now, steward_output& out) {
+  if (!answer.next_action.empty()) {
+    answer.next_action = PoolActions(request, std::move(answer.next_action));
+  }
   reports_.push_back(request_report{request.organisation, request.service_name,
                                     answer.outcome, answer.status,
                                     now - request.arrived});
--- a/src/core/target_messages.cc
+++ b/src/core/target_messages.cc
@@ -145,6 +145,14 @@
     return deadline.error();
   }
   request.deadline = deadline.value();
+  if (headers.deadline_clock_us) {
+    const auto clock = ParseNumber<int64_t>(
+        "Foxtail-Deadline-Clock-Us", *headers.deadline_clock_us, 0, INT64_MAX);
+    if (!clock) {
+      return clock.error();
+    }
+    request.clock_deadline = time_point{duration{clock.value()}};
+  }
   const auto work = ParseMilliseconds("X-Work-Ms", headers.work_ms);
   if (!work) {
     return work.error();
--- a/src/ctl/config_store.h
+++ b/src/ctl/config_store.h
@@ -14,6 +14,7 @@
 #include "ctl/marked_write.h"
 #include "foxtailspread/config.h"
 #include "foxtailspread/json_reader.h"
+#include "foxtailspread/nearest_name.h"
 
 namespace foxtailspread {
 
@@ -74,12 +75,11 @@
     lost.reason += " instead of " + std::to_string(base->version);
   }
   const result<deployment_config> won = ConfigOf(winner);
+  if (won) {
+    lost.reason += ", with the mark " + Quoted(won.value().mark);
+  }
   if (base && won) {
-    for (const config_change& change : DiffConfigs(*base, won.value())) {
-      std::string line = FormatChanges({change});
-      line.pop_back();
-      lost.reason += "; " + line;
-    }
+    lost.reason += "; " + ChangesInOneLine(DiffConfigs(*base, won.value()));
   }
   return lost;
 }
--- a/src/programs/foxtailspreadd/peer_codec.cc
+++ b/src/programs/foxtailspreadd/peer_codec.cc
@@ -117,6 +117,7 @@
   wire.set_revision(message.revision);
   wire.set_wants_changes(message.wants_changes);
   wire.set_leaving(message.leaving);
+  wire.set_probe(message.probe);
   for (const promise_ask& ask : message.asks) {
     EncodeAsk(ask, *wire.add_asks());
   }
@@ -146,6 +147,7 @@
     entry.set_zone(beacon.zone);
     entry.set_watcher(beacon.watcher);
     entry.set_seq(beacon.seq);
+    entry.mutable_leaving()->Add(beacon.leaving.begin(), beacon.leaving.end());
   }
   return wire;
 }
@@ -156,6 +158,7 @@
   message.revision = wire.revision();
   message.wants_changes = wire.wants_changes();
   message.leaving = wire.leaving();
+  message.probe = wire.probe();
   for (const proto::PromiseAsk& ask : wire.asks()) {
     message.asks.push_back(DecodeAsk(ask));
   }
@@ -179,7 +182,10 @@
   }
   for (const proto::Beacon& entry : wire.beacons()) {
     message.beacons.push_back(
-        watch_beacon{entry.zone(), entry.watcher(), entry.seq()});
+        watch_beacon{entry.zone(),
+                     entry.watcher(),
+                     entry.seq(),
+                     {entry.leaving().begin(), entry.leaving().end()}});
   }
   return message;
 }
--- a/tests/support/virtual_deployment.cc
+++ b/tests/support/virtual_deployment.cc
@@ -182,7 +182,9 @@
     const uint64_t forward = entry.second.second;
     const uint64_t start = hosts_.at(origin).starts;
     Push(LinkDelay(), [this, origin, start, forward] {
-      Deliver(origin, start, forward_ended{forward, forward_end::kBroken});
+      Deliver(
+          origin, start,
+          forward_ended{.forward_id = forward, .end = forward_end::kBroken});
     });
   }
   host.forwards_in.clear();
@@ -192,7 +194,7 @@
       if (entry.second.first != name) {
         return false;
       }
-      if (target.machine != nullptr) {
+      if (target.machine != nullptr && TargetReachable(name, target_name)) {
         target.machine->Cancel(entry.first, TargetClock(target));
       }
       return true;
@@ -218,7 +220,7 @@
          [this, name, start] { Tick(name, start); });
     return;
   }
-  Push(kTickUs, [this, name, start] { Tick(name, start); });
+  Push(options_.tick.count(), [this, name, start] { Tick(name, start); });
   Handle(name, tick_event{});
 }
 
@@ -273,7 +275,9 @@
       fake_target& target = named.second;
       std::erase_if(target.tickets, [&](const auto& entry) {
         const bool mine = entry.second == std::pair{name, a->attempt_id};
-        if (mine && target.machine != nullptr) {
+        // The end of a connection does not cross a cut link either.
+        if (mine && target.machine != nullptr &&
+            TargetReachable(name, target_name)) {
           target.machine->Cancel(entry.first, TargetClock(target));
         }
         return mine;
@@ -391,6 +395,7 @@
   call_result answer;
   if (action.source == body_source::kForward) {
     answer = host.forward_results[action.body_id];
+    answer.next_action = action.next_action;
     host.forward_results.erase(action.body_id);
   } else {
     answer.outcome = action.outcome;
@@ -419,8 +424,12 @@
       if (!Connected(name, origin) || hosts_.at(origin).starts != start) {
         return;
       }
-      forward_ended ended{id, forward_end::kAnswered, answer.status,
-                          answer.outcome, answer.retry_after_us};
+      forward_ended ended{id,
+                          forward_end::kAnswered,
+                          answer.status,
+                          answer.outcome,
+                          answer.retry_after_us,
+                          answer.next_action};
       if (answer.status == kMisdirected) {
         ended.end = forward_end::kNotSteward;
       } else {
@@ -460,7 +469,9 @@
   }
   if (hosts_.at(to).decisions == nullptr) {
     Push(2 * LinkDelay(), [this, name, start, id] {
-      Deliver(name, start, forward_ended{id, forward_end::kConnectFailed});
+      Deliver(
+          name, start,
+          forward_ended{.forward_id = id, .end = forward_end::kConnectFailed});
     });
     return;
   }
@@ -484,7 +495,8 @@
       return;
     }
     if (receiver.starts != to_start || receiver.decisions == nullptr) {
-      Deliver(name, start, forward_ended{id, forward_end::kBroken});
+      Deliver(name, start,
+              forward_ended{.forward_id = id, .end = forward_end::kBroken});
       return;
     }
     event.request_id = receiver.next_request++;
@@ -519,6 +531,10 @@
   request.epoch = action.epoch;
   request.bucket = action.bucket;
   request.deadline = duration{action.time_left_us};
+  if (action.target_clock_deadline_us != 0) {
+    request.clock_deadline =
+        time_point{duration{action.target_clock_deadline_us}};
+  }
   request.body = host.bodies[action.request_id];
   request.work_time = host.works[action.request_id];
   Push(LinkDelay(), [this, name, start, id, target_name, request] {
@@ -791,6 +807,9 @@
       }
       break;
     }
+    case platform_call_kind::kListHosts:
+      ended.leaving = {listed_leaving_.begin(), listed_leaving_.end()};
+      break;
     case platform_call_kind::kWatch:
       ended.changes.since = action.since;
       ended.changes.revision = store_.Revision();
