--- a/tests/support/virtual_deployment.cc
+++ b/tests/support/virtual_deployment.cc
@@ -538,7 +538,7 @@
   request.body = host.bodies[action.request_id];
   request.work_time = host.works[action.request_id];
   Push(LinkDelay(), [this, name, start, id, target_name, request] {
-    if (!TargetReachable(name, named.first) ||
+    if (!TargetReachable(name, target_name) ||
         hosts_.at(name).starts != start) {
       return;
     }
