Look at a range's roster each 50 ms, not at each tick

Cause: at each tick and for every range of its zone, a host listed the zone's hosts, gathered what is known of each and worked out whether the record needs repair. The answer follows from silences of a second and more.

A new record and the begin or end of a tenure are still looked at at once.

--- a/include/foxtailspread/range_table.h
+++ b/include/foxtailspread/range_table.h
@@ -35,6 +35,8 @@
   duration rank_stagger{std::chrono::milliseconds{200}};
   duration map_record{std::chrono::seconds{1}};
   duration map_notice{std::chrono::milliseconds{50}};
+  /// How often a roster that nothing is known to have changed is looked at.
+  duration record_check{std::chrono::milliseconds{50}};
   /// How long the balancer may go on sending to a host that is not ready.
   duration ready_lag{std::chrono::seconds{1}};
   duration drain_limit{std::chrono::seconds{10}};
@@ -77,6 +79,7 @@
   uint64_t noticed_map_seq = 0;
   time_point next_notice{};
   time_point next_record_write{};
+  time_point next_record_check{};
   time_point first_wanted{};
   time_point acting_since{};
   bool acting = false;
--- a/src/core/range_table.cc
+++ b/src/core/range_table.cc
@@ -75,6 +75,7 @@
   }
   node->record = std::move(record.value());
   node->record->revision = change.revision;
+  node->next_record_check = now;
   if (node->record->map.NewerThan(node->newest_map)) {
     node->newest_map = node->record->map;
   }
@@ -132,6 +133,9 @@
                    {{"range", node.name},
                     {"epoch", std::to_string(node.steward->epoch())}}});
   }
+  if (acting != node.acting) {
+    node.next_record_check = now;
+  }
   node.acting = acting;
   if (acting || node.steward->active()) {
     node.steward->Step(now, until, out);
@@ -199,6 +203,12 @@
 
 void range_table::TickRecord(range_node& node, time_point now,
                              action_list& out) {
+  // The answer follows from silences of a second and more. Working it out for
+  // every range at each tick cost more than all else that a tick does.
+  if (now < node.next_record_check) {
+    return;
+  }
+  node.next_record_check = now + context_.timing.record_check;
   if (!context_.sync.synced() || context_.directory.self().leaving) {
     return;
   }
