--- a/benchmark/policy_experiment.cc
+++ b/benchmark/policy_experiment.cc
@@ -279,6 +279,27 @@
   return t;
 }
 
+/// One target stops answering, with its connections open, for ten seconds.
+table Frozen(uint64_t seed) {
+  table t{"one target frozen for 10 s", {}};
+  for (const service_shape& shape : Shapes()) {
+    run_config config = Base(shape, seed, 0.5);
+    config.faults = {{seconds{10}, 0, target_mode::kFrozen},
+                     {seconds{20}, 0, target_mode::kServing}};
+    for (const policy& p : PoliciesFor(shape)) {
+      const run_result r = p.run(config);
+      t.rows.push_back(
+          {shape.name,
+           p.name,
+           {{"answered", r.figures.AnsweredPart()},
+            {"urgent p99", r.figures.LatencyMs(urgency::kUrgent, 0.99)},
+            {"p99.9", r.figures.LatencyMs(urgency::kUrgent, 0.999)},
+            {"attempts/first", r.figures.Amplification()}}});
+    }
+  }
+  return t;
+}
+
 /// One caller sends a request that crashes its target, twenty times.
 table Poison(uint64_t seed) {
   table t{"a request that crashes its target, sent 20 times", {}};
@@ -433,6 +454,7 @@
       {"latency", [=] { return Latency(seed, false); }},
       {"tripled", [=] { return Latency(seed, true); }},
       {"retries", [=] { return Retries(seed); }},
+      {"frozen", [=] { return Frozen(seed); }},
       {"shares", [=] { return Shares(seed); }},
       {"poison", [=] { return Poison(seed); }},
   };
