--- a/include/foxtailspread/dispatcher-inl.h
+++ b/include/foxtailspread/dispatcher-inl.h
@@ -21,6 +21,10 @@
   return duration(static_cast<int64_t>(std::ceil(us)));
 }
 
+inline uint64_t AttemptId(const running_attempt& attempt) {
+  return uint64_t{attempt.serial} << kSerialBits | attempt.index;
+}
+
 }  // namespace dispatch_internal
 
 template <target_picker picker>
@@ -344,9 +348,7 @@
                                       duration retry_after, decisions& out) {
   if (live.attempt != nullptr) {
     const running_attempt& attempt = *live.attempt;
-    const uint64_t id = uint64_t{attempt.serial}
-                            << dispatch_internal::kSerialBits |
-                        attempt.index;
+    const uint64_t id = dispatch_internal::AttemptId(attempt);
     out.emplace_back(cancel_attempt{id});
     live.may_have_run = true;
   }
@@ -406,19 +408,29 @@
     if (target == kNoTarget) {
       return;
     }
-    live_request* live =
-        pooled_queue_.Pop(ArchiveAllowed(target), MeanUs(kNoTarget));
-    if (live == nullptr) {
+    if (!StartNext(pooled_queue_, target, now, out)) {
       return;
     }
-    live->place = request_place::kFree;
-    CountWaiting(*live, -1);
-    if (StillWorthwhile(*live, target, now, out)) {
-      Start(*live, target, now, out);
-    }
   }
 }
 
+// Returns false if nothing of the queue may start.
+template <target_picker picker>
+bool basic_dispatcher<picker>::StartNext(fair_queue& queue, target_index target,
+                                         time_point now, decisions& out) {
+  const double cost = MeanUs(Keyed() ? target : kNoTarget);
+  live_request* live = queue.Pop(ArchiveAllowed(target), cost);
+  if (live == nullptr) {
+    return false;
+  }
+  live->place = request_place::kFree;
+  CountWaiting(*live, -1);
+  if (StillWorthwhile(*live, target, now, out)) {
+    Start(*live, target, now, out);
+  }
+  return true;
+}
+
 template <target_picker picker>
 void basic_dispatcher<picker>::DispatchRetries(time_point now, decisions& out) {
   auto next = retries_.begin();
@@ -444,15 +456,9 @@
                                              time_point now, decisions& out) {
   fair_queue& queue = targets_.At(target).queue;
   while (!queue.Empty() && targets_.HasFree(target)) {
-    live_request* live = queue.Pop(ArchiveAllowed(target), MeanUs(target));
-    if (live == nullptr) {
+    if (!StartNext(queue, target, now, out)) {
       return;
     }
-    live->place = request_place::kFree;
-    CountWaiting(*live, -1);
-    if (StillWorthwhile(*live, target, now, out)) {
-      Start(*live, target, now, out);
-    }
   }
 }
 
@@ -533,9 +539,7 @@
     next_check_ = now + kCheckPeriod;
   }
   targets_.Started(attempt, now);
-  const uint64_t id = uint64_t{attempt.serial}
-                          << dispatch_internal::kSerialBits |
-                      attempt.index;
+  const uint64_t id = dispatch_internal::AttemptId(attempt);
   out.emplace_back(
       start_attempt{live.request.request_id, id, target, deadline});
 }
@@ -728,9 +732,7 @@
     if (live == nullptr || !live->request.repeatable || !SpendRetry()) {
       continue;
     }
-    const uint64_t id = uint64_t{attempt.serial}
-                            << dispatch_internal::kSerialBits |
-                        attempt.index;
+    const uint64_t id = dispatch_internal::AttemptId(attempt);
     out.emplace_back(cancel_attempt{id});
     attempt.request = nullptr;
     live->attempt = nullptr;
--- a/include/foxtailspread/dispatcher.h
+++ b/include/foxtailspread/dispatcher.h
@@ -212,6 +212,8 @@
   void DispatchRetries(time_point now, decisions& out);
   void DispatchKeyed(target_index target, time_point now, decisions& out);
   void DispatchAll(time_point now, decisions& out);
+  bool StartNext(fair_queue& queue, target_index target, time_point now,
+                 decisions& out);
   bool ArchiveAllowed(target_index target) const;
   void Start(live_request& live, target_index target, time_point now,
              decisions& out);
