--- a/tests/ownership_proof_test.cc
+++ b/tests/ownership_proof_test.cc
@@ -200,9 +200,9 @@
 
   void Inflict() {
     const auto hosts = world_.HostNames();
-    const std::string host = hosts[world_.Random(hosts.size())];
+    const std::string& host = hosts[world_.Random(hosts.size())];
     const auto targets = world_.TargetNames();
-    const std::string target = targets[world_.Random(targets.size())];
+    const std::string& target = targets[world_.Random(targets.size())];
     const std::string zone = "zone" + std::to_string(1 + world_.Random(2));
     const duration length{world_.Random(3'000'000)};
     switch (world_.Random(12)) {
