--- a/include/foxtailspread/range_table.h
+++ b/include/foxtailspread/range_table.h
@@ -128,6 +128,7 @@
   void TickAuthority(range_node& node, time_point now, steward_output& out);
   void TickRecord(range_node& node, time_point now, action_list& out);
   void TickMap(range_node& node, time_point now);
+  void TickPoison(range_node& node, time_point now);
   roster_facts Facts(const range_node& node, time_point now) const;
   void WriteRecord(range_node& node, range_record record, time_point now,
                    action_list& out);
--- a/src/core/range_table.cc
+++ b/src/core/range_table.cc
@@ -97,6 +97,7 @@
     TickAuthority(node, now, out);
     TickRecord(node, now, out.actions);
     TickMap(node, now);
+    TickPoison(node, now);
   }
 }
 
@@ -161,6 +162,35 @@
   }
 }
 
+// Content that crashed a target here may come in at another range of the
+// service next, or at this one's next steward. Unless all count together, it
+// takes two targets at each; the other stewards see lost targets only.
+void range_table::TickPoison(range_node& node, time_point now) {
+  if (node.steward == nullptr) {
+    return;
+  }
+  const std::vector<poison_mark> news =
+      node.steward->Dispatcher().TakePoisonNews(now);
+  if (news.empty()) {
+    return;
+  }
+  ImportPoison(news, now);
+  std::set<std::string> hosts;
+  for (const auto& [name, other] : ranges_) {
+    if (other.service != node.service || !other.record) {
+      continue;
+    }
+    for (const member& who : other.record->Members()) {
+      hosts.insert(who.host);
+    }
+  }
+  hosts.erase(context_.self.host);
+  for (const std::string& host : hosts) {
+    std::vector<poison_mark>& marks = context_.outbox[host].poison;
+    marks.insert(marks.end(), news.begin(), news.end());
+  }
+}
+
 size_t range_table::OwnRank() const {
   const auto hosts = context_.directory.HostsOfZone(context_.zone);
   const auto own =
