Say unknown of an action that only its steward could judge

An entry host that could not reach the steward, or had no configuration yet, said not-run of a resend whose first send had been answered unknown: in 132 of 200 random schedules (RandomFaultsNeverRunAnActionTwice). A caller would then have sent a new action.

--- a/include/foxtailspread/request_front.h
+++ b/include/foxtailspread/request_front.h
@@ -113,13 +113,17 @@
                   time_point now, steward_output& out);
   void GiveUp(front_request& request, time_point now, steward_output& out);
   void Refuse(uint64_t request_id, const error& e, duration retry_after,
-              steward_output& out);
+              steward_output& out,
+              request_outcome outcome = request_outcome::kNotRun);
   void Answer(const front_request& request, answer_action answer,
               time_point now, steward_output& out);
   void RetryLater(front_request& request, time_point now);
   /// Probes the host of a forward that takes long; returns whether the
   /// forward is to be given up.
   bool ForwardLost(const front_request& request, time_point now);
+  /// Returns a kept identifier that the range's steward still knows.
+  std::optional<std::string> TakePooled(std::string_view organisation,
+                                        std::string_view range);
   /// Keeps what a steward minted and returns one identifier for the caller.
   std::string PoolActions(const front_request& request, std::string minted);
 
--- a/src/core/request_front.cc
+++ b/src/core/request_front.cc
@@ -97,7 +97,9 @@
            {error_code::kUnavailable, "",
             "this host has no current configuration yet",
             "come back after the stated time or use another host"},
-           kComeBackSoon, out);
+           kComeBackSoon, out,
+           request.action.empty() ? request_outcome::kNotRun
+                                  : request_outcome::kUnknown);
     return;
   }
   const auto caller = Identify(request.token_digest, request.service);
@@ -191,7 +193,7 @@
   front.deadline = now + front.service->default_deadline;
   front.mint = true;
   front.range = actions_.NextRange(*front.service);
-  if (const auto ready_made = actions_.Take(front.organisation, front.range)) {
+  if (const auto ready_made = TakePooled(front.organisation, front.range)) {
     answer_action answer;
     answer.request_id = front.request_id;
     answer.outcome = request_outcome::kDone;
@@ -545,14 +547,17 @@
   }
   answer_action answer;
   answer.request_id = request.request_id;
-  answer.outcome = request.maybe_started ? request_outcome::kUnknown
-                                         : request_outcome::kNotRun;
+  // An earlier send of the same action may have run, or its caller may have
+  // been told so; only the steward knows. "not run" here would make the caller
+  // send a new action.
+  const bool unknown = request.maybe_started || !request.action.empty();
+  answer.outcome =
+      unknown ? request_outcome::kUnknown : request_outcome::kNotRun;
   answer.status = 503;
   answer.code = "no-steward";
   answer.reason = "the host in charge of this key cannot be reached";
-  answer.remedy = request.maybe_started
-                      ? "send it again with the same identifier later"
-                      : "come back after the stated time";
+  answer.remedy = unknown ? "send it again with the same identifier later"
+                          : "come back after the stated time";
   answer.retry_after_us = kComeBackSoon.count();
   Answer(request, std::move(answer), now, out);
 }
@@ -598,7 +603,7 @@
   }
   // Another range's turn: its identifier if one is at hand, and this one is
   // kept for the range's own turn.
-  auto other = actions_.Take(request.organisation, range);
+  auto other = TakePooled(request.organisation, range);
   if (!other) {
     return "";
   }
@@ -606,11 +611,32 @@
   return *other;
 }
 
+// An identifier of a steward that died reads unknown at its successor. Handed
+// out, it would cost its caller a look-up for an action that never began.
+std::optional<std::string> request_front::TakePooled(
+    std::string_view organisation, std::string_view range) {
+  const range_node* node = ranges_.Find(range);
+  uint64_t current = node == nullptr ? 0 : node->newest_map.epoch;
+  if (node != nullptr && node->record) {
+    current = std::max(current, node->record->map.epoch);
+  }
+  while (auto id = actions_.Take(organisation, range)) {
+    const result<action_id> parsed =
+        ParseActionId(*id, organisation, context_.secret);
+    if (parsed && parsed.value().minted &&
+        parsed.value().minted->epoch >= current) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
 void request_front::Refuse(uint64_t request_id, const error& e,
-                           duration retry_after, steward_output& out) {
+                           duration retry_after, steward_output& out,
+                           request_outcome outcome) {
   answer_action answer;
   answer.request_id = request_id;
-  answer.outcome = request_outcome::kNotRun;
+  answer.outcome = outcome;
   answer.status = StatusOf(e.code);
   answer.code = ToString(e.code);
   answer.reason = e.path.empty() ? e.reason : e.path + ": " + e.reason;
