Wait a moment past the deadline for the steward's own answer

The entry host cancelled its forward at the deadline, a millisecond before the steward's answer for the same deadline came back, and said unknown of a request that had only queued; a resend then read not-run.

--- a/src/core/request_front.cc
+++ b/src/core/request_front.cc
@@ -16,6 +16,10 @@
 constexpr duration kProbePeriod{std::chrono::milliseconds{50}};
 /// A forward is given up when its host, being probed, was silent for so long.
 constexpr duration kProbeSilence{std::chrono::milliseconds{350}};
+/// The steward ends a request at its deadline too and knows whether it began;
+/// its answer takes a moment to come back. Not waited for, a request that only
+/// queued would read unknown here.
+constexpr duration kAnswerGrace{std::chrono::milliseconds{30}};
 constexpr size_t kMaxKeyLength = 256;
 
 int StatusOf(error_code code) {
@@ -489,7 +493,8 @@
     }
     front_request& request = found->second;
     if (request.forward_id != 0) {
-      if (ForwardLost(request, now) || now >= request.deadline) {
+      const bool late = now >= request.deadline + kAnswerGrace;
+      if (ForwardLost(request, now) || late) {
         out.actions.push_back(cancel_forward_action{request.forward_id});
         forwards_.erase(request.forward_id);
         request.maybe_started = true;
