--- a/tests/action_proof_test.cc
+++ b/tests/action_proof_test.cc
@@ -219,6 +219,7 @@
   const std::string steward = world_.StewardFor(probe);
   const std::string host = world_.OtherHost(probe);
   std::vector<call_options> actions;
+  actions.reserve(60);
   for (int i = 0; i < 60; ++i) {
     actions.push_back(world_.NewAction());
   }
@@ -373,7 +374,7 @@
 
 void RunAnyFault(action_world& world, std::mt19937_64& random, bool hosts_too) {
   const std::vector<std::string> hosts = world.HostNames();
-  const std::string host = hosts[random() % hosts.size()];
+  const std::string& host = hosts[random() % hosts.size()];
   const std::string target = SigningTargets()[random() % 4];
   target_faults freeze;
   freeze.freeze_ms = static_cast<int64_t>(random() % 3000);
@@ -410,6 +411,7 @@
   std::mt19937_64 random(seed);
   const std::vector<std::string> hosts = world.HostNames();
   std::vector<call_options> actions;
+  actions.reserve(40);
   for (int i = 0; i < 40; ++i) {
     actions.push_back(world.NewAction(milliseconds{random() % 150}));
   }
--- a/tests/isolation_proof_test.cc
+++ b/tests/isolation_proof_test.cc
@@ -175,6 +175,7 @@
   search.work = milliseconds{400};
   search.deadline = seconds{20};
   std::vector<uint64_t> calls;
+  calls.reserve(30);
   for (int i = 0; i < 30; ++i) {
     calls.push_back(world_.Call("zone1-1", "archive",
                                 "permit-" + std::to_string(i), search));
@@ -190,6 +191,7 @@
   // The targets give up what their lost caller had sent within a moment.
   world_.RunFor(seconds{2});
   std::vector<uint64_t> again;
+  again.reserve(calls.size());
   for (size_t i = 0; i < calls.size(); ++i) {
     again.push_back(world_.Call("zone2-1", "archive",
                                 "permit-" + std::to_string(i), search));
