Let go of the platform's watch when another host has it

Cause: a watch that was under way when another host's beacon came ended by claiming the beacon back, so hosts that had started a watch at the same time all kept theirs for good.

--- a/src/core/object_sync.cc
+++ b/src/core/object_sync.cc
@@ -78,10 +78,13 @@
   synced_ = true;
   std::vector<object_change> news = cache_.Apply(ended.changes);
   // The first read only fills the copy. The duty to watch goes to whoever the
-  // zone's beacon names, or by rank when there is none.
+  // zone's beacon names, or by rank when there is none. A watch that was under
+  // way when another host's beacon came claims nothing: with each such end
+  // taking the duty back, both would watch for good.
+  const bool unclaimed = !beacon_ && !first;
   const bool own = beacon_ && beacon_->watcher == host_;
   const bool silent = now >= beacon_at_ + timing_.beacon_silence;
-  if (!first || own || silent) {
+  if (unclaimed || own || silent) {
     beacon_ = watch_beacon{zone_, host_, beacon_ ? beacon_->seq + 1 : 1};
     beacon_news_ = true;
     beacon_at_ = now;
