--- a/include/foxtailspread/request_front.h
+++ b/include/foxtailspread/request_front.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -130,6 +131,8 @@
                                         std::string_view range);
   /// Keeps what a steward minted and returns one identifier for the caller.
   std::string PoolActions(const front_request& request, std::string minted);
+  /// Asks stewards for identifiers of ranges whose turn found none at hand.
+  void Replenish(time_point now, steward_output& out);
 
   const host_context& context_;
   range_table& ranges_;
@@ -141,6 +144,16 @@
   std::unordered_map<uint64_t, uint64_t> forwards_;  ///< Forward to request.
   std::vector<request_report> reports_;
   action_pool actions_;
+  struct wanted_actions {
+    std::string organisation;
+    std::string service;
+    std::string range;
+
+    // NOLINTNEXTLINE(modernize-use-nullptr)
+    auto operator<=>(const wanted_actions&) const = default;
+  };
+  std::set<wanted_actions> wanted_actions_;
+  std::set<wanted_actions> minting_;
   struct probe_state {
     time_point since{};
     time_point next{};
--- a/src/core/request_front.cc
+++ b/src/core/request_front.cc
@@ -21,6 +21,10 @@
 /// queued would read unknown here.
 constexpr duration kAnswerGrace{std::chrono::milliseconds{30}};
 constexpr size_t kMaxKeyLength = 256;
+/// Marks the numbers of requests that this host makes on its own account.
+constexpr uint64_t kOwnRequest = uint64_t{1} << 63;
+
+bool IsOwn(uint64_t request_id) { return (request_id & kOwnRequest) != 0; }
 
 int StatusOf(error_code code) {
   switch (code) {
@@ -479,6 +483,7 @@
 }
 
 void request_front::Tick(time_point now, steward_output& out) {
+  Replenish(now, out);
   std::vector<uint64_t> ids;
   ids.reserve(requests_.size());
   for (const auto& [id, request] : requests_) {
@@ -593,12 +598,40 @@
   out.results.clear();
 }
 
+void request_front::Replenish(time_point now, steward_output& out) {
+  for (const wanted_actions& wanted : std::exchange(wanted_actions_, {})) {
+    const service_config* service =
+        config_ == nullptr ? nullptr : config_->FindService(wanted.service);
+    if (service == nullptr || !minting_.insert(wanted).second) {
+      continue;
+    }
+    front_request front;
+    front.request_id = kOwnRequest | context_.ids.Next();
+    front.organisation = wanted.organisation;
+    front.service = service;
+    front.service_name = wanted.service;
+    front.range = wanted.range;
+    front.arrived = now;
+    front.deadline = now + service->default_deadline;
+    front.give_up = front.deadline;
+    front.next_try = now;
+    front.pinned = true;
+    front.mint = true;
+    front_request& kept =
+        requests_.insert_or_assign(front.request_id, std::move(front))
+            .first->second;
+    Route(kept, now, out);
+  }
+}
+
 std::string request_front::PoolActions(const front_request& request,
                                        std::string minted) {
   std::vector<std::string> ids = SplitActions(minted);
   if (request.service == nullptr || request.mint) {
-    for (size_t i = 1; i < ids.size(); ++i) {
-      actions_.Keep(request.organisation, request.range, std::move(ids[i]));
+    // Nobody waits for the first one if this host asked on its own account.
+    const size_t first = IsOwn(request.request_id) ? 0 : 1;
+    for (size_t i = first; i < ids.size(); ++i) {
+      actions_.Keep(request.organisation, request.range, ids[i]);
     }
     return ids.front();
   }
@@ -610,7 +643,8 @@
   // kept for the range's own turn.
   auto other = TakePooled(request.organisation, range);
   if (!other) {
-    return "";
+    wanted_actions_.insert({request.organisation, request.service_name, range});
+    return ids.front();
   }
   actions_.Keep(request.organisation, request.range, std::move(ids.front()));
   return *other;
@@ -652,6 +686,14 @@
 
 void request_front::Answer(const front_request& request, answer_action answer,
                            time_point now, steward_output& out) {
+  if (IsOwn(request.request_id)) {
+    minting_.erase({request.organisation, request.service_name, request.range});
+    if (!answer.next_action.empty()) {
+      PoolActions(request, std::move(answer.next_action));
+    }
+    requests_.erase(request.request_id);
+    return;
+  }
   if (answer.code == "identifier-expired") {
     actions_.Forget(request.range);
   }
--- a/src/core/target_machine.cc
+++ b/src/core/target_machine.cc
@@ -98,8 +98,12 @@
   }
   // A reading from before the start was given by a former process that has
   // lost what it promised since; it gains no lease, like 0.
-  if (grant.echo.count() > 0 && echo >= start_) {
+  const bool leased = grant.echo.count() > 0 && echo >= start_;
+  if (leased) {
     range.valid_until = echo + grant.lease;
+  } else if (grant.buckets) {
+    // The lease in force was given for the former set, not for this one.
+    range.valid_until = time_point{};
   }
   return grant_answer{grant_verdict::kAccepted, range.epoch, range.seq,
                       running};
--- a/src/programs/foxtailspreadd/host_daemon.cc
+++ b/src/programs/foxtailspreadd/host_daemon.cc
@@ -465,13 +465,14 @@
 
 void host_daemon::Do(const forward_action& action) {
   const auto found = requests_.find(action.request_id);
-  if (found == requests_.end()) {
+  // The host mints identifiers on its own account too, for no caller.
+  if (found == requests_.end() && !action.mint) {
     return;
   }
   http_call_request call;
   call.method = "POST";
   call.url = "http://" + action.address + "/internal/work";
-  call.body = found->second.body;
+  call.body = found == requests_.end() ? "" : found->second.body;
   call.timeout = duration{action.time_left_us};
   call.headers = {{"Foxtail-Secret", settings_.host_secret},
                   {"Foxtail-From", settings_.name},
