Keep the entry hosts' names by zone

Cause: each tick listed the zone's hosts out of all known ones, twice, and copied their names, so a tick's time grew with the deployment.

--- a/include/foxtailspread/entry_host.h
+++ b/include/foxtailspread/entry_host.h
@@ -83,7 +83,6 @@
   void Greet(time_point now);
   void TickLeaving(time_point now, steward_output& out);
   void Flush(action_list& out);
-  size_t Rank() const;
   target_notices Notices() const;
 
   decision_timing timing_;
--- a/include/foxtailspread/peer_directory.h
+++ b/include/foxtailspread/peer_directory.h
@@ -61,8 +61,11 @@
   std::optional<duration> Silence(std::string_view name, time_point now) const;
   /// Returns the newest known life of the host, 0 if unknown.
   uint64_t LatestLife(std::string_view name) const;
-  /// Returns the names of all hosts of a zone in ascending order.
-  std::vector<std::string> HostsOfZone(std::string_view zone) const;
+  /// Returns the names of all hosts of a zone in ascending order. Valid until
+  /// the next change.
+  const std::vector<std::string>& HostsOfZone(std::string_view zone) const;
+  /// Returns this host's position among the hosts of its zone.
+  size_t OwnRank() const;
   /// Returns all names in ascending order.
   std::vector<std::string> Names() const;
 
@@ -84,8 +87,12 @@
     bool heard = false;
   };
 
+  void List(std::string_view name, std::string_view zone);
+  void Unlist(std::string_view name, std::string_view zone);
+
   host_entry self_;
   std::map<std::string, known_host, std::less<>> hosts_;
+  std::map<std::string, std::vector<std::string>, std::less<>> by_zone_;
 };
 
 }  // namespace foxtailspread
--- a/include/foxtailspread/range_table.h
+++ b/include/foxtailspread/range_table.h
@@ -129,7 +129,6 @@
   roster_facts Facts(const range_node& node, time_point now) const;
   void WriteRecord(range_node& node, range_record record, time_point now,
                    action_list& out);
-  size_t OwnRank() const;
 
   host_context context_;
   std::map<std::string, range_node, std::less<>> ranges_;
--- a/src/core/entry_host.cc
+++ b/src/core/entry_host.cc
@@ -92,7 +92,7 @@
         event_id::kHostStarted,
         {{"host", self_.name}, {"life", std::to_string(self_.life)}}});
   }
-  sync_.Tick(now, Rank(), out.actions);
+  sync_.Tick(now, directory_.OwnRank(), out.actions);
   RegisterSelf(now, out.actions);
   if (targets_changed_) {
     Reconfigure(now);
@@ -104,12 +104,6 @@
   Greet(now);
 }
 
-size_t entry_host::Rank() const {
-  const auto hosts = directory_.HostsOfZone(self_.zone);
-  return std::lower_bound(hosts.begin(), hosts.end(), self_.name) -
-         hosts.begin();
-}
-
 void entry_host::RegisterSelf(time_point now, action_list& out) {
   if (!sync_.synced()) {
     return;
--- a/src/core/peer_directory.cc
+++ b/src/core/peer_directory.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <set>
 
 namespace foxtailspread {
 namespace {
@@ -60,6 +59,26 @@
 
 peer_directory::peer_directory(host_entry self) : self_(std::move(self)) {
   hosts_[self_.name].entry = self_;
+  List(self_.name, self_.zone);
+}
+
+void peer_directory::List(std::string_view name, std::string_view zone) {
+  std::vector<std::string>& names = by_zone_[std::string(zone)];
+  const auto at = std::lower_bound(names.begin(), names.end(), name);
+  if (at == names.end() || *at != name) {
+    names.insert(at, std::string(name));
+  }
+}
+
+void peer_directory::Unlist(std::string_view name, std::string_view zone) {
+  const auto found = by_zone_.find(zone);
+  if (found == by_zone_.end()) {
+    return;
+  }
+  std::erase(found->second, name);
+  if (found->second.empty()) {
+    by_zone_.erase(found);
+  }
 }
 
 void peer_directory::Update(const host_entry& entry) {
@@ -68,13 +87,16 @@
   }
   known_host& known = hosts_[entry.name];
   if (entry.life >= known.entry.life) {
+    Unlist(entry.name, known.entry.zone);
     known.entry = entry;
+    List(entry.name, entry.zone);
   }
 }
 
 void peer_directory::Remove(std::string_view name) {
   const auto found = hosts_.find(name);
   if (found != hosts_.end() && name != self_.name) {
+    Unlist(name, found->second.entry.zone);
     hosts_.erase(found);
   }
 }
@@ -130,15 +152,17 @@
   return entry == nullptr ? 0 : entry->life;
 }
 
-std::vector<std::string> peer_directory::HostsOfZone(
+const std::vector<std::string>& peer_directory::HostsOfZone(
     std::string_view zone) const {
-  std::vector<std::string> names;
-  for (const auto& [name, known] : hosts_) {
-    if (known.entry.zone == zone) {
-      names.push_back(name);
-    }
-  }
-  return names;
+  static const std::vector<std::string> kNone;
+  const auto found = by_zone_.find(zone);
+  return found == by_zone_.end() ? kNone : found->second;
+}
+
+size_t peer_directory::OwnRank() const {
+  const std::vector<std::string>& hosts = HostsOfZone(self_.zone);
+  return std::lower_bound(hosts.begin(), hosts.end(), self_.name) -
+         hosts.begin();
 }
 
 std::vector<std::string> peer_directory::Names() const {
@@ -152,19 +176,14 @@
 std::vector<std::string> peer_directory::Neighbours() const {
   std::vector<std::string> chosen =
       NextInRing(HostsOfZone(self_.zone), self_.name, kRingNeighbours);
-  std::set<std::string> zones;
-  for (const auto& [name, known] : hosts_) {
-    zones.insert(known.entry.zone);
+  std::vector<std::string> ring;
+  for (const auto& [zone, names] : by_zone_) {
+    ring.push_back(zone);
   }
-  const std::vector<std::string> ring(zones.begin(), zones.end());
   for (const std::string& zone :
        NextInRing(ring, self_.zone, kZoneNeighbours)) {
-    const std::vector<std::string> there = HostsOfZone(zone);
-    const std::vector<std::string> own = HostsOfZone(self_.zone);
-    const auto rank = std::lower_bound(own.begin(), own.end(), self_.name);
-    if (!there.empty()) {
-      chosen.push_back(there[(rank - own.begin()) % there.size()]);
-    }
+    const std::vector<std::string>& there = HostsOfZone(zone);
+    chosen.push_back(there[OwnRank() % there.size()]);
   }
   return chosen;
 }
--- a/src/core/range_table.cc
+++ b/src/core/range_table.cc
@@ -161,13 +161,6 @@
   }
 }
 
-size_t range_table::OwnRank() const {
-  const auto hosts = context_.directory.HostsOfZone(context_.zone);
-  const auto own =
-      std::lower_bound(hosts.begin(), hosts.end(), context_.self.host);
-  return own - hosts.begin();
-}
-
 roster_facts range_table::Facts(const range_node& node, time_point now) const {
   const duration silence = context_.timing.peer_silence;
   roster_facts facts;
@@ -212,9 +205,9 @@
   if (!context_.sync.synced() || context_.directory.self().leaving) {
     return;
   }
-  const duration wait =
-      context_.timing.first_record_wait +
-      context_.timing.rank_stagger * static_cast<int>(OwnRank());
+  const duration wait = context_.timing.first_record_wait +
+                        context_.timing.rank_stagger *
+                            static_cast<int>(context_.directory.OwnRank());
   if (!node.record) {
     const auto* standing =
         context_.sync.cache().Find(std::string(kRangeKeyPrefix) + node.name);
