--- a/src/core/peer_directory.cc
+++ b/src/core/peer_directory.cc
@@ -154,9 +154,9 @@
 
 const std::vector<std::string>& peer_directory::HostsOfZone(
     std::string_view zone) const {
-  static const std::vector<std::string> kNone;
+  static const std::vector<std::string> none;
   const auto found = by_zone_.find(zone);
-  return found == by_zone_.end() ? kNone : found->second;
+  return found == by_zone_.end() ? none : found->second;
 }
 
 size_t peer_directory::OwnRank() const {
--- a/src/programs/foxtailspreadd/host_daemon.cc
+++ b/src/programs/foxtailspreadd/host_daemon.cc
@@ -372,7 +372,10 @@
   if (with_body) {
     const bool kept = action.source == body_source::kInline;
     answer.status = action.status;
-    answer.body = kept ? action.body : std::move(body.body);
+    answer.body = std::move(body.body);
+    if (kept) {
+      answer.body = action.body;
+    }
     answer.content_type = kept ? action.content_type : body.content_type;
     answer.headers.push_back(
         {"Foxtail-Outcome", std::string(ToString(action.outcome))});
