--- a/tests/config_proof_test.cc
+++ b/tests/config_proof_test.cc
@@ -150,7 +150,6 @@
   world_.Platform().down = true;
   world_.KillHost("zone1-1");
   world_.CutHost("zone1-2", false);
-  world_.RunFor(milliseconds{300});
   world_.StartHost("zone1-1");
   for (int i = 0; i < 400; ++i) {
     world_.RunFor(milliseconds{10});
