--- a/src/core/request_front.cc
+++ b/src/core/request_front.cc
@@ -652,6 +652,9 @@
 
 void request_front::Answer(const front_request& request, answer_action answer,
                            time_point now, steward_output& out) {
+  if (answer.code == "identifier-expired") {
+    actions_.Forget(request.range);
+  }
   if (!answer.next_action.empty()) {
     answer.next_action = PoolActions(request, std::move(answer.next_action));
   }
