--- a/include/foxtailspread/range_steward.h
+++ b/include/foxtailspread/range_steward.h
@@ -204,6 +204,7 @@
   std::unordered_map<std::string, int> organisations_;
 
   uint64_t epoch_ = 0;
+  time_point tenure_began_{};
   bool active_ = false;
   bool stopped_taking_ = false;
   time_point acting_until_{};
--- a/src/core/range_steward.cc
+++ b/src/core/range_steward.cc
@@ -8,6 +8,9 @@
 namespace foxtailspread {
 namespace {
 
+/// How long the targets of a new tenure pass for usable unheard.
+constexpr duration kSettleTime{std::chrono::milliseconds{300}};
+
 /// Keys that a range can own apart from their buckets, those on their way
 /// back included.
 constexpr int kSlotsPerRange = 64;
@@ -89,6 +92,7 @@
                                 bool handed_over, time_point now,
                                 steward_output& out) {
   epoch_ = epoch;
+  tenure_began_ = now;
   active_ = true;
   stopped_taking_ = false;
   const std::vector<uint64_t> waiters =
@@ -283,6 +287,11 @@
 
 void range_steward::UpdateUsability(time_point now) {
   bool changed = false;
+  // A steward that just began has heard of no target yet. Taken for down, they
+  // would have every request refused that comes in meanwhile; pooled services
+  // need no lease, so their targets are tried at once.
+  const bool settling = service_->placement == placement_kind::kPooled &&
+                        now < tenure_began_ + kSettleTime;
   for (size_t i = 0; i < targets_.size(); ++i) {
     const target_index index = dispatcher_->FindTarget(targets_[i].name);
     const bool leased = owners_.Leased(owner_index_[i], now);
@@ -290,7 +299,7 @@
     target_usability usability = target_usability::kUsable;
     if (draining_[i]) {
       usability = target_usability::kDraining;
-    } else if (!leased) {
+    } else if (!leased && !settling) {
       usability = target_usability::kDown;
     }
     if (usability != before) {
