--- a/include/foxtailspread/peer_message.h
+++ b/include/foxtailspread/peer_message.h
@@ -59,8 +59,7 @@
   bool Empty() const {
     return asks.empty() && answers.empty() && releases.empty() && !changes &&
            !wants_changes && maps.empty() && poison.empty() &&
-           beacons.empty() && !leaving &&
-           !probe;
+           beacons.empty() && !leaving && !probe;
   }
 };
 
