--- a/include/foxtailspread/request_front.h
+++ b/include/foxtailspread/request_front.h
@@ -130,7 +130,8 @@
   std::optional<std::string> TakePooled(std::string_view organisation,
                                         std::string_view range);
   /// Keeps what a steward minted and returns one identifier for the caller.
-  std::string PoolActions(const front_request& request, std::string minted);
+  std::string PoolActions(const front_request& request,
+                          std::string_view minted);
   /// Asks stewards for identifiers of ranges whose turn found none at hand.
   void Replenish(time_point now, steward_output& out);
 
--- a/src/core/range_steward.cc
+++ b/src/core/range_steward.cc
@@ -20,6 +20,7 @@
 
 std::vector<std::string> Names(const std::vector<target_config>& targets) {
   std::vector<std::string> names;
+  names.reserve(targets.size());
   for (const target_config& target : targets) {
     names.push_back(target.name);
   }
--- a/src/core/request_front.cc
+++ b/src/core/request_front.cc
@@ -625,7 +625,7 @@
 }
 
 std::string request_front::PoolActions(const front_request& request,
-                                       std::string minted) {
+                                       std::string_view minted) {
   std::vector<std::string> ids = SplitActions(minted);
   if (request.service == nullptr || request.mint) {
     // Nobody waits for the first one if this host asked on its own account.
@@ -689,7 +689,7 @@
   if (IsOwn(request.request_id)) {
     minting_.erase({request.organisation, request.service_name, request.range});
     if (!answer.next_action.empty()) {
-      PoolActions(request, std::move(answer.next_action));
+      PoolActions(request, answer.next_action);
     }
     requests_.erase(request.request_id);
     return;
@@ -698,7 +698,7 @@
     actions_.Forget(request.range);
   }
   if (!answer.next_action.empty()) {
-    answer.next_action = PoolActions(request, std::move(answer.next_action));
+    answer.next_action = PoolActions(request, answer.next_action);
   }
   reports_.push_back(request_report{request.organisation, request.service_name,
                                     answer.outcome, answer.status,
--- a/tests/support/virtual_deployment.cc
+++ b/tests/support/virtual_deployment.cc
@@ -916,8 +916,9 @@
       }
       const auto [other, first] = stewards.emplace(range, name);
       if (!first) {
-        found += range + " has stewards " + other->second + " and " + name +
-                 " at " + std::to_string(now_us_ - kStartUs) + "\n";
+        found.append(range).append(" has stewards ").append(other->second);
+        found.append(" and ").append(name).append(" at ");
+        found.append(std::to_string(now_us_ - kStartUs)).append("\n");
       }
     }
   }
@@ -1103,7 +1104,8 @@
     service.buckets = 64;
     for (const std::string& zone : config.zones) {
       for (int i = 1; i <= 2; ++i) {
-        const std::string target = name + "-" + zone + "-" + std::to_string(i);
+        std::string target = name;
+        target.append("-").append(zone).append("-").append(std::to_string(i));
         const int port = 20000 + static_cast<int>(HashText(target) % 9000);
         service.targets.push_back(
             {target, "127.0.0.1:" + std::to_string(port), zone});
