--- a/src/core/range_steward_requests.cc
+++ b/src/core/range_steward_requests.cc
@@ -229,6 +229,11 @@
       }
     } else if (const auto* finish = std::get_if<finish_request>(&decision)) {
       Finish(*finish, now, out);
+    } else if (const auto* suspect = std::get_if<target_suspected>(&decision)) {
+      out.actions.push_back(
+          log_action{event_id::kTargetSuspected,
+                     {{"range", range_},
+                      {"target", dispatcher_->Target(suspect->target).name}}});
     }
   }
 }
