--- a/include/foxtailspread/entry_host.h
+++ b/include/foxtailspread/entry_host.h
@@ -100,7 +100,6 @@
   range_table ranges_;
   request_front front_;
   std::optional<deployment_config> config_;
-  uint64_t refused_config_ = 0;
   bool targets_changed_ = false;
   std::set<std::string> listed_leaving_;  ///< By the platform.
   time_point next_hello_{};
--- /dev/null
+++ b/include/foxtailspread/foxtailspread.h
@@ -0,0 +1,53 @@
+#ifndef FOXTAILSPREAD_FOXTAILSPREAD_H_
+#define FOXTAILSPREAD_FOXTAILSPREAD_H_
+
+/// @file
+/// All public headers of the decision library. `entry_host` is where to start:
+/// events and the time go in, actions come out.
+
+#include "foxtailspread/action_export.h"
+#include "foxtailspread/action_id.h"
+#include "foxtailspread/action_log.h"
+#include "foxtailspread/action_pool.h"
+#include "foxtailspread/action_table.h"
+#include "foxtailspread/address.h"
+#include "foxtailspread/authority.h"
+#include "foxtailspread/bucket_homes.h"
+#include "foxtailspread/bucket_owners.h"
+#include "foxtailspread/burn.h"
+#include "foxtailspread/config.h"
+#include "foxtailspread/declarations.h"
+#include "foxtailspread/dispatch_types.h"
+#include "foxtailspread/dispatcher.h"
+#include "foxtailspread/entry_host.h"
+#include "foxtailspread/error.h"
+#include "foxtailspread/events.h"
+#include "foxtailspread/fair_queue.h"
+#include "foxtailspread/hash.h"
+#include "foxtailspread/host_io.h"
+#include "foxtailspread/host_settings.h"
+#include "foxtailspread/hot_keys.h"
+#include "foxtailspread/json_reader.h"
+#include "foxtailspread/metrics.h"
+#include "foxtailspread/nearest_name.h"
+#include "foxtailspread/object_cache.h"
+#include "foxtailspread/object_store.h"
+#include "foxtailspread/object_sync.h"
+#include "foxtailspread/peer_directory.h"
+#include "foxtailspread/peer_message.h"
+#include "foxtailspread/placement.h"
+#include "foxtailspread/poison_guard.h"
+#include "foxtailspread/range.h"
+#include "foxtailspread/range_balance.h"
+#include "foxtailspread/range_steward.h"
+#include "foxtailspread/range_table.h"
+#include "foxtailspread/request_front.h"
+#include "foxtailspread/roster_policy.h"
+#include "foxtailspread/service_estimator.h"
+#include "foxtailspread/target_machine.h"
+#include "foxtailspread/target_messages.h"
+#include "foxtailspread/target_table.h"
+#include "foxtailspread/time.h"
+#include "foxtailspread/trace.h"
+
+#endif  // FOXTAILSPREAD_FOXTAILSPREAD_H_
--- a/include/foxtailspread/range_table.h
+++ b/include/foxtailspread/range_table.h
@@ -66,7 +66,6 @@
   std::string name;
   std::string service;
   std::string zone;
-  int weight = 0;     ///< Number of targets.
   size_t offset = 0;  ///< Rotates the first roster over the zone's hosts.
   std::optional<range_record> record;
   std::unique_ptr<range_authority> authority;  ///< In this host's zone only.
--- a/include/foxtailspread/request_front.h
+++ b/include/foxtailspread/request_front.h
@@ -95,12 +95,6 @@
     uint64_t forward_epoch = 0;  ///< Of the steward that was meant.
     int tries = 0;
   };
-  struct forwarded_state {
-    std::string range;
-    std::string organisation;
-    bool mint = false;
-  };
-
   struct caller_context {
     const organisation_config* organisation = nullptr;
     const service_config* service = nullptr;
@@ -141,7 +135,8 @@
   std::unordered_map<std::string, const organisation_config*> by_token_;
   std::unordered_map<std::string, std::vector<std::string>> homes_;
   std::unordered_map<uint64_t, front_request> requests_;
-  std::unordered_map<uint64_t, forwarded_state> forwarded_;
+  /// The ranges of requests that other hosts sent here.
+  std::unordered_map<uint64_t, std::string> forwarded_;
   std::unordered_map<uint64_t, uint64_t> forwards_;  ///< Forward to request.
   std::vector<request_report> reports_;
   action_pool actions_;
--- a/src/core/entry_host.cc
+++ b/src/core/entry_host.cc
@@ -245,7 +245,6 @@
                    "correct this host's settings or its platform's address"};
   }
   if (!parsed) {
-    refused_config_ = change.revision;
     out.push_back(log_action{event_id::kConfigRefused,
                              {{"version", std::to_string(change.revision)},
                               {"error", parsed.error().Message()}}});
--- a/src/core/range_table.cc
+++ b/src/core/range_table.cc
@@ -17,18 +17,17 @@
   std::set<std::string> wanted;
   for (size_t s = 0; s < config.services.size(); ++s) {
     const service_config& service = config.services[s];
-    std::map<std::string, int> weights;
+    std::set<std::string> zones;
     for (const target_config& target : service.targets) {
-      ++weights[target.zone];
+      zones.insert(target.zone);
     }
-    for (const auto& [zone, weight] : weights) {
+    for (const std::string& zone : zones) {
       const std::string name = RangeName(service.name, zone);
       wanted.insert(name);
       range_node& node = ranges_[name];
       node.name = name;
       node.service = service.name;
       node.zone = zone;
-      node.weight = weight;
       node.offset = s;
       if (zone != context_.zone) {
         continue;
--- a/src/core/request_front.cc
+++ b/src/core/request_front.cc
@@ -385,8 +385,7 @@
     out.actions.push_back(ChangingHands(request.request_id));
     return;
   }
-  forwarded_[request.request_id] =
-      forwarded_state{request.range, request.organisation, request.mint};
+  forwarded_[request.request_id] = request.range;
   steward_request wanted;
   wanted.request_id = request.request_id;
   wanted.organisation = request.organisation;
@@ -459,7 +458,7 @@
                            steward_output& out) {
   const auto forwarded = forwarded_.find(gone.request_id);
   if (forwarded != forwarded_.end()) {
-    range_node* node = ranges_.Find(forwarded->second.range);
+    range_node* node = ranges_.Find(forwarded->second);
     forwarded_.erase(forwarded);
     if (node != nullptr && node->steward != nullptr) {
       node->steward->CallerGone(gone.request_id, now, out);
--- a/src/programs/foxtail-replay/main.cc
+++ b/src/programs/foxtail-replay/main.cc
@@ -5,7 +5,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
-#include "foxtailspread/trace.h"
+#include "foxtailspread/foxtailspread.h"
 #include "net/glib_mac.h"
 
 // Replays a recorded trace and compares its decisions with the record: see
