--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -29,6 +29,13 @@
 
 namespace foxtailspread {
 
+/// How long a host whose lease has lapsed goes on renewing what it granted,
+/// while it cannot reach the store: keys stay served through an outage of the
+/// store, when nobody can take over. Longer outages than twice the users'
+/// worst lose keys; a successor waits so much longer for targets that it
+/// cannot reach.
+inline constexpr duration kKeepAfterLapse{std::chrono::seconds{10}};
+
 /// The lease, as the store keeps it.
 struct assigner_lease {
   std::string host;       ///< Who holds it.
@@ -77,6 +84,10 @@
   fence_number fence = 0;
   duration hold{};         ///< Of a grant.
   std::string handover{};  ///< Of a grant: the former owner's token, if any.
+  /// Send it on this connection or not at all: then it reaches the very
+  /// process that took the keys, which refuses it if they were moved since. A
+  /// process started anew remembers no fences. 0 for any connection.
+  uint64_t only_connection = 0;
 };
 
 /// How an order ended.
@@ -96,7 +107,8 @@
 struct order_report {
   uint64_t id = 0;
   order_end end = order_end::kUnanswered;
-  std::string handover{};  ///< Of a release.
+  std::string handover{};   ///< Of a release.
+  uint64_t connection = 0;  ///< That brought the answer.
 };
 
 /// What an operator wants to know of a decision, for the log.
@@ -105,7 +117,6 @@
     kLeaseTaken,
     kLeaseLost,
     kTargetLost,
-    kTargetDead,
     kKeysMoving,
     kKeysGranted,
     kGrantFenced,
@@ -161,9 +172,6 @@
   /// Notes that a host is there.
   void OnHostSeen(const std::string& host, time_point now);
 
-  /// A request found nobody at the target's address: worth a closer look.
-  void OnTargetSuspected(const std::string& id, time_point now);
-
   void OnWriteEnded(const write_report& report, time_point now,
                     assigner_actions& out);
   void OnOrderEnded(const order_report& report, time_point now,
@@ -238,9 +246,8 @@
     target_entry entry;
     bool listed = false;
     std::optional<time_point> missing_since;
-    int no_process = 0;  ///< Orders in a row that found nobody.
-    time_point first_no_process{};
-    bool dead = false;
+    bool reachable = true;    ///< The last order was answered.
+    uint64_t connection = 0;  ///< That carried the last answered order.
     time_point held_until{};  ///< It may hold keys until then.
   };
 
@@ -272,6 +279,8 @@
   void OnMapWritten(keyed_service& of, const write_report& report,
                     time_point now, assigner_actions& out);
   void LoseLease(assigner_actions& out);
+  void Lapse(assigner_actions& out);
+  void EndLateOrders(time_point now, assigner_actions& out);
 
   void StepService(keyed_service& of, time_point now, assigner_actions& out);
   void StepRange(keyed_service& of, const key_range& range, time_point now,
@@ -306,6 +315,7 @@
   std::optional<pending_write> lease_write_;
   time_point held_until_{};
   time_point renew_at_{};
+  time_point keeping_until_{};
   time_point taken_at_{};
   uint64_t acting_from_revision_ = 0;
   bool synced_since_taken_ = false;
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -72,6 +72,10 @@
   if (!lease_) {
     return now >= objects_read_at_ + spread;
   }
+  if (lease_->host == settings_.host && !lease_->released) {
+    // Its own, lapsed while the store was away, or of its life before.
+    return true;
+  }
   if (lease_->released) {
     return now >= lease_seen_at_ + spread / 4;
   }
@@ -80,7 +84,7 @@
 
 void key_assigner::StepLease(time_point now, assigner_actions& out) {
   if (was_holder_ && !IsHolder(now)) {
-    LoseLease(out);
+    Lapse(out);
   }
   RetryWrite(lease_write_, now, out);
   if (lease_write_ || leaving_) {
@@ -170,6 +174,7 @@
   renew_at_ = written.first_sent + kRenewEvery;
   if (!was_holder_ && IsHolder(now)) {
     was_holder_ = true;
+    keeping_until_ = {};
     taken_at_ = now;
     acting_from_revision_ = report.revision;
     synced_since_taken_ = false;
@@ -180,8 +185,27 @@
   }
 }
 
+void key_assigner::Lapse(assigner_actions& out) {
+  const bool taken_over = lease_ && lease_->host != settings_.host;
+  const time_point lapsed = held_until_;
+  if (taken_over || lapsed == time_point{}) {
+    LoseLease(out);
+    return;
+  }
+  // Nobody is known to have taken over. Nothing moves from here on; what was
+  // granted is kept for a while.
+  was_holder_ = false;
+  keeping_until_ = lapsed + kKeepAfterLapse;
+  for (auto& [name, each] : services_) {
+    each.transfers.clear();
+    each.write.reset();
+  }
+  out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseLost});
+}
+
 void key_assigner::LoseLease(assigner_actions& out) {
   held_until_ = {};
+  keeping_until_ = {};
   if (!was_holder_) {
     return;
   }
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -8,7 +8,7 @@
 
 /// How often a grant is renewed. A holder that is lost leaves its targets at
 /// least three quarters of the hold, time enough for another to take over.
-constexpr duration kRenewGrant{std::chrono::milliseconds{2500}};
+constexpr duration kRenewGrant{std::chrono::milliseconds{2000}};
 
 /// How long an order may take to reach its target; the connection is closed
 /// then, and with it what the network still holds of the order.
@@ -24,12 +24,6 @@
 /// Pause before an order that failed is sent again.
 constexpr duration kOrderRetry{std::chrono::milliseconds{150}};
 
-/// Orders in a row that find nobody listening, and the time between the first
-/// and the last of them, before a target counts as dead and its keys may go
-/// elsewhere without waiting for the hold to end.
-constexpr int kNoProcessOrders = 3;
-constexpr duration kNoProcessTime{std::chrono::milliseconds{250}};
-
 /// While the store was away of late a missing target may be back: its entry
 /// lapsed although it lives.
 constexpr duration kMissingGrace{std::chrono::milliseconds{2300}};
@@ -85,8 +79,9 @@
     // A lease that cannot be read names no holder; it is taken over when it
     // has stood still for as long as any other.
     lease_ = parsed ? parsed.value() : assigner_lease{};
-    if (was_holder_ && lease_->host != settings_.host) {
+    if (lease_->host != settings_.host) {
       held_until_ = {};  // StepLease does the rest.
+      keeping_until_ = {};
     }
   }
   if (was_holder_ && lease_revision_ >= acting_from_revision_ &&
@@ -136,10 +131,6 @@
   }
   for (const target_entry& entry : targets) {
     target_state& state = targets_[LifeKey(entry.life)];
-    if (state.dead && entry.sequence != state.entry.sequence) {
-      state.dead = false;  // It has reported since, under its old life.
-      state.no_process = 0;
-    }
     state.entry = entry;
     state.listed = true;
     state.missing_since.reset();
@@ -171,28 +162,10 @@
   hosts_seen_[host] = now;
 }
 
-void key_assigner::OnTargetSuspected(const std::string& id, time_point now) {
-  if (!was_holder_) {
-    return;
-  }
-  // A renewal sent now finds out whether anybody listens.
-  for (auto& [name, each] : services_) {
-    for (const key_range& range : each.map.ranges) {
-      const auto found = each.renewals.find(IdOf(range));
-      if (range.owner.id == id && found != each.renewals.end() &&
-          found->second.order == 0) {
-        found->second.due = std::min(found->second.due, now);
-      }
-    }
-  }
-}
-
 bool key_assigner::IsKnownDead(const target_life& life) const {
-  const auto found = targets_.find(LifeKey(life));
-  if (found != targets_.end() && found->second.dead) {
-    return true;
-  }
-  // Another life under the same id: this one has ended.
+  // Another life under the same id: this one has ended. A refused connection
+  // proves nothing: some partitions answer in the target's place, and a target
+  // behind one goes on serving those on its side.
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& each) {
     const target_life& other = each.second.entry.life;
     return each.second.listed && other.id == life.id &&
@@ -207,7 +180,7 @@
     return doubtful_ && now - taken_at_ < kMissingGrace;
   }
   const target_state& state = found->second;
-  if (state.dead || state.entry.draining || IsKnownDead(life)) {
+  if (state.entry.draining || IsKnownDead(life)) {
     return false;
   }
   return state.listed ||
@@ -218,7 +191,8 @@
   // Whoever held the lease before may have granted until it was taken over.
   const duration longest =
       settings_.hold + settings_.hold / kSlowClockPart + kHoldSlack;
-  const time_point inherited = taken_at_ + kOrderTimeout + longest;
+  const time_point inherited =
+      taken_at_ + kKeepAfterLapse + kOrderTimeout + longest;
   const auto found = targets_.find(LifeKey(life));
   return found == targets_.end()
              ? inherited
@@ -229,8 +203,8 @@
                                                      time_point now) const {
   std::vector<balance_target> found;
   for (const auto& [life, state] : targets_) {
-    if (state.listed && state.entry.service == service &&
-        state.no_process == 0 && IsUsable(state.entry.life, now)) {
+    if (state.listed && state.entry.service == service && state.reachable &&
+        IsUsable(state.entry.life, now)) {
       found.push_back({.life = state.entry.life,
                        .capacity = static_cast<double>(state.entry.slots)});
     }
@@ -240,9 +214,25 @@
 
 void key_assigner::OnTime(time_point now, assigner_actions& out) {
   StepLease(now, out);
-  if (!was_holder_ || !IsHolder(now) || !synced_since_taken_) {
+  const bool holds = was_holder_ && IsHolder(now) && synced_since_taken_;
+  if (!holds && now >= keeping_until_) {
     return;
   }
+  EndLateOrders(now, out);
+  for (auto& [name, each] : services_) {
+    if (holds) {
+      StepService(each, now, out);
+      continue;
+    }
+    for (const key_range& range : each.map.ranges) {
+      if (range.granted) {
+        Renew(each, range, now, out);
+      }
+    }
+  }
+}
+
+void key_assigner::EndLateOrders(time_point now, assigner_actions& out) {
   for (auto each = orders_.begin(); each != orders_.end();) {
     const auto [id, context] = *each++;
     if (now >= context.deadline) {
@@ -250,9 +240,6 @@
       OnOrderEnded({.id = id, .end = order_end::kUnanswered}, now, out);
     }
   }
-  for (auto& [name, each] : services_) {
-    StepService(each, now, out);
-  }
 }
 
 time_point key_assigner::NextDue(time_point now) const {
@@ -517,15 +504,18 @@
     state->held_until =
         std::max(state->held_until, now + kOrderTimeout + longest);
   }
-  out.emplace_back(key_order{.id = id,
-                             .grant = grant,
-                             .target = to,
-                             .address = state->entry.address,
-                             .first = range.first,
-                             .last = range.last,
-                             .fence = grant ? range.fence : range.fence - 1,
-                             .hold = settings_.hold,
-                             .handover = handover});
+  const bool lapsed = !IsHolder(now);
+  out.emplace_back(
+      key_order{.id = id,
+                .grant = grant,
+                .target = to,
+                .address = state->entry.address,
+                .first = range.first,
+                .last = range.last,
+                .fence = grant ? range.fence : range.fence - 1,
+                .hold = settings_.hold,
+                .handover = handover,
+                .only_connection = lapsed ? state->connection : 0});
   return id;
 }
 
@@ -535,6 +525,10 @@
   if (state.order != 0 || now < state.due || !IsUsable(range.owner, now)) {
     return;
   }
+  const target_state* owner = StateOf(range.owner);
+  if (!IsHolder(now) && (owner == nullptr || owner->connection == 0)) {
+    return;  // Not sure to reach the process that took the keys.
+  }
   state.order = Order(of, range, true, true, range.owner, {}, now, out);
   state.due = now + kRenewGrant;
 }
@@ -573,20 +567,9 @@
   const auto target = targets_.find(context.target);
   if (target != targets_.end()) {
     target_state& state = target->second;
-    if (report.end == order_end::kNoProcess) {
-      if (state.no_process++ == 0) {
-        state.first_no_process = now;
-      }
-      if (!state.dead && state.no_process >= kNoProcessOrders &&
-          now - state.first_no_process >= kNoProcessTime) {
-        state.dead = true;
-        out.emplace_back(assigner_note{.what = assigner_note::kind::kTargetDead,
-                                       .service = context.service,
-                                       .target = state.entry.life.id});
-      }
-    } else if (report.end != order_end::kUnanswered) {
-      state.no_process = 0;
-    }
+    state.reachable = report.end != order_end::kNoProcess &&
+                      report.end != order_end::kUnanswered;
+    state.connection = report.end == order_end::kDone ? report.connection : 0;
   }
   const auto service = services_.find(context.service);
   if (service == services_.end()) {
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -165,6 +165,15 @@
                               const key_map& map, time_point now,
                               router_actions& out) {
   service& at = ServiceOf(service_name);
+  std::map<fence_number, time_point> moving;
+  for (const key_range& range : map.ranges) {
+    if (!range.granted) {
+      const auto known = at.moving_since.find(range.fence);
+      moving[range.fence] =
+          known == at.moving_since.end() ? now : known->second;
+    }
+  }
+  at.moving_since = std::move(moving);
   at.owners = map;
   Pump(at, now, out);
 }
@@ -365,7 +374,7 @@
   service& at = *gone.at;
   if (gone.current) {
     gone.current->health.OnEnded(attempt_verdict::kAbandoned, gone.sent,
-                               gone.by->objective, now);
+                                 gone.by->objective, now);
     out.emplace_back(cancel_action{id});
   }
   Finish(gone);
@@ -382,10 +391,10 @@
   }
   ++counts_.refused[reason];
   own_answer_action refusal{.id = refused.id,
-                        .reason = reason,
-                        .service = refused.at->name,
-                        .attempts = refused.arrivals,
-                        .age = now - refused.arrived};
+                            .reason = reason,
+                            .service = refused.at->name,
+                            .attempts = refused.arrivals,
+                            .age = now - refused.arrived};
   if (!refused.may_have_run) {
     refusal.answer = own_answer::kNotRun;
     refusal.retry_after = RetryAfter(refused, now);
@@ -413,7 +422,7 @@
   service& at = *expired.at;
   if (expired.current) {
     expired.current->health.OnEnded(attempt_verdict::kTimedOut, expired.sent,
-                                  expired.by->objective, now);
+                                    expired.by->objective, now);
     expired.current.reset();
     expired.may_have_run = true;
     out.emplace_back(cancel_action{expired.id});
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -25,6 +25,11 @@
 /// keys find a new owner.
 constexpr duration kDrainingGrace{std::chrono::milliseconds{1200}};
 
+/// Keys change hands in tens of milliseconds plus the work that runs on them.
+/// Those that take longer wait for a lost owner's grant to end, and requests
+/// for them are refused instead of waiting along.
+constexpr duration kMoveTime{std::chrono::milliseconds{700}};
+
 /// A request is refused at once when its answer is expected later than this
 /// part of its objective.
 constexpr double kHopelessShare = 1.0;
@@ -140,7 +145,10 @@
       return refusal_reason::kNoOwner;
     }
     if (!range->granted) {
-      return std::nullopt;  // On its way; it waits for the grant.
+      const auto since = by.moving_since.find(range->fence);
+      const bool stuck =
+          since != by.moving_since.end() && now - since->second > kMoveTime;
+      return stuck ? std::optional{refusal_reason::kNoOwner} : std::nullopt;
     }
     const target* owner = by.FindLife(range->owner);
     if (owner == nullptr) {
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -87,6 +87,8 @@
   bool keyed = false;
   std::vector<boost::intrusive_ptr<target>> targets;
   key_map owners;
+  /// When each range that is changing hands was first seen doing so, by fence.
+  std::map<fence_number, time_point> moving_since;
   std::map<int, waiting_list> waiting;  ///< By rank, the most urgent first.
   size_t waiting_count = 0;
   retry_budget budget;
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -21,7 +21,7 @@
 call_id connection_pool::Send(pool_call call, receiver on_ended) {
   const call_id id = ++last_call_;
   const std::string address{call.address};
-  if (pooled_connection* kept = TakeIdle(address)) {
+  if (pooled_connection* kept = TakeIdle(address, call.only_connection)) {
     calls_.emplace(id, kept);
     kept->Begin(id, std::move(call), std::move(on_ended), false);
     return id;
@@ -34,7 +34,7 @@
   const time_point give_up = Now() + call.connect_timeout;
   const auto parsed = ParseAddress(address);
   // One that fails at once ends from the loop: the caller is inside Send.
-  if (parsed) {
+  if (parsed && call.only_connection == 0) {
     connection->Connect(parsed.value(), give_up);
   }
   connection->Begin(id, std::move(call), std::move(on_ended), true);
@@ -42,7 +42,8 @@
   return id;
 }
 
-pooled_connection* connection_pool::TakeIdle(const std::string& address) {
+pooled_connection* connection_pool::TakeIdle(const std::string& address,
+                                             uint64_t only) {
   const time_point now = Now();
   for (;;) {
     const auto found = idle_.find(address);
@@ -50,6 +51,9 @@
       return nullptr;
     }
     pooled_connection* kept = found->second.back();
+    if (only != 0 && kept->number() != only) {
+      return nullptr;
+    }
     found->second.pop_back();
     if (!kept->IsIdleOver(now) && kept->StillQuiet()) {
       return kept;
--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -42,7 +42,8 @@
     : pool_(pool),
       address_(std::move(address)),
       number_(number),
-      stream_(pool.events_, HandlerFor<&pooled_connection::OnReady>(this)),
+      stream_(pool.events_, HandlerFor<&pooled_connection::OnReady>(this),
+              kNearSilence),
       reader_(HTTP_RESPONSE, pool.settings_.limits) {}
 
 void pooled_connection::Connect(const socket_address& to, time_point give_up) {
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -22,15 +22,6 @@
 /// which the peer repeats only after a second.
 constexpr int kBacklog = 512;
 
-/// Milliseconds without an acknowledgement after which the kernel gives a
-/// connection up: a peer without power sends no reset.
-constexpr int kUnacknowledgedMs = 3000;
-
-/// Seconds of silence before the kernel probes an idle connection, and
-/// between two probes; three go unanswered before it ends.
-constexpr int kProbeAfterSeconds = 2;
-constexpr int kProbeCount = 2;
-
 void SetInteger(int fd, int level, int name, int value) {
   setsockopt(fd, level, name, &value, sizeof(value));
 }
@@ -42,16 +33,19 @@
 
 }  // namespace
 
-tcp_stream::tcp_stream(poller& events, poll_handler handler)
-    : events_(events), handler_(handler) {}
+tcp_stream::tcp_stream(poller& events, poll_handler handler,
+                       silence_limits limits)
+    : events_(events), handler_(handler), silence_(limits) {}
 
 void tcp_stream::SetOptions() {
   SetInteger(fd_, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetInteger(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs);
+  const int probe_after = static_cast<int>(silence_.probe_after.count());
+  SetInteger(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+             static_cast<int>(silence_.unacknowledged.count()));
   SetInteger(fd_, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetInteger(fd_, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
-  SetInteger(fd_, IPPROTO_TCP, TCP_KEEPINTVL, 1);
-  SetInteger(fd_, IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
+  SetInteger(fd_, IPPROTO_TCP, TCP_KEEPIDLE, probe_after);
+  SetInteger(fd_, IPPROTO_TCP, TCP_KEEPINTVL, probe_after);
+  SetInteger(fd_, IPPROTO_TCP, TCP_KEEPCNT, silence_.probes);
 }
 
 void tcp_stream::Adopt(int fd) {
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -5,6 +5,7 @@
 /// One TCP connection without blocking, with a buffer for what the peer does
 /// not take yet.
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -30,11 +31,29 @@
   std::string_view bytes;
 };
 
+/// How soon a connection whose peer has gone silent is given up. A peer that
+/// lost power or is cut off sends no reset.
+struct silence_limits {
+  /// Without an acknowledgement of what was sent.
+  std::chrono::milliseconds unacknowledged{3000};
+  /// Of silence before an idle connection is probed, and between two probes.
+  std::chrono::seconds probe_after{2};
+  /// Probes that may go unanswered.
+  int probes = 2;
+};
+
+/// For connections whose other end is on the deployment's own network, where
+/// silence of a second means loss.
+inline constexpr silence_limits kNearSilence{
+    .unacknowledged = std::chrono::milliseconds{1500},
+    .probe_after = std::chrono::seconds{1},
+    .probes = 1};
+
 /// A connected or connecting socket. The owner's handler hears of readiness;
 /// it calls OnWritable() first, then Read() until kNothing.
 class tcp_stream {
  public:
-  tcp_stream(poller& events, poll_handler handler);
+  tcp_stream(poller& events, poll_handler handler, silence_limits limits = {});
   ~tcp_stream() { Close(); }
   tcp_stream(const tcp_stream&) = delete;
   tcp_stream& operator=(const tcp_stream&) = delete;
@@ -79,6 +98,7 @@
 
   poller& events_;
   poll_handler handler_;
+  silence_limits silence_;
   int fd_ = -1;
   bool connecting_ = false;
   bool paused_ = false;
--- a/src/programs/foxtail-edge/edge_daemon.cc
+++ b/src/programs/foxtail-edge/edge_daemon.cc
@@ -19,7 +19,10 @@
 /// Targets write all the time, so their kind is fetched in batches. A leaving
 /// target must get no work two seconds after it said so; the pause, the answer
 /// and the loop stay well inside.
-constexpr duration kTargetPace{milliseconds{700}};
+constexpr duration kTargetPace{milliseconds{650}};
+/// For the same reason a watch of them that waits this long is no longer heard
+/// by the store; a new one finds out.
+constexpr duration kTargetWait{milliseconds{500}};
 
 /// How often this host tells the assigner of keys about its requests.
 constexpr duration kReportEvery{seconds{1}};
@@ -40,9 +43,21 @@
 /// Longest sleep of the loop while something may be due.
 constexpr duration kLongestSleep{seconds{1}};
 
+/// A watch that waits on is not proof that nothing has changed: the store may
+/// have stopped hearing it. Changes must be in force within two seconds, so a
+/// watch of the declarations or of the owners of keys is renewed each second.
+constexpr duration kConfigWait{milliseconds{1000}};
+
+follow_timing ConfigTiming() {
+  follow_timing timing;
+  timing.wait = kConfigWait;
+  return timing;
+}
+
 follow_timing TargetTiming() {
   follow_timing timing;
   timing.pace = kTargetPace;
+  timing.wait = kTargetWait;
   return timing;
 }
 
@@ -88,13 +103,13 @@
       hosts_(events_, [this](std::string_view bytes) { OnDatagram(bytes); }),
       store_(events_, settings_.store),
       config_(
-          store_, platform::kConfigKind, ReadTable, {},
+          store_, platform::kConfigKind, ReadTable, ConfigTiming(),
           [this] { OnConfigChanged(); }, [this] { OnStoreState(); }),
       targets_(
           store_, platform::kTargetKind, platform::ReadTarget, TargetTiming(),
           [this] { OnTargetsChanged(); }, [this] { OnStoreState(); }),
       own_(
-          store_, platform::kOwnKind, ReadText, {},
+          store_, platform::kOwnKind, ReadText, ConfigTiming(),
           [this] { OnOwnObjectsChanged(); }, [this] { OnStoreState(); }),
       router_({.zone = settings_.zone,
                .retries = settings_.retries,
@@ -184,9 +199,6 @@
       verdict == attempt_verdict::kFailed) {
     ended.answer = std::move(result.answer);
   }
-  if (verdict == attempt_verdict::kUnreachable) {
-    assigner_.OnTargetSuspected(ended.target.id, now);
-  }
   router_actions actions;
   router_.OnAttemptEnded({.id = id, .verdict = verdict}, now, actions);
   Carry(actions);
@@ -301,9 +313,6 @@
     case kind::kTargetLost:
       event = event_id::kOwnerLost;
       break;
-    case kind::kTargetDead:
-      event = event_id::kTargetDead;
-      break;
     case kind::kKeysMoving:
       event = event_id::kKeysMoving;
       break;
