Hold keys for three seconds, and let successors follow a lost assigner

Grants now last 3 s and are renewed each 0.8 s; the assigner beats by datagram to three successors, the first of which takes its lease after 0.85 s of silence. A host that has read the new lease says so in its report, which ends the wait for what its predecessor may have granted.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -20,6 +20,7 @@
 #include <variant>
 #include <vector>
 
+#include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_balance.h"
 #include "foxtailspread/key_map.h"
 #include "foxtailspread/kind_follower.h"
@@ -36,6 +37,10 @@
 /// cannot reach.
 inline constexpr duration kKeepAfterLapse{std::chrono::seconds{10}};
 
+/// How long after the start of its last successful write the lease's holder
+/// moves keys. Two renewals may fail in between.
+inline constexpr duration kLeaseTerm{std::chrono::milliseconds{5000}};
+
 /// The lease, as the store keeps it.
 struct assigner_lease {
   std::string host;       ///< Who holds it.
@@ -96,6 +101,7 @@
   kFenced,      ///< The target has seen a higher fence on one of the keys.
   kRejected,    ///< The target does not accept the order at all.
   kNoProcess,   ///< Nobody listens at its address.
+  kNotSent,     ///< No connection was made: the target has not seen it.
   kUnanswered,  ///< No answer: it may have been carried out, or may yet.
 };
 
@@ -129,15 +135,22 @@
   fence_number fence = 0;
 };
 
-using assigner_action =
-    std::variant<store_write, key_order, order_cancel, assigner_note>;
+/// Sends a sign of life to another host.
+struct beat_action {
+  std::string address{};
+  assigner_beat beat{};
+};
+
+using assigner_action = std::variant<store_write, key_order, order_cancel,
+                                     beat_action, assigner_note>;
 using assigner_actions = std::vector<assigner_action>;
 
 /// What an assigner goes by.
 struct assigner_settings {
   std::string host;
+  std::string zone;
   std::string address;  ///< Where this host takes load reports.
-  duration hold{std::chrono::seconds{10}};  ///< Validity of a grant.
+  duration hold{std::chrono::seconds{3}};  ///< Validity of a grant.
   uint64_t seed = 1;  ///< Spreads the hosts' attempts to take the lease.
 };
 
@@ -165,12 +178,8 @@
   void OnTargets(const std::vector<target_entry>& targets, bool doubtful,
                  time_point now);
 
-  /// Takes a host's requests for each cell of keys; sparse, by cell.
-  void OnKeyLoad(const std::string& service, const std::string& host,
-                 const std::vector<std::pair<uint32_t, uint32_t>>& cells,
-                 time_point now);
-  /// Notes that a host is there.
-  void OnHostSeen(const std::string& host, time_point now);
+  void OnReport(const load_report& report, time_point now);
+  void OnBeat(const assigner_beat& beat, time_point now);
 
   void OnWriteEnded(const write_report& report, time_point now,
                     assigner_actions& out);
@@ -186,6 +195,7 @@
 
   bool IsHolder(time_point now) const { return now < held_until_; }
   const std::optional<assigner_lease>& lease() const { return lease_; }
+  uint64_t lease_revision() const { return lease_revision_; }
   /// The recorded map of a service, nullptr if there is none.
   const key_map* MapOf(const std::string& service) const;
   /// The revision of that map's record, 0 if there is none.
@@ -246,9 +256,13 @@
     target_entry entry;
     bool listed = false;
     std::optional<time_point> missing_since;
-    bool reachable = true;    ///< The last order was answered.
     uint64_t connection = 0;  ///< That carried the last answered order.
-    time_point held_until{};  ///< It may hold keys until then.
+    int failed_orders = 0;    ///< Since the last answered one.
+    time_point failing_since{};
+    uint64_t failed_sequence = 0;  ///< Its report when it began to fail.
+    int orders = 0;                ///< Under way.
+    /// It may hold keys until then, by the grants of this host that ended.
+    time_point held_until{};
   };
 
   struct order_context {
@@ -280,6 +294,12 @@
                     time_point now, assigner_actions& out);
   void LoseLease(assigner_actions& out);
   void Lapse(assigner_actions& out);
+  void Beat(time_point now, assigner_actions& out);
+  void ChooseSuccessors(time_point now);
+  bool MayFollow(time_point now) const;
+  bool IsFailing(const target_state& state, time_point now) const;
+  void NoteOrder(target_state& state, const order_context& context,
+                 const order_report& report, time_point now);
   void EndLateOrders(time_point now, assigner_actions& out);
 
   void StepService(keyed_service& of, time_point now, assigner_actions& out);
@@ -323,7 +343,19 @@
   bool leaving_ = false;
   std::map<std::string, keyed_service> services_;
   std::map<std::string, target_state> targets_;  ///< By life.
-  std::map<std::string, time_point> hosts_seen_;
+  struct host_state {
+    std::string zone;
+    std::string address;
+    uint64_t lease_revision = 0;
+    time_point seen{};
+  };
+  std::map<std::string, host_state> hosts_seen_;
+  std::vector<std::string> successors_;
+  time_point beat_at_{};
+  std::optional<assigner_beat> beat_heard_;
+  time_point beat_heard_at_{};
+  std::string predecessor_;  ///< Held the lease before this host.
+  std::optional<time_point> predecessor_stopped_;
   std::map<uint64_t, order_context> orders_;
   uint64_t last_id_ = 0;
   bool doubtful_ = false;
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -9,17 +10,24 @@
 namespace foxtailspread {
 namespace {
 
-/// How often the holder writes the lease.
-constexpr duration kRenewEvery{std::chrono::milliseconds{1500}};
-
-/// How long after the start of its last successful write the holder acts. Two
-/// renewals may fail in between.
-constexpr duration kLeaseTerm{std::chrono::milliseconds{4000}};
+/// How often the holder writes the lease. Each write wakes the watch of every
+/// host, so it is seldom; successors go by datagrams.
+constexpr duration kRenewEvery{std::chrono::milliseconds{2000}};
 
 /// How long the object must have stood still, by another host's clock, before
-/// that host takes the lease. Longer than the term by far more than clocks
-/// differ in that time, and by an answer's way back.
-constexpr duration kTakeoverAfter{std::chrono::milliseconds{5200}};
+/// a host that is no successor takes the lease. Longer than the term by far
+/// more than clocks differ in that time, and by an answer's way back.
+constexpr duration kTakeoverAfter{std::chrono::milliseconds{6500}};
+
+/// How often the holder tells its successors that it lives, how many there
+/// are, and how long the first waits in silence before it takes the lease; each
+/// further one waits so much longer. Three beats may be lost. Grants last
+/// three seconds and are renewed each 0.8, so that a successor that starts
+/// within a second and a half finds them all in force.
+constexpr duration kBeatEvery{std::chrono::milliseconds{250}};
+constexpr size_t kSuccessors = 3;
+constexpr duration kSilence{std::chrono::milliseconds{850}};
+constexpr duration kSilenceStep{std::chrono::milliseconds{250}};
 
 /// The hosts' attempts to take a free lease are spread over this time, so that
 /// all but one see it taken and make no call.
@@ -34,6 +42,9 @@
 /// Hosts that reported within this time count as there.
 constexpr duration kHostSeenFor{std::chrono::seconds{4}};
 
+/// Only hosts heard of within this time are chosen as successors.
+constexpr duration kSuccessorSeenFor{std::chrono::milliseconds{2500}};
+
 }  // namespace
 
 std::string FormatLease(const assigner_lease& lease) {
@@ -79,21 +90,109 @@
   if (lease_->released) {
     return now >= lease_seen_at_ + spread / 4;
   }
+  if (MayFollow(now)) {
+    return true;
+  }
   return now >= lease_seen_at_ + kTakeoverAfter + spread;
 }
 
+bool key_assigner::MayFollow(time_point now) const {
+  if (!beat_heard_ || beat_heard_->host != lease_->host) {
+    return false;
+  }
+  const auto& line = beat_heard_->successors;
+  const auto place = std::find(line.begin(), line.end(), settings_.host);
+  return place != line.end() &&
+         now >= beat_heard_at_ + kSilence +
+                    kSilenceStep * std::distance(line.begin(), place);
+}
+
+void key_assigner::OnBeat(const assigner_beat& beat, time_point now) {
+  // A host that has been replaced may still beat until it learns of it.
+  if (beat.lease_revision < lease_revision_ && lease_ &&
+      lease_->host != beat.host) {
+    return;
+  }
+  beat_heard_ = beat;
+  beat_heard_at_ = now;
+}
+
+void key_assigner::OnReport(const load_report& report, time_point now) {
+  hosts_seen_[report.host] = {.zone = report.zone,
+                              .address = report.address,
+                              .lease_revision = report.lease_revision,
+                              .seen = now};
+  // Whoever has read this host's lease grants nothing any more. The same goes
+  // for a new process on the former holder's host.
+  if (was_holder_ && report.host == predecessor_ && !predecessor_stopped_ &&
+      report.lease_revision >= acting_from_revision_) {
+    predecessor_stopped_ = now;
+  }
+  for (const service_load& load : report.services) {
+    const auto found = services_.find(load.service);
+    if (found == services_.end()) {
+      continue;
+    }
+    found->second.counts.resize(kKeyCells, 0);
+    for (const auto& [cell, count] : load.cells) {
+      if (cell < kKeyCells) {
+        found->second.counts[cell] += count;
+      }
+    }
+  }
+}
+
+void key_assigner::ChooseSuccessors(time_point now) {
+  successors_.clear();
+  std::set<std::string> zones{settings_.zone};
+  // First one host of each other zone: a zone that is cut off or lost takes no
+  // more than one of them along. Then any.
+  for (const bool any_zone : {false, true}) {
+    for (const auto& [name, host] : hosts_seen_) {
+      const bool fresh = now - host.seen <= kSuccessorSeenFor;
+      const bool chosen = std::find(successors_.begin(), successors_.end(),
+                                    name) != successors_.end();
+      if (successors_.size() >= kSuccessors || !fresh || chosen ||
+          name == settings_.host ||
+          (!any_zone && !zones.insert(host.zone).second)) {
+        continue;
+      }
+      successors_.push_back(name);
+    }
+  }
+}
+
+void key_assigner::Beat(time_point now, assigner_actions& out) {
+  // Without the store nothing can be moved; a successor that reaches it does
+  // better, so the silence is meant.
+  if (now < beat_at_ || !store_answers_) {
+    return;
+  }
+  beat_at_ = now + kBeatEvery;
+  ChooseSuccessors(now);
+  const assigner_beat beat{.host = settings_.host,
+                           .lease_revision = lease_revision_,
+                           .successors = successors_};
+  for (const std::string& name : successors_) {
+    out.emplace_back(beat_action{hosts_seen_[name].address, beat});
+  }
+}
+
 void key_assigner::StepLease(time_point now, assigner_actions& out) {
   if (was_holder_ && !IsHolder(now)) {
     Lapse(out);
   }
   RetryWrite(lease_write_, now, out);
+  if (was_holder_ && !leaving_) {
+    Beat(now, out);
+  }
   if (lease_write_ || leaving_) {
     return;
   }
   if (was_holder_) {
     if (now >= renew_at_) {
       std::erase_if(hosts_seen_, [&](const auto& seen) {
-        return now - seen.second > kHostSeenFor;
+        return now - seen.second.seen > kHostSeenFor;
       });
       assigner_lease next = *lease_;
       next.renewal = lease_->renewal + 1;
@@ -155,6 +254,8 @@
     return;
   }
   const pending_write written = *std::exchange(lease_write_, std::nullopt);
+  const std::string former = lease_ ? lease_->host : std::string{};
+  const bool released = lease_ && lease_->released;
   const auto parsed =
       ParseLease(done ? std::string_view{written.content} : report.content);
   if (report.revision > lease_revision_ && parsed) {
@@ -163,6 +264,8 @@
     lease_seen_at_ = now;
   }
   if (!done) {
+    // Somebody has written it meanwhile and so is there.
+    beat_heard_at_ = std::max(beat_heard_at_, now);
     LoseLease(out);
     return;
   }
@@ -178,8 +281,10 @@
     taken_at_ = now;
     acting_from_revision_ = report.revision;
     synced_since_taken_ = false;
-    for (auto& [life, target] : targets_) {
-      target.held_until = {};
+    predecessor_ = former;
+    predecessor_stopped_.reset();
+    if (former.empty() || former == settings_.host || released) {
+      predecessor_stopped_ = now;
     }
     out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseTaken});
   }
--- /dev/null
+++ b/src/core/host_messages.cc
@@ -0,0 +1,93 @@
+#include "foxtailspread/host_messages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace foxtailspread {
+namespace {
+
+using nlohmann::json;
+
+/// The first element of each message.
+constexpr std::string_view kReportTag = "load";
+constexpr std::string_view kBeatTag = "beat";
+
+json ToJson(const load_report& report) {
+  json services = json::array();
+  for (const service_load& each : report.services) {
+    json flat = json::array();
+    for (const auto& [cell, count] : each.cells) {
+      flat.push_back(cell);
+      flat.push_back(count);
+    }
+    services.push_back({each.service, std::move(flat)});
+  }
+  return json::array({kReportTag, report.host, report.zone, report.address,
+                      report.lease_revision, std::move(services)});
+}
+
+json ToJson(const assigner_beat& beat) {
+  return json::array(
+      {kBeatTag, beat.host, beat.lease_revision, beat.successors});
+}
+
+// The readers use the checked accessors of the JSON library, whose exceptions
+// ParseHostMessage turns into an error.
+
+load_report ReadReport(const json& value) {
+  load_report report;
+  report.host = value.at(1).get<std::string>();
+  report.zone = value.at(2).get<std::string>();
+  report.address = value.at(3).get<std::string>();
+  report.lease_revision = value.at(4).get<uint64_t>();
+  for (const json& one : value.at(5)) {
+    service_load& load = report.services.emplace_back();
+    load.service = one.at(0).get<std::string>();
+    const json& flat = one.at(1);
+    for (size_t i = 0; i + 1 < flat.size(); i += 2) {
+      load.cells.emplace_back(flat.at(i).get<uint32_t>(),
+                              flat.at(i + 1).get<uint32_t>());
+    }
+  }
+  return report;
+}
+
+assigner_beat ReadBeat(const json& value) {
+  assigner_beat beat;
+  beat.host = value.at(1).get<std::string>();
+  beat.lease_revision = value.at(2).get<uint64_t>();
+  beat.successors = value.at(3).get<std::vector<std::string>>();
+  return beat;
+}
+
+error Malformed() {
+  return error{error_code::kMalformed, "", "is not a message of a host",
+               "run one release on all hosts"};
+}
+
+}  // namespace
+
+std::string FormatHostMessage(const host_message& message) {
+  const json value =
+      std::visit([](const auto& each) { return ToJson(each); }, message);
+  const std::vector<uint8_t> packed = json::to_msgpack(value);
+  return {packed.begin(), packed.end()};
+}
+
+result<host_message> ParseHostMessage(std::string_view bytes) {
+  const json value =
+      json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  try {
+    const auto tag = value.at(0).get<std::string>();
+    if (tag == kReportTag) {
+      return host_message{ReadReport(value)};
+    }
+    if (tag == kBeatTag) {
+      return host_message{ReadBeat(value)};
+    }
+  } catch (const json::exception&) {
+    return Malformed();
+  }
+  return Malformed();
+}
+
+}  // namespace foxtailspread
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -7,22 +7,31 @@
 namespace {
 
 /// How often a grant is renewed. A holder that is lost leaves its targets at
-/// least three quarters of the hold, time enough for another to take over.
-constexpr duration kRenewGrant{std::chrono::milliseconds{2000}};
+/// least two thirds of the hold, time enough for a successor.
+constexpr duration kRenewGrant{std::chrono::milliseconds{800}};
 
-/// How long an order may take to reach its target; the connection is closed
-/// then, and with it what the network still holds of the order.
-constexpr duration kOrderTimeout{std::chrono::milliseconds{1000}};
+/// How long a grant may take to be answered; the connection is reset then, and
+/// with it goes what the network still holds of the order. Targets answer in
+/// milliseconds, and none is further away than some more.
+constexpr duration kOrderTimeout{std::chrono::milliseconds{400}};
 /// A release is answered when the target's running work on the keys ends.
 constexpr duration kReleaseTimeout{std::chrono::milliseconds{3000}};
 
+/// Orders in a row that failed before a target counts as lost and its keys are
+/// given to others, once its hold has ended. One alone may have met a
+/// connection that had ended.
+constexpr int kFailedOrders = 2;
+/// A target that failed orders is given keys again so long after, if it has
+/// reported to the store meanwhile.
+constexpr duration kFailingFor{std::chrono::seconds{2}};
+
 /// A target's clock that measures a hold may run slow by one part in so many.
 constexpr int kSlowClockPart = 50;
 /// Added for an order's way and for rounding.
-constexpr duration kHoldSlack{std::chrono::milliseconds{300}};
+constexpr duration kHoldSlack{std::chrono::milliseconds{150}};
 
 /// Pause before an order that failed is sent again.
-constexpr duration kOrderRetry{std::chrono::milliseconds{150}};
+constexpr duration kOrderRetry{std::chrono::milliseconds{100}};
 
 /// While the store was away of late a missing target may be back: its entry
 /// lapsed although it lives.
@@ -142,26 +151,6 @@
   }
 }
 
-void key_assigner::OnKeyLoad(
-    const std::string& service, const std::string& host,
-    const std::vector<std::pair<uint32_t, uint32_t>>& cells, time_point now) {
-  OnHostSeen(host, now);
-  const auto found = services_.find(service);
-  if (found == services_.end()) {
-    return;
-  }
-  found->second.counts.resize(kKeyCells, 0);
-  for (const auto& [cell, count] : cells) {
-    if (cell < kKeyCells) {
-      found->second.counts[cell] += count;
-    }
-  }
-}
-
-void key_assigner::OnHostSeen(const std::string& host, time_point now) {
-  hosts_seen_[host] = now;
-}
-
 bool key_assigner::IsKnownDead(const target_life& life) const {
   // Another life under the same id: this one has ended. A refused connection
   // proves nothing: some partitions answer in the target's place, and a target
@@ -173,6 +162,14 @@
   });
 }
 
+bool key_assigner::IsFailing(const target_state& state, time_point now) const {
+  if (state.failed_orders < kFailedOrders) {
+    return false;
+  }
+  return now - state.failing_since < kFailingFor ||
+         state.entry.sequence == state.failed_sequence;
+}
+
 bool key_assigner::IsUsable(const target_life& life, time_point now) const {
   const auto found = targets_.find(LifeKey(life));
   if (found == targets_.end()) {
@@ -180,7 +177,7 @@
     return doubtful_ && now - taken_at_ < kMissingGrace;
   }
   const target_state& state = found->second;
-  if (state.entry.draining || IsKnownDead(life)) {
+  if (state.entry.draining || IsFailing(state, now) || IsKnownDead(life)) {
     return false;
   }
   return state.listed ||
@@ -188,23 +185,29 @@
 }
 
 time_point key_assigner::HeldUntil(const target_life& life) const {
-  // Whoever held the lease before may have granted until it was taken over.
   const duration longest =
       settings_.hold + settings_.hold / kSlowClockPart + kHoldSlack;
-  const time_point inherited =
-      taken_at_ + kKeepAfterLapse + kOrderTimeout + longest;
+  // Whoever held the lease before may have granted until it stopped: when it
+  // said so, or when its lease and the time of keeping after it were over.
+  const time_point stopped = predecessor_stopped_.value_or(
+      taken_at_ + kLeaseTerm + kKeepAfterLapse + kOrderTimeout);
+  const time_point inherited = stopped + longest;
   const auto found = targets_.find(LifeKey(life));
-  return found == targets_.end()
-             ? inherited
-             : std::max(inherited, found->second.held_until);
+  if (found == targets_.end()) {
+    return inherited;
+  }
+  if (found->second.orders > 0) {
+    return time_point::max();
+  }
+  return std::max(inherited, found->second.held_until);
 }
 
 std::vector<balance_target> key_assigner::Candidates(const std::string& service,
                                                      time_point now) const {
   std::vector<balance_target> found;
   for (const auto& [life, state] : targets_) {
-    if (state.listed && state.entry.service == service && state.reachable &&
-        IsUsable(state.entry.life, now)) {
+    if (state.listed && state.entry.service == service &&
+        state.failed_orders == 0 && IsUsable(state.entry.life, now)) {
       found.push_back({.life = state.entry.life,
                        .capacity = static_cast<double>(state.entry.slots)});
     }
@@ -246,13 +249,17 @@
   // While it holds the lease it looks at its ranges often enough for moves to
   // take tens of milliseconds; standing by, it only watches the lease.
   constexpr duration kBusyStep{std::chrono::milliseconds{50}};
+  constexpr duration kHolderStep{std::chrono::milliseconds{100}};
   constexpr duration kCalmStep{std::chrono::milliseconds{250}};
   const bool busy =
       was_holder_ &&
       std::any_of(services_.begin(), services_.end(), [](const auto& each) {
         return !each.second.transfers.empty() || each.second.write;
       });
-  return now + (busy ? kBusyStep : kCalmStep);
+  if (busy) {
+    return now + kBusyStep;
+  }
+  return now + (was_holder_ ? kHolderStep : kCalmStep);
 }
 
 void key_assigner::StepService(keyed_service& of, time_point now,
@@ -498,12 +505,7 @@
                  .grant = grant,
                  .renews = renews,
                  .deadline = now + timeout + kOrderRetry};
-  if (grant) {
-    const duration longest =
-        settings_.hold + settings_.hold / kSlowClockPart + kHoldSlack;
-    state->held_until =
-        std::max(state->held_until, now + kOrderTimeout + longest);
-  }
+  state->orders += grant ? 1 : 0;
   const bool lapsed = !IsHolder(now);
   out.emplace_back(
       key_order{.id = id,
@@ -556,6 +558,29 @@
   }
 }
 
+void key_assigner::NoteOrder(target_state& state, const order_context& context,
+                             const order_report& report, time_point now) {
+  const bool reached =
+      report.end != order_end::kNoProcess && report.end != order_end::kNotSent;
+  if (context.grant) {
+    state.orders = std::max(state.orders - 1, 0);
+  }
+  if (context.grant && reached && report.end != order_end::kFenced) {
+    // It arrived by now, or never will; its hold counts from its arrival.
+    const duration longest =
+        settings_.hold + settings_.hold / kSlowClockPart + kHoldSlack;
+    state.held_until = std::max(state.held_until, now + longest);
+  }
+  const bool answered = reached && report.end != order_end::kUnanswered;
+  if (answered) {
+    state.failed_orders = 0;
+  } else if (state.failed_orders++ == 0) {
+    state.failing_since = now;
+    state.failed_sequence = state.entry.sequence;
+  }
+  state.connection = report.end == order_end::kDone ? report.connection : 0;
+}
+
 void key_assigner::OnOrderEnded(const order_report& report, time_point now,
                                 assigner_actions& out) {
   const auto found = orders_.find(report.id);
@@ -566,10 +591,7 @@
   orders_.erase(found);
   const auto target = targets_.find(context.target);
   if (target != targets_.end()) {
-    target_state& state = target->second;
-    state.reachable = report.end != order_end::kNoProcess &&
-                      report.end != order_end::kUnanswered;
-    state.connection = report.end == order_end::kDone ? report.connection : 0;
+    NoteOrder(target->second, context, report, now);
   }
   const auto service = services_.find(context.service);
   if (service == services_.end()) {
--- a/src/programs/foxtail-edge/edge_daemon.cc
+++ b/src/programs/foxtail-edge/edge_daemon.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "foxtailspread/hash.h"
-#include "foxtailspread/load_report.h"
+#include "foxtailspread/host_messages.h"
 #include "net/log.h"
 #include "platform/config_codec.h"
 #include "platform/request_codec.h"
@@ -24,6 +24,10 @@
 /// by the store; a new one finds out.
 constexpr duration kTargetWait{milliseconds{500}};
 
+/// Validity of a grant of keys. A lost target's keys wait for its end; a lost
+/// assigner must be followed within it.
+constexpr duration kHold{seconds{3}};
+
 /// How often this host tells the assigner of keys about its requests.
 constexpr duration kReportEvery{seconds{1}};
 
@@ -115,8 +119,9 @@
                .retries = settings_.retries,
                .seed = HashText(settings_.name)}),
       assigner_({.host = settings_.name,
+                 .zone = settings_.zone,
                  .address = settings_.hosts,
-                 .hold = settings_.max_hold,
+                 .hold = std::min(settings_.max_hold, kHold),
                  .seed = HashText(settings_.name)}) {}
 
 status edge_daemon::Start() {
@@ -426,23 +431,32 @@
 }
 
 void edge_daemon::OnDatagram(std::string_view bytes) {
-  const auto report = ParseLoadReport(bytes);
-  if (!report) {
+  const auto message = ParseHostMessage(bytes);
+  if (!message) {
     LogEvent(event_id::kDatagramRefused);
     return;
   }
   const time_point now = Now();
-  assigner_.OnHostSeen(report.value().host, now);
-  for (const service_load& each : report.value().services) {
-    assigner_.OnKeyLoad(each.service, report.value().host, each.cells, now);
+  if (const auto* report = std::get_if<load_report>(&message.value())) {
+    assigner_.OnReport(*report, now);
+  } else if (const auto* beat = std::get_if<assigner_beat>(&message.value())) {
+    assigner_.OnBeat(*beat, now);
   }
 }
 
+void edge_daemon::CarryOne(const beat_action& action) {
+  hosts_.Send(action.address, FormatHostMessage(action.beat));
+}
+
 void edge_daemon::ReportLoad() {
   if (router_.table() == nullptr) {
     return;
   }
-  load_report report{.host = settings_.name, .services = {}};
+  load_report report{.host = settings_.name,
+                     .zone = settings_.zone,
+                     .address = settings_.hosts,
+                     .lease_revision = assigner_.lease_revision(),
+                     .services = {}};
   for (const service_settings& each : router_.table()->config().services) {
     const std::vector<uint32_t> counts = router_.TakeKeyLoad(each.name);
     service_load load{.service = each.name, .cells = {}};
@@ -457,7 +471,7 @@
   }
   const auto& lease = assigner_.lease();
   if (lease && !lease->address.empty()) {
-    hosts_.Send(lease->address, FormatLoadReport(report));
+    hosts_.Send(lease->address, FormatHostMessage(report));
   }
 }
 
--- a/src/programs/foxtail-edge/edge_daemon.h
+++ b/src/programs/foxtail-edge/edge_daemon.h
@@ -67,6 +67,7 @@
   void CarryOne(const store_write& action);
   void CarryOne(const key_order& action);
   void CarryOne(const order_cancel& action);
+  void CarryOne(const beat_action& action);
   void CarryOne(const assigner_note& action);
 
   void Step();
