--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -41,6 +41,10 @@
 /// moves keys. Two renewals may fail in between.
 inline constexpr duration kLeaseTerm{std::chrono::milliseconds{5000}};
 
+/// How long a host that leaves may keep what it granted while the store does
+/// not take its release; its process has ended by then.
+inline constexpr duration kLeaveTime{std::chrono::seconds{6}};
+
 /// The lease, as the store keeps it.
 struct assigner_lease {
   std::string host;       ///< Who holds it.
@@ -89,10 +93,11 @@
   fence_number fence = 0;
   duration hold{};         ///< Of a grant.
   std::string handover{};  ///< Of a grant: the former owner's token, if any.
-  /// Send it on this connection or not at all: then it reaches the very
-  /// process that took the keys, which refuses it if they were moved since. A
-  /// process started anew remembers no fences. 0 for any connection.
-  uint64_t only_connection = 0;
+  /// Send it on a connection with a number up to this one or not at all: then
+  /// it reaches a process that was there when this host's lease was good, and
+  /// that refuses it if the keys were moved since. A process started anew
+  /// remembers no fences. 0 for any connection.
+  uint64_t newest_connection = 0;
 };
 
 /// How an order ended.
@@ -256,7 +261,6 @@
     target_entry entry;
     bool listed = false;
     std::optional<time_point> missing_since;
-    uint64_t connection = 0;  ///< That carried the last answered order.
     int failed_orders = 0;    ///< Since the last answered one.
     time_point failing_since{};
     uint64_t failed_sequence = 0;  ///< Its report when it began to fail.
@@ -329,13 +333,15 @@
   bool store_answers_ = false;
   std::optional<assigner_lease> lease_;
   uint64_t lease_revision_ = 0;
-  time_point lease_seen_at_{};
+  time_point lease_seen_at_{};   ///< Its last write.
+  time_point lease_taken_at_{};  ///< Its last change of holder.
   bool objects_read_ = false;
   time_point objects_read_at_{};
   std::optional<pending_write> lease_write_;
   time_point held_until_{};
   time_point renew_at_{};
   time_point keeping_until_{};
+  uint64_t newest_connection_ = 0;  ///< That answered an order under the lease.
   time_point taken_at_{};
   uint64_t acting_from_revision_ = 0;
   bool synced_since_taken_ = false;
@@ -351,10 +357,12 @@
   };
   std::map<std::string, host_state> hosts_seen_;
   std::vector<std::string> successors_;
+  std::map<std::string, time_point> beats_to_;  ///< By address: until when.
   time_point beat_at_{};
   std::optional<assigner_beat> beat_heard_;
   time_point beat_heard_at_{};
-  std::string predecessor_;  ///< Held the lease before this host.
+  std::string predecessor_;        ///< Held the lease before this host.
+  bool predecessor_left_ = false;  ///< It released the lease.
   std::optional<time_point> predecessor_stopped_;
   std::map<uint64_t, order_context> orders_;
   uint64_t last_id_ = 0;
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -71,6 +71,7 @@
   kNoRetryLeft,
   kTargetBroke,
   kDeadline,
+  kStopping,
 };
 
 /// Returns the stable name of a reason.
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -27,6 +27,9 @@
 constexpr duration kBeatEvery{std::chrono::milliseconds{250}};
 constexpr size_t kSuccessors = 3;
 constexpr duration kSilence{std::chrono::milliseconds{850}};
+/// A host that is no successor any more hears beats so much longer, which tell
+/// it so.
+constexpr duration kFarewell{std::chrono::seconds{2}};
 constexpr duration kSilenceStep{std::chrono::milliseconds{250}};
 
 /// The hosts' attempts to take a free lease are spread over this time, so that
@@ -102,8 +105,12 @@
   }
   const auto& line = beat_heard_->successors;
   const auto place = std::find(line.begin(), line.end(), settings_.host);
+  // A holder that has just taken the lease is given time for its first beats;
+  // otherwise hosts that each remember old beats of the others take it from
+  // one another again and again.
+  const time_point silent_since = std::max(beat_heard_at_, lease_taken_at_);
   return place != line.end() &&
-         now >= beat_heard_at_ + kSilence +
+         now >= silent_since + kSilence +
                     kSilenceStep * std::distance(line.begin(), place);
 }
 
@@ -143,8 +150,17 @@
 }
 
 void key_assigner::ChooseSuccessors(time_point now) {
-  successors_.clear();
+  // Those chosen stay while they report: one that is dropped hears no more
+  // beats and would take the lease for lost.
+  std::erase_if(successors_, [&](const std::string& name) {
+    const auto found = hosts_seen_.find(name);
+    return found == hosts_seen_.end() ||
+           now - found->second.seen > kSuccessorSeenFor;
+  });
   std::set<std::string> zones{settings_.zone};
+  for (const std::string& name : successors_) {
+    zones.insert(hosts_seen_[name].zone);
+  }
   // First one host of each other zone: a zone that is cut off or lost takes no
   // more than one of them along. Then any.
   for (const bool any_zone : {false, true}) {
@@ -174,7 +190,12 @@
                            .lease_revision = lease_revision_,
                            .successors = successors_};
   for (const std::string& name : successors_) {
-    out.emplace_back(beat_action{hosts_seen_[name].address, beat});
+    beats_to_[hosts_seen_[name].address] = now + kFarewell;
+  }
+  std::erase_if(beats_to_,
+                [&](const auto& each) { return each.second <= now; });
+  for (const auto& [address, until] : beats_to_) {
+    out.emplace_back(beat_action{address, beat});
   }
 }
 
@@ -248,7 +269,7 @@
     // Renewing is pointless once others may have taken over; giving up is not
     // worth a delay of the stop.
     const bool late = now - lease_write_->first_sent > kLeaseTerm;
-    if (late || (leaving_ && report.end == write_end::kRefused)) {
+    if (late && !leaving_) {
       lease_write_.reset();
     }
     return;
@@ -259,6 +280,9 @@
   const auto parsed =
       ParseLease(done ? std::string_view{written.content} : report.content);
   if (report.revision > lease_revision_ && parsed) {
+    if (!lease_ || lease_->host != parsed.value().host) {
+      lease_taken_at_ = now;
+    }
     lease_ = parsed.value();
     lease_revision_ = report.revision;
     lease_seen_at_ = now;
@@ -270,7 +294,7 @@
     return;
   }
   if (leaving_) {
-    held_until_ = {};
+    keeping_until_ = {};
     return;
   }
   held_until_ = written.first_sent + kLeaseTerm;
@@ -282,8 +306,11 @@
     acting_from_revision_ = report.revision;
     synced_since_taken_ = false;
     predecessor_ = former;
+    beats_to_.clear();
+    successors_.clear();
     predecessor_stopped_.reset();
-    if (former.empty() || former == settings_.host || released) {
+    predecessor_left_ = released;
+    if (former.empty() || former == settings_.host) {
       predecessor_stopped_ = now;
     }
     out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseTaken});
@@ -332,8 +359,16 @@
   assigner_lease last = *lease_;
   last.renewal = lease_->renewal + 1;
   last.released = true;
-  // No order goes out from here on: the next holder may act at once.
-  LoseLease(out);
+  // Nothing moves from here on. What was granted is kept until the store has
+  // taken the release: while it is away nobody else can.
+  keeping_until_ = now + kLeaveTime;
+  was_holder_ = false;
+  held_until_ = {};
+  for (auto& [name, each] : services_) {
+    each.transfers.clear();
+    each.write.reset();
+  }
+  out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseLost});
   WriteLease(std::move(last), now, out);
 }
 
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -87,7 +87,11 @@
     lease_seen_at_ = now;
     // A lease that cannot be read names no holder; it is taken over when it
     // has stood still for as long as any other.
-    lease_ = parsed ? parsed.value() : assigner_lease{};
+    assigner_lease read = parsed ? parsed.value() : assigner_lease{};
+    if (!lease_ || lease_->host != read.host) {
+      lease_taken_at_ = now;
+    }
+    lease_ = std::move(read);
     if (lease_->host != settings_.host) {
       held_until_ = {};  // StepLease does the rest.
       keeping_until_ = {};
@@ -189,8 +193,10 @@
       settings_.hold + settings_.hold / kSlowClockPart + kHoldSlack;
   // Whoever held the lease before may have granted until it stopped: when it
   // said so, or when its lease and the time of keeping after it were over.
-  const time_point stopped = predecessor_stopped_.value_or(
-      taken_at_ + kLeaseTerm + kKeepAfterLapse + kOrderTimeout);
+  const duration last_word =
+      predecessor_left_ ? kLeaveTime : kLeaseTerm + kKeepAfterLapse;
+  const time_point stopped =
+      predecessor_stopped_.value_or(taken_at_ + last_word + kOrderTimeout);
   const time_point inherited = stopped + longest;
   const auto found = targets_.find(LifeKey(life));
   if (found == targets_.end()) {
@@ -517,7 +523,7 @@
                 .fence = grant ? range.fence : range.fence - 1,
                 .hold = settings_.hold,
                 .handover = handover,
-                .only_connection = lapsed ? state->connection : 0});
+                .newest_connection = lapsed ? newest_connection_ : 0});
   return id;
 }
 
@@ -527,10 +533,6 @@
   if (state.order != 0 || now < state.due || !IsUsable(range.owner, now)) {
     return;
   }
-  const target_state* owner = StateOf(range.owner);
-  if (!IsHolder(now) && (owner == nullptr || owner->connection == 0)) {
-    return;  // Not sure to reach the process that took the keys.
-  }
   state.order = Order(of, range, true, true, range.owner, {}, now, out);
   state.due = now + kRenewGrant;
 }
@@ -571,6 +573,10 @@
         settings_.hold + settings_.hold / kSlowClockPart + kHoldSlack;
     state.held_until = std::max(state.held_until, now + longest);
   }
+  if (!IsHolder(now)) {
+    return;  // It may have gone unsent for want of a connection.
+  }
+  newest_connection_ = std::max(newest_connection_, report.connection);
   const bool answered = reached && report.end != order_end::kUnanswered;
   if (answered) {
     state.failed_orders = 0;
@@ -578,7 +584,6 @@
     state.failing_since = now;
     state.failed_sequence = state.entry.sequence;
   }
-  state.connection = report.end == order_end::kDone ? report.connection : 0;
 }
 
 void key_assigner::OnOrderEnded(const order_report& report, time_point now,
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -74,6 +74,8 @@
       return "target-broke";
     case refusal_reason::kDeadline:
       return "deadline";
+    case refusal_reason::kStopping:
+      return "stopping";
   }
   return "unknown";
 }
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -1,5 +1,7 @@
 #include "net/connection_pool.h"
 
+#include <algorithm>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -21,7 +23,7 @@
 call_id connection_pool::Send(pool_call call, receiver on_ended) {
   const call_id id = ++last_call_;
   const std::string address{call.address};
-  if (pooled_connection* kept = TakeIdle(address, call.only_connection)) {
+  if (pooled_connection* kept = TakeIdle(address, call.newest_connection)) {
     calls_.emplace(id, kept);
     kept->Begin(id, std::move(call), std::move(on_ended), false);
     return id;
@@ -34,7 +36,7 @@
   const time_point give_up = Now() + call.connect_timeout;
   const auto parsed = ParseAddress(address);
   // One that fails at once ends from the loop: the caller is inside Send.
-  if (parsed && call.only_connection == 0) {
+  if (parsed && call.newest_connection == 0) {
     connection->Connect(parsed.value(), give_up);
   }
   connection->Begin(id, std::move(call), std::move(on_ended), true);
@@ -43,18 +45,23 @@
 }
 
 pooled_connection* connection_pool::TakeIdle(const std::string& address,
-                                             uint64_t only) {
+                                             uint64_t newest) {
   const time_point now = Now();
   for (;;) {
     const auto found = idle_.find(address);
     if (found == idle_.end() || found->second.empty()) {
       return nullptr;
     }
-    pooled_connection* kept = found->second.back();
-    if (only != 0 && kept->number() != only) {
+    auto& idle = found->second;
+    const auto last = std::find_if(
+        idle.rbegin(), idle.rend(), [&](const pooled_connection* each) {
+          return newest == 0 || each->number() <= newest;
+        });
+    if (last == idle.rend()) {
       return nullptr;
     }
-    found->second.pop_back();
+    pooled_connection* kept = *last;
+    idle.erase(std::next(last).base());
     if (!kept->IsIdleOver(now) && kept->StillQuiet()) {
       return kept;
     }
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -47,7 +47,7 @@
   friend class pooled_connection;
   using connection_list = boost::intrusive::list<pooled_connection>;
 
-  pooled_connection* TakeIdle(const std::string& address, uint64_t only);
+  pooled_connection* TakeIdle(const std::string& address, uint64_t newest);
   void Keep(pooled_connection* connection);
   void Drop(pooled_connection* connection);
   void Finish(pooled_connection* connection, call_result result);
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -46,9 +46,9 @@
   /// The value of the echo header that the answer must carry; "" for any.
   std::string echo{};
   duration connect_timeout{std::chrono::milliseconds{500}};
-  /// Use this kept connection or none: the call must reach the very process
-  /// that answered on it before. 0 for any.
-  uint64_t only_connection = 0;
+  /// Use a kept connection with a number up to this one or none: the call must
+  /// reach a process that was there when that one was made. 0 for any.
+  uint64_t newest_connection = 0;
 };
 
 /// What a pool goes by.
--- a/src/programs/foxtail-edge/edge_daemon.cc
+++ b/src/programs/foxtail-edge/edge_daemon.cc
@@ -35,13 +35,7 @@
 /// their entries lapse while nobody can write them.
 constexpr duration kAwayEcho{milliseconds{2500}};
 
-/// After a stop request the balancer needs two misses, a second apart, before
-/// it sends no new connections.
-constexpr duration kBalancerLag{milliseconds{2300}};
-/// The least time before a stopping host ends, and the time kept back from the
-/// grace so that it ends by itself.
-constexpr duration kLeastStopTime{milliseconds{3200}};
-constexpr duration kStopReserve{milliseconds{400}};
+/// How often a stopping host looks whether it is done.
 constexpr duration kLeaveStep{milliseconds{100}};
 
 /// Longest sleep of the loop while something may be due.
@@ -122,7 +116,8 @@
                  .zone = settings_.zone,
                  .address = settings_.hosts,
                  .hold = std::min(settings_.max_hold, kHold),
-                 .seed = HashText(settings_.name)}) {}
+                 .seed = HashText(settings_.name)}),
+      stop_(settings_.stop_grace) {}
 
 status edge_daemon::Start() {
   for (const auto& [server, address] :
@@ -152,7 +147,8 @@
 }
 
 bool edge_daemon::IsReady() const {
-  return !leaving_ && router_.table() != nullptr && targets_.copy().complete();
+  return !stop_.has_begun() && router_.table() != nullptr &&
+         targets_.copy().complete();
 }
 
 bool edge_daemon::StoreWasAway(time_point now) const {
@@ -180,7 +176,14 @@
   flight& added = flights_[id];
   added.request = std::move(request);
   router_actions actions;
-  router_.OnRequest(platform::Describe(id, added.request), now, actions);
+  if (StopPhase(now) >= stop_phase::kRefusing) {
+    actions.emplace_back(own_answer_action{.id = id,
+                                           .answer = own_answer::kNotRun,
+                                           .reason = refusal_reason::kStopping,
+                                           .retry_after = duration{0}});
+  } else {
+    router_.OnRequest(platform::Describe(id, added.request), now, actions);
+  }
   Carry(actions);
 }
 
@@ -504,28 +507,31 @@
 }
 
 void edge_daemon::Leave() {
-  if (leaving_) {
+  if (stop_.has_begun()) {
     return;
   }
   LogEvent(event_id::kStopRequested);
-  leaving_ = true;
-  leave_began_ = Now();
+  const time_point now = Now();
+  stop_.Begin(now);
   assigner_actions actions;
-  assigner_.Leave(leave_began_, actions);
+  assigner_.Leave(now, actions);
   Carry(actions);
   leave_ = RunEvery(kLeaveStep, [this] { LeaveStep(); });
 }
 
+stop_phase edge_daemon::StopPhase(time_point now) const {
+  const bool work_left = callers_.pending() > 0 || callers_.connections() > 0 ||
+                         assigner_.BusyLeaving();
+  return stop_.Phase(now, work_left);
+}
+
 void edge_daemon::LeaveStep() {
-  const duration passed = Now() - leave_began_;
-  if (!closing_ && passed >= kBalancerLag) {
+  const stop_phase phase = StopPhase(Now());
+  if (phase >= stop_phase::kClosing && !closing_) {
     closing_ = true;
     callers_.BeginClosing();
   }
-  const bool idle = callers_.pending() == 0 && callers_.connections() == 0 &&
-                    !assigner_.BusyLeaving();
-  if ((idle && passed >= kLeastStopTime) ||
-      passed >= settings_.stop_grace - kStopReserve) {
+  if (phase == stop_phase::kDone) {
     LogEvent(event_id::kHostStopped,
              {{"unfinished", static_cast<int64_t>(callers_.pending())}});
     leave_.Cancel();
--- a/src/programs/foxtail-edge/edge_daemon.h
+++ b/src/programs/foxtail-edge/edge_daemon.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/key_assigner.h"
 #include "foxtailspread/request_router.h"
 #include "net/caller_server.h"
@@ -73,6 +74,7 @@
   void Step();
   void Arm();
   void LeaveStep();
+  stop_phase StopPhase(time_point now) const;
   bool IsReady() const;
   bool StoreWasAway(time_point now) const;
   std::string MetricsText() const;
@@ -97,8 +99,7 @@
   uint64_t config_revision_ = 0;
   std::optional<time_point> store_failed_at_;
   bool store_answers_ = true;
-  time_point leave_began_{};
-  bool leaving_ = false;
+  graceful_stop stop_;
   bool closing_ = false;
   time_point armed_for_ = time_point::max();
   timer step_;
