Cut hot ranges further, fill joined targets, and try failing targets last

Causes: two tests of the balance failed on writing: the last hot cells stayed where they were because no other target had room up to its exact share, and a joined target got a single small piece. A router test showed that a service whose targets all fail part of their requests was refused altogether.

--- a/include/foxtailspread/key_map.h
+++ b/include/foxtailspread/key_map.h
@@ -42,7 +42,7 @@
 struct key_range {
   key_point first = 0;
   key_point last = kLastKey;  ///< Inclusive.
-  target_life owner;
+  target_life owner{};
   fence_number fence = 0;
   /// The owner has confirmed the grant; requests may be sent to it.
   bool granted = false;
--- a/include/foxtailspread/target_health.h
+++ b/include/foxtailspread/target_health.h
@@ -41,9 +41,12 @@
 
   /// Whether one more may be sent now.
   bool HasRoom() const { return in_flight_ < static_cast<int>(limit_); }
-  /// False while the target is left alone after failures.
-  bool IsTrusted(time_point now) const { return now >= distrusted_until_; }
-  time_point trusted_again() const { return distrusted_until_; }
+  /// False while no connection is tried after one that failed.
+  bool IsReachable(time_point now) const { return now >= unreachable_until_; }
+  /// False also while the target is left alone for failing its requests.
+  bool IsTrusted(time_point now) const {
+    return IsReachable(now) && now >= failing_until_;
+  }
 
   /// Expected time to an answer for one more request.
   duration ExpectedLatency(time_point now) const;
@@ -53,7 +56,6 @@
   uint64_t served() const { return served_; }
 
  private:
-  void Distrust(time_point now, duration first, duration most);
   void AddLatency(duration latency);
   void Shrink(double factor);
 
@@ -62,10 +64,10 @@
   double limit_;
   duration latency_;
   uint64_t served_ = 0;
-  int failures_in_a_row_ = 0;
   double failure_share_ = 0.0;
-  time_point distrusted_until_{};
-  duration distrust_{0};
+  time_point failing_until_{};
+  time_point unreachable_until_{};
+  duration pause_{0};  ///< The last one after a failed connection.
   /// When the requests in flight were sent, oldest first.
   std::deque<time_point> sent_;
 };
--- a/src/core/key_balance.cc
+++ b/src/core/key_balance.cc
@@ -142,6 +142,31 @@
 
 }  // namespace
 
+namespace {
+
+/// Returns the load that should go from one to the other, 0 for none.
+double WantedLoad(const target_state& giver, const target_state& receiver,
+                  const balance_limits& limits) {
+  // A target that does next to nothing gets something from each that is over
+  // its share, however little that is.
+  const bool starved = receiver.Ratio() < limits.underload;
+  const double least = starved ? receiver.goal * kFirstPart
+                               : std::min(limits.least_load, receiver.goal / 2);
+  const double up_to_share =
+      std::min(giver.load - giver.goal, receiver.goal - receiver.load);
+  if (up_to_share >= least) {
+    return up_to_share;
+  }
+  // All others have about their share: one that has far more, since its keys
+  // could not be cut to fit, meets the least busy one half-way.
+  const double half_way =
+      (giver.load * receiver.goal - receiver.load * giver.goal) /
+      (giver.goal + receiver.goal);
+  return half_way >= least ? half_way : 0.0;
+}
+
+}  // namespace
+
 std::vector<key_move> PlanMoves(const key_map& map, cell_loads loads,
                                 std::span<const balance_target> targets,
                                 const balance_limits& limits) {
@@ -170,17 +195,14 @@
         *std::max_element(states.begin(), states.end(), less);
     const bool uneven =
         giver.Ratio() > limits.overload || receiver.Ratio() < limits.underload;
-    const double wanted =
-        std::min(giver.load - giver.goal, receiver.goal - receiver.load);
-    // A target without any keys gets some, however little is asked for.
-    const double least = receiver.load > 0.0
-                             ? std::min(limits.least_load, receiver.goal / 2)
-                             : receiver.goal * kFirstPart;
-    if (!uneven || wanted < least) {
+    const double wanted = WantedLoad(giver, receiver, limits);
+    if (!uneven || wanted <= 0.0) {
       break;
     }
     const auto part = FindCut(planned, load, giver.target->life, wanted);
-    if (!part) {
+    const bool helps =
+        part && (receiver.load + part->load) / receiver.goal < giver.Ratio();
+    if (!helps) {
       stuck.push_back(giver.target->life);
       continue;
     }
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -62,7 +62,7 @@
   const bool left =
       owner->draining_since && now - *owner->draining_since > kDrainingGrace;
   const bool usable =
-      !left && owner->health.IsTrusted(now) && owner->health.HasRoom();
+      !left && owner->health.IsReachable(now) && owner->health.HasRoom();
   return usable ? owner : nullptr;
 }
 
@@ -70,15 +70,20 @@
                                                    const request& by,
                                                    time_point now) {
   std::array<std::vector<target*>, 2> usable;  // In the own zone, and others.
-  target* missing = nullptr;
+  // Used only if there is nothing better: those that fail part of their
+  // requests, and those that are missing from the list.
+  target* last_resort = nullptr;
   for (const auto& each : from.targets) {
-    const bool open = !each->entry.draining && each->health.IsTrusted(now) &&
+    const bool open = !each->entry.draining && each->health.IsReachable(now) &&
                       each->health.HasRoom() && !by.WasTried(each.get());
     if (!open) {
       continue;
     }
-    if (each->missing_since) {
-      missing = each.get();
+    if (each->missing_since || !each->health.IsTrusted(now)) {
+      const bool better =
+          last_resort == nullptr ||
+          each->health.in_flight() < last_resort->health.in_flight();
+      last_resort = better ? each.get() : last_resort;
       continue;
     }
     usable[each->entry.zone == settings_.zone ? 0 : 1].push_back(each.get());
@@ -102,7 +107,7 @@
       }
     }
   }
-  return best != nullptr ? best : missing;
+  return best != nullptr ? best : last_resort;
 }
 
 duration request_router::ExpectedWait(const service& at, const request& by,
@@ -110,7 +115,7 @@
   double room = 0.0;
   double speed = 0.0;  // Requests a microsecond.
   for (const auto& each : at.targets) {
-    if (each->entry.draining || !each->health.IsTrusted(now)) {
+    if (each->entry.draining || !each->health.IsReachable(now)) {
       continue;
     }
     room += std::max(0.0, each->health.limit() - each->health.in_flight());
@@ -154,7 +159,7 @@
     if (owner == nullptr) {
       return refusal_reason::kNoOwner;
     }
-    if (!owner->health.IsTrusted(now + asked.by->objective / 2)) {
+    if (!owner->health.IsReachable(now + asked.by->objective / 2)) {
       return refusal_reason::kNoTarget;
     }
     // The requests for one owner wait in its service's list; a few hundred at
@@ -177,7 +182,7 @@
   bool any = false;
   for (const auto& each : by.targets) {
     any = any || (!each->entry.draining &&
-                  each->health.IsTrusted(now + asked.by->objective / 2));
+                  each->health.IsReachable(now + asked.by->objective / 2));
   }
   if (!any) {
     return refusal_reason::kNoTarget;
--- a/src/core/target_health.cc
+++ b/src/core/target_health.cc
@@ -30,10 +30,10 @@
 
 /// How long a target is left alone after one failure to connect, and at most
 /// when it keeps failing.
-constexpr duration kDistrustFirst{std::chrono::milliseconds{300}};
-constexpr duration kDistrustMost{std::chrono::seconds{3}};
+constexpr duration kPauseFirst{std::chrono::milliseconds{300}};
+constexpr duration kPauseMost{std::chrono::seconds{3}};
 /// The same for a target that fails part of its requests.
-constexpr duration kDistrustFailing{std::chrono::seconds{2}};
+constexpr duration kFailingFor{std::chrono::seconds{2}};
 
 }  // namespace
 
@@ -58,13 +58,8 @@
   limit_ = std::max(kLimitLeast, limit_ * factor);
 }
 
-void target_health::Distrust(time_point now, duration first, duration most) {
-  distrust_ = std::clamp(distrust_ * 2, first, most);
-  distrusted_until_ = now + distrust_;
-}
-
 void target_health::OnEnded(attempt_verdict verdict, time_point sent,
-                          duration objective, time_point now) {
+                            duration objective, time_point now) {
   in_flight_ = std::max(in_flight_ - 1, 0);
   const auto found = std::find(sent_.begin(), sent_.end(), sent);
   if (found != sent_.end()) {
@@ -74,8 +69,7 @@
   switch (verdict) {
     case attempt_verdict::kServed:
       ++served_;
-      failures_in_a_row_ = 0;
-      distrust_ = duration{0};
+      pause_ = duration{0};
       failure_share_ *= 1.0 - kFailureWeight;
       AddLatency(took);
       if (took > std::chrono::duration_cast<duration>(objective * kLateShare)) {
@@ -92,14 +86,14 @@
     case attempt_verdict::kBroken:
       failure_share_ += kFailureWeight * (1.0 - failure_share_);
       if (failure_share_ > kFailureShareMost) {
-        Distrust(now, kDistrustFailing, kDistrustFailing);
+        failing_until_ = now + kFailingFor;
         failure_share_ = kFailureShareMost / 2;
       }
       return;
     case attempt_verdict::kUnreachable:
     case attempt_verdict::kMisdirected:
-      ++failures_in_a_row_;
-      Distrust(now, kDistrustFirst, kDistrustMost);
+      pause_ = std::clamp(pause_ * 2, kPauseFirst, kPauseMost);
+      unreachable_until_ = now + pause_;
       return;
     case attempt_verdict::kTimedOut:
       AddLatency(took);
--- /dev/null
+++ b/tests/edge_parts_test.cc
@@ -0,0 +1,205 @@
+// The small decisions and formats of the entry host for the platform.
+
+#include <gtest/gtest.h>
+
+#include "foxtailspread/graceful_stop.h"
+#include "foxtailspread/host_messages.h"
+#include "foxtailspread/kind_follower.h"
+#include "foxtailspread/retry_budget.h"
+
+namespace foxtailspread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class RetryBudgetTest : public ::testing::Test {
+ protected:
+  int Repeats(int wanted) {
+    int allowed = 0;
+    for (int i = 0; i < wanted; ++i) {
+      allowed += budget_.TryRepeat(now_) ? 1 : 0;
+    }
+    return allowed;
+  }
+
+  retry_budget budget_{{.ratio = 0.2, .slack = 50.0, .window = seconds{10}}};
+  time_point now_{seconds{100}};
+};
+
+TEST_F(RetryBudgetTest, SlackIsDividedAmongTheHosts) {
+  budget_.SetHosts(10);
+  EXPECT_EQ(Repeats(100), 4);
+}
+
+TEST_F(RetryBudgetTest, RequestsRaiseTheBudget) {
+  budget_.SetHosts(10);
+  for (int i = 0; i < 100; ++i) {
+    budget_.OnRequest(now_);
+  }
+  EXPECT_EQ(Repeats(100), 20);
+}
+
+// The rule holds in any window. A budget that forgets early lets two bursts of
+// repeats fall into one window.
+TEST_F(RetryBudgetTest, RepeatsCountForAWholeWindow) {
+  EXPECT_EQ(Repeats(100), 40);
+  now_ += milliseconds{9900};
+  EXPECT_EQ(Repeats(100), 0);
+  now_ += milliseconds{1200};
+  EXPECT_EQ(Repeats(100), 40);
+}
+
+class GracefulStopTest : public ::testing::Test {
+ protected:
+  stop_phase After(duration passed, bool work_left) {
+    return stop_.Phase(began_ + passed, work_left);
+  }
+
+  void SetUp() override { stop_.Begin(began_); }
+
+  time_point began_{seconds{100}};
+  graceful_stop stop_{seconds{6}};
+};
+
+TEST_F(GracefulStopTest, HostServesUntilTheBalancerHasLookedAway) {
+  EXPECT_EQ(After(milliseconds{100}, false), stop_phase::kUnready);
+  EXPECT_EQ(After(milliseconds{2000}, false), stop_phase::kUnready);
+  EXPECT_EQ(After(milliseconds{2500}, true), stop_phase::kClosing);
+}
+
+// Most hosts of a zone stop at once, and the balancer goes on sending
+// connections to all of them. A request taken late is cut off at the end, and
+// its caller cannot tell whether it ran.
+TEST_F(GracefulStopTest, LateRequestsAreRefused) {
+  EXPECT_EQ(After(milliseconds{3000}, true), stop_phase::kRefusing);
+  EXPECT_EQ(After(milliseconds{5000}, true), stop_phase::kRefusing);
+}
+
+TEST_F(GracefulStopTest, HostEndsBeforeItIsEnded) {
+  EXPECT_EQ(After(milliseconds{3300}, false), stop_phase::kDone);
+  EXPECT_EQ(After(milliseconds{5650}, true), stop_phase::kDone);
+}
+
+TEST_F(GracefulStopTest, ShortGraceStillRefusesBeforeItEnds) {
+  graceful_stop stop(seconds{2});
+  stop.Begin(began_);
+  EXPECT_EQ(stop.Phase(began_ + milliseconds{1200}, true),
+            stop_phase::kRefusing);
+  EXPECT_EQ(stop.Phase(began_ + milliseconds{1700}, true), stop_phase::kDone);
+}
+
+class HostMessagesTest : public ::testing::Test {};
+
+TEST_F(HostMessagesTest, MessagesReadBackAsTheyWereWritten) {
+  const load_report report{.host = "a",
+                           .zone = "z",
+                           .address = "10.0.0.1:7000",
+                           .lease_revision = 77,
+                           .services = {{"keyed", {{3, 1}, {4095, 200}}}}};
+  const assigner_beat beat{
+      .host = "a", .lease_revision = 78, .successors = {"b", "c"}};
+  EXPECT_EQ(ParseHostMessage(FormatHostMessage(report)).value(),
+            host_message{report});
+  EXPECT_EQ(ParseHostMessage(FormatHostMessage(beat)).value(),
+            host_message{beat});
+}
+
+// Anybody can send a datagram. What cannot be read is refused, never half
+// taken.
+TEST_F(HostMessagesTest, OtherBytesAreRefused) {
+  const std::string good =
+      FormatHostMessage(assigner_beat{.host = "a", .successors = {"b"}});
+  EXPECT_FALSE(ParseHostMessage(""));
+  EXPECT_FALSE(ParseHostMessage("hello"));
+  EXPECT_FALSE(ParseHostMessage(good + "x"));
+  for (size_t i = 1; i < good.size(); ++i) {
+    EXPECT_FALSE(ParseHostMessage(good.substr(0, i))) << i;
+  }
+}
+
+class KindFollowerTest : public ::testing::Test {
+ protected:
+  using page = list_page<int>;
+  using changes = change_page<int>;
+
+  /// Lists objects a and b at revision 10.
+  void List() {
+    ASSERT_TRUE(follower_.NextCall(now_)->list);
+    follower_.OnListed(
+        {.objects = {{"a", 4, 1}, {"b", 5, 2}}, .more = false, .revision = 10},
+        now_);
+  }
+
+  kind_follower<int> follower_{{.wait = seconds{1}}};
+  time_point now_{seconds{100}};
+};
+
+TEST_F(KindFollowerTest, ListIsFollowedByAWatchFromItsRevision) {
+  List();
+  const auto call = follower_.NextCall(now_);
+  ASSERT_TRUE(call);
+  EXPECT_FALSE(call->list);
+  EXPECT_EQ(call->since, 10U);
+  EXPECT_FALSE(follower_.NextCall(now_)) << "one call at a time";
+}
+
+TEST_F(KindFollowerTest, PagesAreJoinedAndWatchedFromTheFirst) {
+  follower_.NextCall(now_);
+  EXPECT_FALSE(follower_.OnListed(
+      {.objects = {{"a", 4, 1}}, .more = true, .revision = 10}, now_));
+  EXPECT_EQ(follower_.NextCall(now_)->after, "a");
+  EXPECT_TRUE(follower_.OnListed(
+      {.objects = {{"b", 12, 2}}, .more = false, .revision = 13}, now_));
+  EXPECT_EQ(follower_.objects().size(), 2U);
+  EXPECT_EQ(follower_.NextCall(now_)->since, 10U);
+}
+
+TEST_F(KindFollowerTest, ChangesAreAppliedAndOlderOnesAreNot) {
+  List();
+  follower_.NextCall(now_);
+  EXPECT_TRUE(follower_.OnWatched(
+      {.changes = {{{"a", 11, 7}, false}, {{"b", 12, {}}, true}},
+       .revision = 12},
+      now_));
+  EXPECT_EQ(follower_.objects().at("a").item, 7);
+  EXPECT_FALSE(follower_.objects().contains("b"));
+  follower_.NextCall(now_);
+  EXPECT_FALSE(follower_.OnWatched(
+      {.changes = {{{"a", 4, 1}, false}}, .revision = 12}, now_));
+  EXPECT_EQ(follower_.objects().at("a").item, 7);
+}
+
+// The store has dropped the changes since this host's copy. What was removed
+// meanwhile shows only in a new list.
+TEST_F(KindFollowerTest, LostHistoryIsMadeUpForByAList) {
+  List();
+  follower_.NextCall(now_);
+  follower_.OnHistoryGone(now_);
+  EXPECT_EQ(follower_.objects().size(), 2U) << "used until the list is there";
+  ASSERT_TRUE(follower_.NextCall(now_)->list);
+  EXPECT_TRUE(follower_.OnListed(
+      {.objects = {{"b", 20, 3}}, .more = false, .revision = 21}, now_));
+  EXPECT_FALSE(follower_.objects().contains("a"));
+}
+
+TEST_F(KindFollowerTest, FailedCallsAreRepeatedWithAPause) {
+  follower_.NextCall(now_);
+  follower_.OnFailed(now_);
+  EXPECT_FALSE(follower_.answers());
+  EXPECT_FALSE(follower_.NextCall(now_));
+  now_ = follower_.NextDue();
+  EXPECT_TRUE(follower_.NextCall(now_));
+}
+
+TEST_F(KindFollowerTest, ObjectThatCannotBeReadCountsAsThereButSaysNothing) {
+  follower_.NextCall(now_);
+  follower_.OnListed(
+      {.objects = {{"a", 4, std::nullopt}}, .more = false, .revision = 5},
+      now_);
+  ASSERT_TRUE(follower_.objects().contains("a"));
+  EXPECT_FALSE(follower_.objects().at("a").item);
+}
+
+}  // namespace
+}  // namespace foxtailspread
--- /dev/null
+++ b/tests/key_balance_test.cc
@@ -0,0 +1,170 @@
+#include "foxtailspread/key_balance.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+
+namespace foxtailspread {
+namespace {
+
+class KeyBalanceTest : public ::testing::Test {
+ protected:
+  void Deal(size_t count) {
+    for (size_t i = 0; i < count; ++i) {
+      targets_.push_back({.life = {.id = "t" + std::to_string(i)}});
+    }
+    map_ = DealKeys(targets_, 1);
+    for (key_range& range : map_.ranges) {
+      range.granted = true;
+    }
+  }
+
+  /// Plans and carries out moves until there are none left to plan.
+  size_t Settle() {
+    size_t moved = 0;
+    for (int round = 0; round < 30; ++round) {
+      const auto moves = PlanMoves(map_, loads_, targets_, balance_limits{});
+      if (moves.empty()) {
+        return moved;
+      }
+      for (const key_move& move : moves) {
+        moved += size_t{move.last} - move.first + 1;
+        CutBefore(map_, move.first);
+        if (move.last != kLastKey) {
+          CutBefore(map_, static_cast<key_point>(move.last + 1));
+        }
+        for (key_range& range : map_.ranges) {
+          if (move.first <= range.first && range.last <= move.last) {
+            range.owner = move.to;
+          }
+        }
+      }
+      JoinEqualNeighbours(map_);
+    }
+    ADD_FAILURE() << "plans never end";
+    return moved;
+  }
+
+  std::map<std::string, double> LoadByTarget() const {
+    std::map<std::string, double> sums;
+    for (const balance_target& each : targets_) {
+      sums[each.life.id] = 0.0;
+    }
+    for (size_t cell = 0; cell < kKeyCells; ++cell) {
+      const auto key = static_cast<key_point>(cell * kKeysPerCell);
+      sums[map_.Find(key)->owner.id] += loads_[cell];
+    }
+    return sums;
+  }
+
+  double Busiest() const {
+    double most = 0.0;
+    for (const auto& [id, load] : LoadByTarget()) {
+      most = std::max(most, load);
+    }
+    return most;
+  }
+
+  std::vector<balance_target> targets_;
+  std::vector<double> loads_ = std::vector<double>(kKeyCells, 0.0);
+  key_map map_;
+};
+
+TEST_F(KeyBalanceTest, FirstDealCoversAllKeysEvenly) {
+  Deal(7);
+  EXPECT_TRUE(CheckKeyMap(map_));
+  EXPECT_EQ(map_.ranges.size(), 7U);
+  EXPECT_EQ(Settle(), 0U);
+}
+
+TEST_F(KeyBalanceTest, EvenLoadMovesNothing) {
+  Deal(6);
+  std::fill(loads_.begin(), loads_.end(), 0.05);
+  EXPECT_EQ(Settle(), 0U);
+}
+
+// Two hundred neighbouring keys get half of all requests. Their owner would
+// be far over what it can do while the others idle.
+TEST_F(KeyBalanceTest, HotNeighboursAreSpread) {
+  Deal(10);
+  std::fill(loads_.begin(), loads_.end(), 100.0 / kKeyCells);
+  for (size_t cell = 2000; cell < 2013; ++cell) {
+    loads_[cell] += 100.0 / 13;
+  }
+  ASSERT_GT(Busiest(), 100.0);
+  const size_t moved = Settle();
+  EXPECT_LT(Busiest(), 20.0 * 1.4);
+  EXPECT_LT(moved, kKeyCells * kKeysPerCell / 2);
+}
+
+// A single key is hotter than any target can serve. It cannot be cut; the rest
+// of its owner's keys go elsewhere, and planning ends.
+TEST_F(KeyBalanceTest, SingleHotKeyStaysAloneWithItsOwner) {
+  Deal(5);
+  std::fill(loads_.begin(), loads_.end(), 50.0 / kKeyCells);
+  loads_[1000] = 80.0;
+  Settle();
+  EXPECT_LT(Busiest(), 80.0 * 1.15);
+}
+
+TEST_F(KeyBalanceTest, TargetOfTwiceTheCapacityGetsAboutTwiceTheLoad) {
+  Deal(4);
+  targets_[0].capacity = 2.0;
+  std::fill(loads_.begin(), loads_.end(), 100.0 / kKeyCells);
+  Settle();
+  const auto loads = LoadByTarget();
+  EXPECT_GT(loads.at("t0"), 40.0 * 0.6);
+}
+
+// A target has joined and owns nothing. It must get work within seconds.
+TEST_F(KeyBalanceTest, AddedTargetGetsAShare) {
+  Deal(8);
+  std::fill(loads_.begin(), loads_.end(), 200.0 / kKeyCells);
+  targets_.push_back({.life = {.id = "new"}});
+  Settle();
+  EXPECT_GT(LoadByTarget().at("new"), 200.0 / 9 * 0.5);
+}
+
+TEST_F(KeyBalanceTest, RangesOnTheirWayAreLeftAlone) {
+  Deal(3);
+  loads_[10] = 90.0;
+  for (key_range& range : map_.ranges) {
+    range.granted = false;
+  }
+  EXPECT_TRUE(PlanMoves(map_, loads_, targets_, balance_limits{}).empty());
+}
+
+class KeyMapTest : public ::testing::Test {};
+
+TEST_F(KeyMapTest, RecordReadsBackAsItWasWritten) {
+  key_map map;
+  map.last_fence = 9;
+  map.ranges = {{.first = 0,
+                 .last = 99,
+                 .owner = {.id = "a", .started = 5},
+                 .fence = 3,
+                 .granted = true},
+                {.first = 100,
+                 .last = kLastKey,
+                 .owner = {.id = "b", .started = 6},
+                 .fence = 9,
+                 .former = target_life{.id = "a", .started = 5}}};
+  const auto read = ParseKeyMap(FormatKeyMap(map));
+  ASSERT_TRUE(read) << read.error().Message();
+  EXPECT_EQ(read.value(), map);
+}
+
+TEST_F(KeyMapTest, RecordWithAGapIsRefused) {
+  key_map map;
+  map.ranges = {{.first = 0, .last = 99}, {.first = 101, .last = kLastKey}};
+  EXPECT_FALSE(CheckKeyMap(map));
+  map.ranges = {{.first = 0, .last = 99}};
+  EXPECT_FALSE(CheckKeyMap(map));
+  map.ranges = {{.first = 0, .last = kLastKey, .fence = 4}};
+  EXPECT_FALSE(CheckKeyMap(map));
+}
+
+}  // namespace
+}  // namespace foxtailspread
