Let the assigner read the store for all hosts; balance by speed and recent load

The assigner's beats now go to all hosts with a digest of its copy: hosts with the same copy make no calls, others read again; records of keys go by datagram. Load and latencies are reported each half second; recent load moves hot keys, steady load evens out the rest.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -6,6 +6,7 @@
 /// the next, and nothing that must hold depends on one arriving.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -24,8 +25,17 @@
   bool operator==(const service_load&) const = default;
 };
 
-/// What a host tells the assigner of keys each second: that it is there, what
-/// it knows, and which keys were asked for.
+/// What a target's requests told one host.
+struct target_latency {
+  std::string target;
+  uint32_t latency_us = 0;  ///< Mean time to an answer.
+  uint32_t served = 0;      ///< Requests that it is the mean of.
+
+  bool operator==(const target_latency&) const = default;
+};
+
+/// What a host tells the assigner of keys again and again: that it is there,
+/// what it knows, which keys were asked for and how fast their owners were.
 struct load_report {
   std::string host;
   std::string zone;
@@ -33,20 +43,44 @@
   /// The newest record of the assigner's lease that it has read.
   uint64_t lease_revision = 0;
   std::vector<service_load> services;
+  std::vector<target_latency> targets;
 
   bool operator==(const load_report&) const = default;
 };
 
-/// The assigner's sign of life to those that would follow it.
+/// What a host's copy of the store amounts to, for comparison with another's.
+struct store_view {
+  uint64_t config_revision = 0;
+  uint64_t targets = 0;  ///< Digest of what matters of the targets' entries.
+  uint64_t owners = 0;   ///< Digest of the records of keys and of the lease.
+  uint32_t age_ms = 0;   ///< The copy holds all that the store had by then.
+
+  bool operator==(const store_view&) const = default;
+};
+
+/// The assigner's sign of life. It reads the store for all hosts: those whose
+/// copies are the same need not ask. Each call of the store is paid for, and a
+/// thousand hosts that watch it would be its main load.
 struct assigner_beat {
   std::string host;
   uint64_t lease_revision = 0;
   std::vector<std::string> successors;  ///< The first in line first.
+  std::optional<store_view> view{};     ///< Absent if it is not up to date.
 
   bool operator==(const assigner_beat&) const = default;
 };
 
-using host_message = std::variant<load_report, assigner_beat>;
+/// A record of keys as it stands in the store, sent by the host that wrote it
+/// to spare the others a call. One that is lost shows in the next beat.
+struct owners_record {
+  std::string service;
+  uint64_t revision = 0;  ///< Of the record in the store.
+  std::string content;    ///< As FormatKeyMap wrote it.
+
+  bool operator==(const owners_record&) const = default;
+};
+
+using host_message = std::variant<load_report, assigner_beat, owners_record>;
 
 /// Writes a message as one datagram and reads it back.
 std::string FormatHostMessage(const host_message& message);
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -148,8 +148,14 @@
   assigner_beat beat{};
 };
 
+/// Tells all other hosts of a record that was written.
+struct share_action {
+  owners_record record{};
+  std::vector<std::string> addresses{};
+};
+
 using assigner_action = std::variant<store_write, key_order, order_cancel,
-                                     beat_action, assigner_note>;
+                                     beat_action, share_action, assigner_note>;
 using assigner_actions = std::vector<assigner_action>;
 
 /// What an assigner goes by.
@@ -187,6 +193,9 @@
 
   void OnReport(const load_report& report, time_point now);
   void OnBeat(const assigner_beat& beat, time_point now);
+  void OnOwners(const owners_record& record);
+  /// Lets the next beat go out at once: there is news to tell.
+  void BeatSoon() { beat_at_ = {}; }
 
   void OnWriteEnded(const write_report& report, time_point now,
                     assigner_actions& out);
@@ -208,6 +217,10 @@
   /// The revision of that map's record, 0 if there is none.
   uint64_t MapRevision(const std::string& service) const;
 
+  /// A digest of who holds the lease and of the records of all maps, the same
+  /// on every host that has read the same.
+  uint64_t OwnersDigest() const;
+
   /// The names of the system's own objects.
   static constexpr std::string_view kLeaseName = "assigner";
   static std::string MapName(std::string_view service);
@@ -252,10 +265,14 @@
     key_map draft;  ///< What `write` records.
     std::map<range_id, transfer> transfers;
     std::map<range_id, renewal> renewals;
-    std::vector<double> loads;     ///< Running requests a second by cell.
+    /// Running requests a second by cell: of the last second or so, and of
+    /// the last several.
+    std::vector<double> recent_loads;
+    std::vector<double> loads;
     std::vector<uint32_t> counts;  ///< Since `counted_from`.
     time_point counted_from{};
     time_point balanced_at{};
+    time_point refined_at{};
     time_point all_seen_at{};
   };
 
@@ -267,6 +284,7 @@
     time_point failing_since{};
     uint64_t failed_sequence = 0;  ///< Its report when it began to fail.
     int orders = 0;                ///< Under way.
+    double latency_us = 0.0;       ///< Running mean over all hosts' requests.
     /// It may hold keys until then, by the grants of this host that ended.
     time_point held_until{};
   };
@@ -280,6 +298,7 @@
     time_point deadline{};
   };
 
+  static void AddLatency(target_state& target, const target_latency& seen);
   static std::string LifeKey(const target_life& life);
   target_state* StateOf(const target_life& life);
   bool IsUsable(const target_life& life, time_point now) const;
@@ -323,6 +342,8 @@
   bool ConfirmGrants(keyed_service& of, key_map& draft, assigner_actions& out);
   bool Balance(keyed_service& of, key_map& draft, time_point now,
                assigner_actions& out);
+  std::vector<key_move> PlanBalance(keyed_service& of, const key_map& draft,
+                                    time_point now);
   void Reassign(keyed_service& of, key_map& draft, key_range& range,
                 const target_life& to);
   void CountLoad(keyed_service& of, time_point now);
@@ -362,7 +383,6 @@
   };
   std::map<std::string, host_state> hosts_seen_;
   std::vector<std::string> successors_;
-  std::map<std::string, time_point> beats_to_;  ///< By address: until when.
   time_point beat_at_{};
   std::optional<assigner_beat> beat_heard_;
   time_point beat_heard_at_{};
@@ -373,6 +393,7 @@
   std::map<uint64_t, order_context> orders_;
   uint64_t last_id_ = 0;
   bool doubtful_ = false;
+  bool services_known_ = false;
 };
 
 }  // namespace foxtailspread
--- a/include/foxtailspread/kind_follower.h
+++ b/include/foxtailspread/kind_follower.h
@@ -84,7 +84,7 @@
 
   /// Returns the call that is due now and counts it as under way.
   std::optional<follow_call> NextCall(time_point now) {
-    if (calling_ || now < next_call_) {
+    if (calling_ || now < DueAt()) {
       return std::nullopt;
     }
     calling_ = true;
@@ -96,9 +96,7 @@
   }
 
   /// When NextCall has something, if no call is under way.
-  time_point NextDue() const {
-    return calling_ ? time_point::max() : next_call_;
-  }
+  time_point NextDue() const { return calling_ ? time_point::max() : DueAt(); }
 
   /// Takes a page of the list. True when the copy is complete and may differ
   /// from before.
@@ -153,6 +151,19 @@
     next_call_ = now + pause_.Fail();
   }
 
+  /// Another host vouches that the copy is current: no call before `until`.
+  void Confirm(time_point until) { vouched_until_ = until; }
+
+  /// Another host's copy differs: read the kind again now. It will have been
+  /// compared again by `until`.
+  void Refresh(time_point now, time_point until) {
+    vouched_until_ = until;
+    if (!calling_ && complete_) {
+      next_call_ = now;
+      must_list_ = true;
+    }
+  }
+
   const object_map& objects() const { return objects_; }
   /// True once the whole kind was read in this life.
   bool complete() const { return complete_; }
@@ -160,13 +171,21 @@
   bool answers() const { return answers_; }
   /// When a call last failed.
   std::optional<time_point> failed_at() const { return failed_at_; }
-  time_point answered_at() const { return answered_at_; }
+  /// When the last call was answered: the copy holds all that the store had
+  /// by then, unless it has stopped hearing the watch, which the next one
+  /// shows.
+  time_point current_as_of() const { return current_as_of_; }
 
  private:
+  time_point DueAt() const {
+    const bool vouched = complete_ && !must_list_;
+    return vouched ? std::max(next_call_, vouched_until_) : next_call_;
+  }
+
   void Answered(time_point now) {
     calling_ = false;
     answers_ = true;
-    answered_at_ = now;
+    current_as_of_ = now;
     next_call_ = now;
     pause_.Succeed();
   }
@@ -198,7 +217,8 @@
   bool answers_ = false;
   time_point began_{};
   time_point next_call_{};
-  time_point answered_at_{};
+  time_point vouched_until_{};
+  time_point current_as_of_{};
   std::optional<time_point> failed_at_;
 };
 
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -20,6 +20,7 @@
 #include <variant>
 #include <vector>
 
+#include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_map.h"
 #include "foxtailspread/retry_budget.h"
 #include "foxtailspread/routing_config.h"
@@ -166,8 +167,9 @@
   /// Requests of each cell of keys since the last call, for a keyed service;
   /// empty when there were none.
   std::vector<uint32_t> TakeKeyLoad(const std::string& service);
-  /// Mean time to an answer of a target, 0 when it has served nothing here.
-  duration LatencyOf(const std::string& service, const std::string& id) const;
+  /// What the targets of a service took since the last call; those that served
+  /// nothing are left out.
+  std::vector<target_latency> TakeLatencies(const std::string& service);
 
   const route_table* table() const { return table_.get(); }
   size_t pending() const { return requests_.size(); }
--- a/include/foxtailspread/target_entry.h
+++ b/include/foxtailspread/target_entry.h
@@ -5,6 +5,7 @@
 /// What a target says of itself in the store.
 
 #include <cstdint>
+#include <span>
 #include <string>
 
 #include "foxtailspread/key_map.h"
@@ -26,6 +27,10 @@
   bool operator==(const target_entry&) const = default;
 };
 
+/// Returns a digest of what hosts go by: not of the sequence, which changes
+/// all the time, nor of the rest of a warm-up. The same on every host.
+uint64_t DigestOf(std::span<const target_entry> targets);
+
 }  // namespace foxtailspread
 
 #endif  // FOXTAILSPREAD_TARGET_ENTRY_H_
--- a/include/foxtailspread/target_health.h
+++ b/include/foxtailspread/target_health.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <utility>
 
 #include "foxtailspread/time.h"
 
@@ -51,6 +52,8 @@
   /// Expected time to an answer for one more request.
   duration ExpectedLatency(time_point now) const;
   duration latency() const { return latency_; }
+  /// Mean time of the requests served since the last call, and their number.
+  std::pair<duration, uint32_t> TakeRecent();
   int in_flight() const { return in_flight_; }
   double limit() const { return limit_; }
   uint64_t served() const { return served_; }
@@ -64,6 +67,8 @@
   double limit_;
   duration latency_;
   uint64_t served_ = 0;
+  duration recent_sum_{0};
+  uint32_t recent_count_ = 0;
   double failure_share_ = 0.0;
   time_point failing_until_{};
   time_point unreachable_until_{};
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -27,9 +27,6 @@
 constexpr duration kBeatEvery{std::chrono::milliseconds{250}};
 constexpr size_t kSuccessors = 3;
 constexpr duration kSilence{std::chrono::milliseconds{850}};
-/// A host that is no successor any more hears beats so much longer, which tell
-/// it so.
-constexpr duration kFarewell{std::chrono::seconds{2}};
 constexpr duration kSilenceStep{std::chrono::milliseconds{250}};
 
 /// The hosts' attempts to take a free lease are spread over this time, so that
@@ -79,7 +76,7 @@
 }
 
 bool key_assigner::MayTake(time_point now) const {
-  if (!objects_read_ || !store_answers_ || leaving_ || services_.empty()) {
+  if (!objects_read_ || !store_answers_ || leaving_ || !services_known_) {
     return false;
   }
   const duration spread = kTakeoverSpread * (settings_.seed % 64) / 64;
@@ -122,6 +119,25 @@
   }
   beat_heard_ = beat;
   beat_heard_at_ = now;
+  if (lease_ && lease_->host == beat.host) {
+    // The holder's renewals are not read while its beats come; without its
+    // revision a takeover would fail at the first try.
+    lease_seen_at_ = now;
+    lease_revision_ = std::max(lease_revision_, beat.lease_revision);
+  }
+}
+
+/// Mixes what one host saw into the running mean, by its number of requests.
+void key_assigner::AddLatency(target_state& target,
+                              const target_latency& seen) {
+  // The mean covers about so many requests: some seconds of a busy target.
+  constexpr double kSpan = 40.0;
+  const double weight = std::min(1.0, seen.served / kSpan);
+  const double latency = seen.latency_us;
+  target.latency_us =
+      target.latency_us == 0.0
+          ? latency
+          : target.latency_us + weight * (latency - target.latency_us);
 }
 
 void key_assigner::OnReport(const load_report& report, time_point now) {
@@ -136,6 +152,13 @@
       report.lease_revision >= acting_from_revision_) {
     former->second = now;
   }
+  for (const target_latency& each : report.targets) {
+    for (auto& [life, target] : targets_) {
+      if (target.listed && target.entry.life.id == each.target) {
+        AddLatency(target, each);
+      }
+    }
+  }
   for (const service_load& load : report.services) {
     const auto found = services_.find(load.service);
     if (found == services_.end()) {
@@ -151,8 +174,7 @@
 }
 
 void key_assigner::ChooseSuccessors(time_point now) {
-  // Those chosen stay while they report: one that is dropped hears no more
-  // beats and would take the lease for lost.
+  // Those chosen stay while they report.
   std::erase_if(successors_, [&](const std::string& name) {
     const auto found = hosts_seen_.find(name);
     return found == hosts_seen_.end() ||
@@ -190,13 +212,10 @@
   const assigner_beat beat{.host = settings_.host,
                            .lease_revision = lease_revision_,
                            .successors = successors_};
-  for (const std::string& name : successors_) {
-    beats_to_[hosts_seen_[name].address] = now + kFarewell;
-  }
-  std::erase_if(beats_to_,
-                [&](const auto& each) { return each.second <= now; });
-  for (const auto& [address, until] : beats_to_) {
-    out.emplace_back(beat_action{address, beat});
+  for (const auto& [name, host] : hosts_seen_) {
+    if (name != settings_.host) {
+      out.emplace_back(beat_action{host.address, beat});
+    }
   }
 }
 
@@ -341,7 +360,6 @@
     taken_at_ = now;
     acting_from_revision_ = report.revision;
     synced_since_taken_ = false;
-    beats_to_.clear();
     successors_.clear();
     predecessors_.clear();
     for (const std::string& name : lease_->predecessors) {
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -10,6 +10,7 @@
 /// The first element of each message.
 constexpr std::string_view kReportTag = "load";
 constexpr std::string_view kBeatTag = "beat";
+constexpr std::string_view kOwnersTag = "keys";
 
 json ToJson(const load_report& report) {
   json services = json::array();
@@ -21,13 +22,29 @@
     }
     services.push_back({each.service, std::move(flat)});
   }
+  json targets = json::array();
+  for (const target_latency& each : report.targets) {
+    targets.push_back({each.target, each.latency_us, each.served});
+  }
   return json::array({kReportTag, report.host, report.zone, report.address,
-                      report.lease_revision, std::move(services)});
+                      report.lease_revision, std::move(services),
+                      std::move(targets)});
 }
 
 json ToJson(const assigner_beat& beat) {
-  return json::array(
-      {kBeatTag, beat.host, beat.lease_revision, beat.successors});
+  json view;
+  if (beat.view) {
+    view = json::array({beat.view->config_revision, beat.view->targets,
+                        beat.view->owners, beat.view->age_ms});
+  }
+  return json::array({kBeatTag, beat.host, beat.lease_revision, beat.successors,
+                      std::move(view)});
+}
+
+json ToJson(const owners_record& record) {
+  // Packed as a value it takes half the bytes of its text.
+  return json::array({kOwnersTag, record.service, record.revision,
+                      json::parse(record.content, nullptr, false)});
 }
 
 // The readers use the checked accessors of the JSON library, whose exceptions
@@ -48,6 +65,11 @@
                               flat.at(i + 1).get<uint32_t>());
     }
   }
+  for (const json& one : value.at(6)) {
+    report.targets.push_back({.target = one.at(0).get<std::string>(),
+                              .latency_us = one.at(1).get<uint32_t>(),
+                              .served = one.at(2).get<uint32_t>()});
+  }
   return report;
 }
 
@@ -56,9 +78,22 @@
   beat.host = value.at(1).get<std::string>();
   beat.lease_revision = value.at(2).get<uint64_t>();
   beat.successors = value.at(3).get<std::vector<std::string>>();
+  const json& view = value.at(4);
+  if (!view.is_null()) {
+    beat.view = store_view{.config_revision = view.at(0).get<uint64_t>(),
+                           .targets = view.at(1).get<uint64_t>(),
+                           .owners = view.at(2).get<uint64_t>(),
+                           .age_ms = view.at(3).get<uint32_t>()};
+  }
   return beat;
 }
 
+owners_record ReadOwners(const json& value) {
+  return {.service = value.at(1).get<std::string>(),
+          .revision = value.at(2).get<uint64_t>(),
+          .content = value.at(3).dump()};
+}
+
 error Malformed() {
   return error{error_code::kMalformed, "", "is not a message of a host",
                "run one release on all hosts"};
@@ -84,6 +119,9 @@
     if (tag == kBeatTag) {
       return host_message{ReadBeat(value)};
     }
+    if (tag == kOwnersTag) {
+      return host_message{ReadOwners(value)};
+    }
   } catch (const json::exception&) {
     return Malformed();
   }
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "foxtailspread/hash.h"
+
 namespace foxtailspread {
 namespace {
 
@@ -38,9 +40,27 @@
 constexpr duration kMissingGrace{std::chrono::milliseconds{2300}};
 
 /// How often load is averaged and moves are planned.
-constexpr duration kBalanceEvery{std::chrono::milliseconds{1000}};
-/// Weight of the newest second of load.
-constexpr double kLoadWeight = 0.4;
+constexpr duration kBalanceEvery{std::chrono::milliseconds{500}};
+/// Weights of the newest half second in the two running means of load. The
+/// quick one finds keys that have become hot within a second; the steady one
+/// evens out what is left without taking chance for a difference.
+constexpr double kRecentWeight = 0.5;
+constexpr double kSteadyWeight = 0.1;
+/// How uneven the recent load must be for moves at once.
+constexpr double kHotOverload = 1.7;
+constexpr double kHotUnderload = 0.25;
+constexpr size_t kHotMoves = 12;
+/// How uneven the steady load must be. Forty requests of a target, some four
+/// seconds' worth, differ by a sixth by chance alone.
+constexpr double kSteadyOverload = 1.4;
+constexpr double kSteadyUnderload = 0.5;
+/// How often the steady load is evened out.
+constexpr duration kRefineEvery{std::chrono::seconds{2}};
+
+/// The bounds of a target's speed against the others'. A mean latency tells of
+/// its queue as well as of its speed; the bounds keep that from running away.
+constexpr double kSlowest = 0.4;
+constexpr double kFastest = 2.5;
 
 /// How long after the start the first targets are waited for, so that the
 /// first map deals keys to all of them and not to those seen first.
@@ -75,6 +95,26 @@
   return found == services_.end() ? 0 : found->second.revision;
 }
 
+void key_assigner::OnOwners(const owners_record& record) {
+  const auto found = services_.find(record.service);
+  if (found == services_.end() || record.revision <= found->second.revision) {
+    return;
+  }
+  auto map = ParseKeyMap(record.content);
+  if (map) {
+    found->second.map = std::move(map.value());
+    found->second.revision = record.revision;
+  }
+}
+
+uint64_t key_assigner::OwnersDigest() const {
+  uint64_t digest = HashParts({lease_ ? lease_->host : std::string{}}, 0);
+  for (const auto& [name, each] : services_) {
+    digest += HashParts({name}, each.revision);
+  }
+  return digest;
+}
+
 void key_assigner::OnObjects(const own_objects& objects, time_point now) {
   if (!objects_read_) {
     objects_read_ = true;
@@ -125,6 +165,7 @@
 }
 
 void key_assigner::OnServices(const std::vector<service_settings>& services) {
+  services_known_ = true;
   std::set<std::string> keyed;
   for (const service_settings& each : services) {
     if (each.keyed) {
@@ -211,11 +252,23 @@
 std::vector<balance_target> key_assigner::Candidates(const std::string& service,
                                                      time_point now) const {
   std::vector<balance_target> found;
+  std::vector<double> latencies;
+  double sum = 0.0;
+  size_t known = 0;
   for (const auto& [life, state] : targets_) {
     if (state.listed && state.entry.service == service &&
         state.failed_orders == 0 && IsUsable(state.entry.life, now)) {
       found.push_back({.life = state.entry.life,
                        .capacity = static_cast<double>(state.entry.slots)});
+      latencies.push_back(state.latency_us);
+      sum += state.latency_us;
+      known += state.latency_us > 0.0 ? 1 : 0;
+    }
+  }
+  for (size_t i = 0; i < found.size(); ++i) {
+    if (latencies[i] > 0.0) {
+      const double mean = sum / static_cast<double>(known);
+      found[i].capacity *= std::clamp(mean / latencies[i], kSlowest, kFastest);
     }
   }
   return found;
@@ -421,27 +474,48 @@
     return;
   }
   const double seconds = std::chrono::duration<double>(passed).count();
+  of.recent_loads.resize(kKeyCells, 0.0);
   of.loads.resize(kKeyCells, 0.0);
   of.counts.resize(kKeyCells, 0);
   for (size_t cell = 0; cell < kKeyCells; ++cell) {
-    of.loads[cell] +=
-        kLoadWeight * (of.counts[cell] / seconds - of.loads[cell]);
+    const double rate = of.counts[cell] / seconds;
+    of.recent_loads[cell] += kRecentWeight * (rate - of.recent_loads[cell]);
+    of.loads[cell] += kSteadyWeight * (rate - of.loads[cell]);
     of.counts[cell] = 0;
   }
   of.counted_from = now;
 }
 
-bool key_assigner::Balance(keyed_service& of, key_map& draft, time_point now,
-                           assigner_actions& out) {
+std::vector<key_move> key_assigner::PlanBalance(keyed_service& of,
+                                                const key_map& draft,
+                                                time_point now) {
+  const std::vector<balance_target> candidates = Candidates(of.name, now);
+  balance_limits hot;
+  hot.max_moves = kHotMoves;
+  hot.overload = kHotOverload;
+  hot.underload = kHotUnderload;
+  std::vector<key_move> moves =
+      PlanMoves(draft, of.recent_loads, candidates, hot);
   const bool moving =
       std::any_of(draft.ranges.begin(), draft.ranges.end(),
                   [](const key_range& range) { return !range.granted; });
-  if (moving || now - of.balanced_at < kBalanceEvery || doubtful_) {
+  if (moves.empty() && !moving && now - of.refined_at >= kRefineEvery) {
+    of.refined_at = now;
+    balance_limits steady;
+    steady.overload = kSteadyOverload;
+    steady.underload = kSteadyUnderload;
+    moves = PlanMoves(draft, of.loads, candidates, steady);
+  }
+  return moves;
+}
+
+bool key_assigner::Balance(keyed_service& of, key_map& draft, time_point now,
+                           assigner_actions& out) {
+  if (now - of.balanced_at < kBalanceEvery || doubtful_) {
     return false;
   }
   of.balanced_at = now;
-  const auto moves =
-      PlanMoves(draft, of.loads, Candidates(of.name, now), balance_limits{});
+  const std::vector<key_move> moves = PlanBalance(of, draft, now);
   for (const key_move& move : moves) {
     CutBefore(draft, move.first);
     if (move.last != kLastKey) {
@@ -472,6 +546,15 @@
   if (done) {
     of.map = std::move(of.draft);
     of.revision = std::max(of.revision, report.revision);
+    share_action share{.record = {.service = of.name,
+                                  .revision = of.revision,
+                                  .content = std::move(of.write->content)}};
+    for (const auto& [name, host] : hosts_seen_) {
+      if (name != settings_.host) {
+        share.addresses.push_back(host.address);
+      }
+    }
+    out.emplace_back(std::move(share));
     of.write.reset();
     for (const key_range& range : of.map.ranges) {
       const bool added = !of.transfers.contains(IdOf(range));
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -468,18 +468,22 @@
   return std::exchange(found->second->key_load, {});
 }
 
-duration request_router::LatencyOf(const std::string& service_name,
-                                   const std::string& id) const {
+std::vector<target_latency> request_router::TakeLatencies(
+    const std::string& service_name) {
+  std::vector<target_latency> taken;
   const auto found = services_.find(service_name);
   if (found == services_.end()) {
-    return duration{0};
+    return taken;
   }
   for (const auto& each : found->second->targets) {
-    if (each->entry.life.id == id && each->health.served() > 0) {
-      return each->health.latency();
+    const auto [mean, count] = each->health.TakeRecent();
+    if (count > 0) {
+      taken.push_back({.target = each->entry.life.id,
+                       .latency_us = static_cast<uint32_t>(mean.count()),
+                       .served = count});
     }
   }
-  return duration{0};
+  return taken;
 }
 
 }  // namespace foxtailspread
--- a/src/core/target_health.cc
+++ b/src/core/target_health.cc
@@ -1,6 +1,7 @@
 #include "foxtailspread/target_health.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailspread {
 namespace {
@@ -72,6 +73,8 @@
       pause_ = duration{0};
       failure_share_ *= 1.0 - kFailureWeight;
       AddLatency(took);
+      recent_sum_ += took;
+      ++recent_count_;
       if (took > std::chrono::duration_cast<duration>(objective * kLateShare)) {
         Shrink(kShrinkLate);
       } else {
@@ -104,6 +107,12 @@
   }
 }
 
+std::pair<duration, uint32_t> target_health::TakeRecent() {
+  const uint32_t count = std::exchange(recent_count_, 0);
+  const duration sum = std::exchange(recent_sum_, duration{0});
+  return {count == 0 ? duration{0} : sum / count, count};
+}
+
 duration target_health::ExpectedLatency(time_point now) const {
   // A frozen target answers nothing that could raise its mean: the age of the
   // oldest request in flight shows it.
--- a/src/programs/foxtail-edge/edge_daemon.cc
+++ b/src/programs/foxtail-edge/edge_daemon.cc
@@ -29,7 +29,7 @@
 constexpr duration kHold{seconds{3}};
 
 /// How often this host tells the assigner of keys about its requests.
-constexpr duration kReportEvery{seconds{1}};
+constexpr duration kReportEvery{milliseconds{500}};
 
 /// Targets that vanish within this time after the store was away may be back:
 /// their entries lapse while nobody can write them.
@@ -38,6 +38,16 @@
 /// How often a stopping host looks whether it is done.
 constexpr duration kLeaveStep{milliseconds{100}};
 
+/// How long a beat of the assigner, which reads the store for all, spares this
+/// host its own calls. Three beats may be lost; what they vouch for is then no
+/// older than a second and a half.
+constexpr duration kVouchedFor{milliseconds{900}};
+/// An older view vouches for nothing.
+constexpr uint32_t kMostViewAgeMs = 1100;
+/// A copy that differs from the assigner's is read again no more often: the
+/// assigner's may be the older one.
+constexpr duration kRefreshPause{milliseconds{200}};
+
 /// Longest sleep of the loop while something may be due.
 constexpr duration kLongestSleep{seconds{1}};
 
@@ -282,6 +292,7 @@
     const time_point now = Now();
     assigner_actions actions;
     assigner_.OnWriteEnded(report, now, actions);
+    assigner_.BeatSoon();
     router_actions routed;
     ShareKeyMaps(now, routed);
     Carry(routed);
@@ -379,6 +390,7 @@
             {"revision", static_cast<int64_t>(config_revision_)},
             {"routes", static_cast<int64_t>(config.routes.size())}});
   assigner_.OnServices(config.services);
+  assigner_.BeatSoon();
   router_actions actions;
   const time_point now = Now();
   router_.OnConfig(table, now, actions);
@@ -395,6 +407,11 @@
     }
   }
   const time_point now = Now();
+  const uint64_t digest = DigestOf(listed);
+  if (digest != targets_digest_) {
+    targets_digest_ = digest;
+    assigner_.BeatSoon();
+  }
   const bool doubtful = StoreWasAway(now);
   assigner_.OnTargets(listed, doubtful, now);
   router_actions actions;
@@ -404,6 +421,7 @@
 
 void edge_daemon::OnOwnObjectsChanged() {
   const time_point now = Now();
+  assigner_.BeatSoon();
   assigner_.OnObjects(own_.copy().objects(), now);
   if (assigner_.lease()) {
     router_.OnHostCount(assigner_.lease()->hosts);
@@ -444,11 +462,71 @@
     assigner_.OnReport(*report, now);
   } else if (const auto* beat = std::get_if<assigner_beat>(&message.value())) {
     assigner_.OnBeat(*beat, now);
+    if (beat->view && beat->host != settings_.name) {
+      OnView(*beat->view, now);
+    }
+  } else if (const auto* owners =
+                 std::get_if<owners_record>(&message.value())) {
+    assigner_.OnOwners(*owners);
+    router_actions actions;
+    ShareKeyMaps(now, actions);
+    Carry(actions);
+  }
+}
+
+void edge_daemon::CarryOne(const share_action& action) {
+  const std::string bytes = FormatHostMessage(action.record);
+  for (const std::string& address : action.addresses) {
+    hosts_.Send(address, bytes);
   }
 }
 
 void edge_daemon::CarryOne(const beat_action& action) {
-  hosts_.Send(action.address, FormatHostMessage(action.beat));
+  assigner_beat beat = action.beat;
+  beat.view = View(Now());
+  hosts_.Send(action.address, FormatHostMessage(beat));
+}
+
+/// What this host's copy of the store amounts to; empty if it is not complete
+/// or too old to vouch for others'.
+std::optional<store_view> edge_daemon::View(time_point now) const {
+  if (!config_.copy().complete() || !targets_.copy().complete() ||
+      !own_.copy().complete()) {
+    return std::nullopt;
+  }
+  const time_point as_of =
+      std::min({config_.copy().current_as_of(), targets_.copy().current_as_of(),
+                own_.copy().current_as_of()});
+  const auto age = std::chrono::duration_cast<milliseconds>(now - as_of);
+  if (age.count() > kMostViewAgeMs) {
+    return std::nullopt;
+  }
+  return store_view{.config_revision = config_revision_,
+                    .targets = targets_digest_,
+                    .owners = assigner_.OwnersDigest(),
+                    .age_ms = static_cast<uint32_t>(age.count())};
+}
+
+/// Compares this host's copy with the one that the assigner vouches for.
+void edge_daemon::OnView(const store_view& view, time_point now) {
+  if (view.age_ms > kMostViewAgeMs) {
+    return;
+  }
+  const time_point until = now + kVouchedFor;
+  const auto compare = [&](auto& follower, bool same) {
+    if (same) {
+      follower.Confirm(until);
+    } else if (now >= refresh_after_) {
+      follower.Refresh(now, until);
+    }
+  };
+  compare(config_, view.config_revision == config_revision_);
+  compare(targets_, view.targets == targets_digest_);
+  compare(own_, view.owners == assigner_.OwnersDigest());
+  if (now >= refresh_after_) {
+    refresh_after_ = now + kRefreshPause;
+  }
+  Arm();
 }
 
 void edge_daemon::ReportLoad() {
@@ -459,7 +537,8 @@
                      .zone = settings_.zone,
                      .address = settings_.hosts,
                      .lease_revision = assigner_.lease_revision(),
-                     .services = {}};
+                     .services = {},
+                     .targets = {}};
   for (const service_settings& each : router_.table()->config().services) {
     const std::vector<uint32_t> counts = router_.TakeKeyLoad(each.name);
     service_load load{.service = each.name, .cells = {}};
@@ -471,6 +550,10 @@
     if (!load.cells.empty()) {
       report.services.push_back(std::move(load));
     }
+    if (each.keyed) {
+      const auto seen = router_.TakeLatencies(each.name);
+      report.targets.insert(report.targets.end(), seen.begin(), seen.end());
+    }
   }
   const auto& lease = assigner_.lease();
   if (lease && !lease->address.empty()) {
--- a/src/programs/foxtail-edge/edge_daemon.h
+++ b/src/programs/foxtail-edge/edge_daemon.h
@@ -56,6 +56,8 @@
   void OnOwnObjectsChanged();
   void OnStoreState();
   void OnDatagram(std::string_view bytes);
+  std::optional<store_view> View(time_point now) const;
+  void OnView(const store_view& view, time_point now);
   void ReportLoad();
   void ShareKeyMaps(time_point now, router_actions& out);
 
@@ -69,6 +71,7 @@
   void CarryOne(const key_order& action);
   void CarryOne(const order_cancel& action);
   void CarryOne(const beat_action& action);
+  void CarryOne(const share_action& action);
   void CarryOne(const assigner_note& action);
 
   void Step();
@@ -97,6 +100,8 @@
   std::unordered_map<uint64_t, call_id> orders_;
   std::map<std::string, uint64_t> maps_shared_;
   uint64_t config_revision_ = 0;
+  uint64_t targets_digest_ = 0;
+  time_point refresh_after_{};
   std::optional<time_point> store_failed_at_;
   bool store_answers_ = true;
   graceful_stop stop_;
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -96,13 +96,21 @@
                            .zone = "z",
                            .address = "10.0.0.1:7000",
                            .lease_revision = 77,
-                           .services = {{"keyed", {{3, 1}, {4095, 200}}}}};
+                           .services = {{"keyed", {{3, 1}, {4095, 200}}}},
+                           .targets = {{"t", 90000, 12}}};
   const assigner_beat beat{
-      .host = "a", .lease_revision = 78, .successors = {"b", "c"}};
+      .host = "a",
+      .lease_revision = 78,
+      .successors = {"b", "c"},
+      .view = store_view{.config_revision = 5, .targets = 1, .owners = 2}};
   EXPECT_EQ(ParseHostMessage(FormatHostMessage(report)).value(),
             host_message{report});
   EXPECT_EQ(ParseHostMessage(FormatHostMessage(beat)).value(),
             host_message{beat});
+  const owners_record owners{
+      .service = "keyed", .revision = 12, .content = R"({"last_fence":3})"};
+  EXPECT_EQ(ParseHostMessage(FormatHostMessage(owners)).value(),
+            host_message{owners});
 }
 
 // Anybody can send a datagram. What cannot be read is refused, never half
@@ -183,6 +191,33 @@
   EXPECT_FALSE(follower_.objects().contains("a"));
 }
 
+// Another host reads the store for this one. While it vouches for the copy no
+// call is made; when it falls silent, calls go on by themselves.
+TEST_F(KindFollowerTest, VouchedCopyMakesNoCalls) {
+  List();
+  follower_.Confirm(now_ + milliseconds{900});
+  EXPECT_FALSE(follower_.NextCall(now_ + milliseconds{800}));
+  EXPECT_TRUE(follower_.NextCall(now_ + milliseconds{900}));
+}
+
+// The word comes while a watch is under way. Its end must not start another.
+TEST_F(KindFollowerTest, VouchingDuringACallOutlastsIt) {
+  List();
+  ASSERT_TRUE(follower_.NextCall(now_));
+  follower_.Confirm(now_ + milliseconds{900});
+  follower_.OnWatched({.changes = {}, .revision = 11}, now_);
+  EXPECT_FALSE(follower_.NextCall(now_ + milliseconds{500}));
+}
+
+TEST_F(KindFollowerTest, CopyThatDiffersIsReadAgainOnce) {
+  List();
+  follower_.Refresh(now_, now_ + milliseconds{900});
+  ASSERT_TRUE(follower_.NextCall(now_)->list);
+  follower_.OnListed({.objects = {{"a", 30, 1}}, .more = false, .revision = 30},
+                     now_);
+  EXPECT_FALSE(follower_.NextCall(now_ + milliseconds{500}));
+}
+
 TEST_F(KindFollowerTest, FailedCallsAreRepeatedWithAPause) {
   follower_.NextCall(now_);
   follower_.OnFailed(now_);
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -155,7 +155,8 @@
                              .zone = host.zone,
                              .address = host.name,
                              .lease_revision = host.assigner->lease_revision(),
-                             .services = {}};
+                             .services = {},
+                             .targets = {}};
     for (world_host& other : hosts_) {
       const bool heard = other.alive &&
                          other.name == host.assigner->lease()->address &&
