--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -204,6 +204,11 @@
   void OnTime(time_point now, assigner_actions& out);
   time_point NextDue(time_point now) const;
 
+  /// Sets where this host takes datagrams, once it listens.
+  void SetAddress(std::string address) {
+    settings_.address = std::move(address);
+  }
+
   /// Gives the lease up, before this host stops. `BusyLeaving()` tells whether
   /// the store has yet to confirm it.
   void Leave(time_point now, assigner_actions& out);
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -143,6 +143,10 @@
     LogEvent(event_id::kListenFailed, {{"address", settings_.hosts}});
     return listening;
   }
+  const std::string ip =
+      settings_.hosts.substr(0, settings_.hosts.rfind(':') + 1);
+  settings_.hosts = ip + std::to_string(hosts_.port());
+  assigner_.SetAddress(settings_.hosts);
   LogEvent(event_id::kHostStarted,
            {{"zone", settings_.zone}, {"store", settings_.store}});
   report_ = RunEvery(kReportEvery, [this] { ReportLoad(); });
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -32,6 +32,11 @@
 
   status Start();
 
+  /// Where callers and the balancer reach it, also when the settings asked for
+  /// any port.
+  uint16_t callers_port() const { return callers_.port(); }
+  uint16_t readiness_port() const { return readiness_.port(); }
+
   /// Takes changed settings; those that a running process can change.
   void Reload(const platform::edge_settings& settings);
 
--- a/src/net/datagram.cc
+++ b/src/net/datagram.cc
@@ -50,6 +50,10 @@
         std::string{"cannot listen for datagrams: "} + std::strerror(errno),
         "set an address and a free port of this host"};
   }
+  sockaddr_in bound{};
+  socklen_t size = sizeof(bound);
+  getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size);
+  port_ = ntohs(bound.sin_port);
   events_.Add(fd_, EPOLLIN, &handler_);
   return OkStatus();
 }
--- a/src/net/datagram.h
+++ b/src/net/datagram.h
@@ -4,6 +4,7 @@
 /// @file
 /// Datagrams between hosts: hints that may be lost.
 
+#include <cstdint>
 #include <functional>
 #include <string_view>
 
@@ -24,6 +25,9 @@
 
   status Listen(std::string_view address);
 
+  /// The port in use, also when the settings asked for any.
+  uint16_t port() const { return port_; }
+
   /// Sends one datagram, or drops it when the socket is full.
   void Send(std::string_view address, std::string_view bytes);
 
@@ -34,6 +38,7 @@
   poll_handler handler_;
   receiver on_datagram_;
   int fd_ = -1;
+  uint16_t port_ = 0;
 };
 
 }  // namespace foxtailspread
--- a/src/stand_in/fleet.cc
+++ b/src/stand_in/fleet.cc
@@ -134,6 +134,13 @@
               {"clusters", std::move(services)}});
 }
 
+void fleet::DropService(const std::string& name, uint64_t version) {
+  std::erase_if(plan_.services, [&](const fleet_service& service) {
+    return service.name == name;
+  });
+  WriteConfig(version);
+}
+
 void fleet::OnStoreRequest(exchange_id id, const http_message& request) {
   if (auto answer = store_.Handle(id, request, Now())) {
     store_server_.Answer(id, *answer);
--- a/src/stand_in/fleet.h
+++ b/src/stand_in/fleet.h
@@ -50,8 +50,10 @@
 
   /// Ends a target as a crash would; its entry lapses by itself.
   void Kill(size_t index);
-  /// Puts the next version of the declarations into the store.
+  /// Puts a version of the declarations into the store.
   void WriteConfig(uint64_t version);
+  /// Takes a service's route out of the declarations.
+  void DropService(const std::string& name, uint64_t version);
 
   platform_store& store() { return store_; }
   size_t targets() const { return targets_.size(); }
--- a/src/stand_in/platform_target.h
+++ b/src/stand_in/platform_target.h
@@ -56,6 +56,7 @@
 
   /// How often each request ran, by the identifier that its caller gave.
   const std::map<std::string, int>& runs() const { return runs_; }
+  bool RunsAny() const { return !runs_.empty(); }
   /// Whether it holds a key now.
   bool Holds(key_point key, time_point now) const;
   const target_options& options() const { return options_; }
--- /dev/null
+++ b/tests/edge_daemon_test.cc
@@ -0,0 +1,231 @@
+// Whole entry hosts on loopback, with stand-ins for the store and the targets,
+// all in one loop. The watchdog only ends a test that hangs.
+
+#include "edge/edge_daemon.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/connection_pool.h"
+#include "stand_in/fleet.h"
+
+namespace foxtailspread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+template <typename Predicate>
+bool RunUntil(const Predicate& done) {
+  bool expired = false;
+  const timer watchdog = RunAfter(seconds{30}, [&] { expired = true; });
+  const timer wake = RunEvery(milliseconds{5}, [] {});
+  while (!done() && !expired) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  return done();
+}
+
+class EdgeDaemonTest : public ::testing::Test {
+ protected:
+  EdgeDaemonTest() : fleet_(events_, Plan()) {}
+
+  static stand_in::fleet_plan Plan() {
+    return {.zones = {"north", "south"},
+            .services = {{"keyed", 3, true, true, 1},
+                         {"orders", 2, false, false, 0}}};
+  }
+
+  void SetUp() override {
+    const status started = fleet_.Start("127.0.0.1:0");
+    ASSERT_TRUE(started) << started.error().Message();
+    for (const char* zone : {"north", "south"}) {
+      platform::edge_settings settings;
+      settings.name = std::string{"edge-"} + zone;
+      settings.zone = zone;
+      settings.callers = "127.0.0.1:0";
+      settings.readiness = "127.0.0.1:0";
+      settings.hosts = "127.0.0.1:0";
+      settings.store = "127.0.0.1:" + std::to_string(fleet_.store_port());
+      hosts_.push_back(
+          std::make_unique<edge_daemon>(settings, [this] { ++left_; }));
+      const status listening = hosts_.back()->Start();
+      ASSERT_TRUE(listening) << listening.error().Message();
+    }
+    ASSERT_TRUE(RunUntil([&] { return Call(0, "keyed").status == 200; }));
+  }
+
+  /// Sends bytes to a host and returns the first answer.
+  http_message Exchange(uint16_t port, const std::string& bytes) {
+    std::optional<call_result> ended;
+    pool_call call;
+    const std::string address = "127.0.0.1:" + std::to_string(port);
+    call.address = address;
+    call.request = bytes;
+    pool_.Send(std::move(call), [&](call_result result) { ended = result; });
+    EXPECT_TRUE(RunUntil([&] { return ended.has_value(); }));
+    return ended ? ended->answer : http_message{};
+  }
+
+  http_message Call(size_t host, const std::string& service,
+                    const std::string& path = "/x/1") {
+    http_message request;
+    request.method = service == "orders" ? "POST" : "GET";
+    request.target = path;
+    last_attempt_ = "try-" + std::to_string(++attempts_);
+    request.headers = {{"Host", service + ".example"},
+                       {"Attempt-Id", last_attempt_},
+                       {"Deadline-Ms", "1500"},
+                       {"Shard-Key", "4711"}};
+    request.body = service == "orders" ? "body" : "";
+    return Exchange(hosts_[host]->callers_port(), FormatRequest(request));
+  }
+
+  poller events_;
+  stand_in::fleet fleet_;
+  connection_pool pool_{events_, {}};
+  std::vector<std::unique_ptr<edge_daemon>> hosts_;
+  std::string last_attempt_;
+  int attempts_ = 0;
+  int left_ = 0;
+};
+
+TEST_F(EdgeDaemonTest, RequestsAreServedThroughEveryHost) {
+  for (const size_t host : {0U, 1U}) {
+    ASSERT_TRUE(RunUntil([&] { return Call(host, "keyed").status == 200; }));
+    const http_message answer = Call(host, "orders", "/order/9?x=1");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "/order/9?x=1");
+    EXPECT_EQ(answer.Header("Attempt-Id"), last_attempt_);
+    EXPECT_TRUE(answer.Header("Response-Signature"));
+    EXPECT_EQ(fleet_.RunsOf(last_attempt_), 1);
+  }
+}
+
+TEST_F(EdgeDaemonTest, UnknownHostNameIsNotFound) {
+  EXPECT_EQ(Call(0, "nothing").status, 404);
+}
+
+// Several requests come in one packet, before the first is answered. An answer
+// out of order would go to the wrong question.
+TEST_F(EdgeDaemonTest, PipelinedRequestsAreAnsweredInOrder) {
+  std::string bytes;
+  for (int i = 0; i < 5; ++i) {
+    const std::string id = "pipe-" + std::to_string(i);
+    bytes += "GET /" + id +
+             " HTTP/1.1\r\nHost: keyed.example\r\nAttempt-Id: " + id +
+             "\r\nShard-Key: " + std::to_string(i * 13000) +
+             (i == 4 ? "\r\nConnection: close" : "") + "\r\n\r\n";
+  }
+  http_reader reader(HTTP_RESPONSE, {});
+  const int port = hosts_[0]->callers_port();
+  std::vector<std::string> bodies;
+  bool closed = false;
+  struct reading {
+    std::function<void(uint32_t)> run;
+    void OnReady(uint32_t events) { run(events); }
+  } on_ready;
+  tcp_stream stream(events_, HandlerFor<&reading::OnReady>(&on_ready));
+  on_ready.run = [&](uint32_t events) {
+    ASSERT_TRUE(stream.OnWritable(events));
+    const read_result read = stream.Read();
+    closed = closed || read.end == read_end::kClosed;
+    if (read.end == read_end::kData) {
+      ASSERT_TRUE(reader.Feed(read.bytes));
+    }
+    while (auto answer = reader.Take()) {
+      bodies.push_back(answer->body);
+    }
+  };
+  ASSERT_TRUE(
+      stream.Connect({.ip = "127.0.0.1", .port = static_cast<uint16_t>(port)}));
+  stream.Write(bytes);
+  ASSERT_TRUE(RunUntil([&] { return bodies.size() == 5 && closed; }));
+  for (size_t i = 0; i < bodies.size(); ++i) {
+    EXPECT_EQ(bodies[i], "/pipe-" + std::to_string(i));
+  }
+}
+
+TEST_F(EdgeDaemonTest, BytesThatAreNoRequestAreRefusedAndTheHostGoesOn) {
+  EXPECT_EQ(Exchange(hosts_[0]->callers_port(), "NONSENSE\r\n\r\n").status,
+            400);
+  EXPECT_EQ(Exchange(hosts_[0]->callers_port(),
+                     "GET / HTTP/1.1\r\nHost: a\r\nX: " +
+                         std::string(40000, 'x') + "\r\n\r\n")
+                .status,
+            431);
+  EXPECT_EQ(Call(0, "orders").status, 200);
+}
+
+// A body that is framed twice can hide a second request in the first.
+TEST_F(EdgeDaemonTest, RequestWithTwoFramingsIsRefused) {
+  EXPECT_EQ(Exchange(hosts_[0]->callers_port(),
+                     "POST /a HTTP/1.1\r\nHost: orders.example\r\n"
+                     "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n")
+                .status,
+            400);
+}
+
+// The owner of a key crashes. Its callers are refused until its grant has
+// ended, then the keys have another owner.
+TEST_F(EdgeDaemonTest, KeysOfACrashedTargetAreServedAgain) {
+  for (size_t i = 0; i < fleet_.targets(); ++i) {
+    if (fleet_.target(i).RunsAny() &&
+        fleet_.target(i).options().service == "keyed") {
+      fleet_.Kill(i);
+      break;
+    }
+  }
+  EXPECT_TRUE(RunUntil([&] { return Call(0, "keyed").status == 200; }));
+  EXPECT_EQ(fleet_.KeysWithTwoOwners(), 0U);
+}
+
+// The operator drops a route and is told that the store has taken it. Callers
+// must not be served by it seconds later.
+TEST_F(EdgeDaemonTest, DroppedRouteIsGoneOnEveryHostWithinTwoSeconds) {
+  fleet_.DropService("orders", 2);
+  const time_point dropped = Now();
+  for (const size_t host : {0U, 1U}) {
+    EXPECT_TRUE(RunUntil([&] { return Call(host, "orders").status == 404; }));
+  }
+  EXPECT_LT(Now() - dropped, seconds{2});
+}
+
+// The store refuses every call. Nothing moves, and everything is served on.
+TEST_F(EdgeDaemonTest, OutageOfTheStoreIsNotSeenByCallers) {
+  fleet_.store().down = true;
+  const time_point until = Now() + seconds{5};
+  while (Now() < until) {
+    ASSERT_EQ(Call(0, "keyed").status, 200);
+    ASSERT_EQ(Call(1, "orders").status, 200);
+  }
+}
+
+// A host is asked to stop. The balancer must hear of it at once, and requests
+// go on being served until it looks away.
+TEST_F(EdgeDaemonTest, LeavingHostIsUnreadyServesOnAndEnds) {
+  const std::string ask = "GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n";
+  ASSERT_EQ(Exchange(hosts_[0]->readiness_port(), ask).status, 200);
+  hosts_[0]->Leave();
+  EXPECT_EQ(Exchange(hosts_[0]->readiness_port(), ask).status, 503);
+  EXPECT_EQ(Call(0, "orders").status, 200);
+  EXPECT_TRUE(RunUntil([&] { return left_ == 1; }));
+  EXPECT_TRUE(RunUntil([&] { return Call(1, "keyed").status == 200; }));
+}
+
+TEST_F(EdgeDaemonTest, MetricsTellOfRequestsAndCalls) {
+  Call(0, "orders");
+  const http_message answer = Exchange(
+      hosts_[0]->readiness_port(), "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_NE(answer.body.find("requests_total "), std::string::npos);
+  EXPECT_NE(answer.body.find("store_calls_total "), std::string::npos);
+}
+
+}  // namespace
+}  // namespace foxtailspread
