--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -24,6 +24,7 @@
   kStopRequested = 102,
   kStopped = 103,
   kSettingsRejected = 104,
+  kLinesLeftOut = 105,
   kHostStarted = 200,
   kHostStopped = 201,
   kConfigInForce = 210,
@@ -75,6 +76,10 @@
     {event_id::kSettingsRejected, event_level::kError, "settings-rejected",
      "The command line or the settings are not valid; the program ends.",
      "Correct the field named in the event and start again."},
+    {event_id::kLinesLeftOut, event_level::kWarning, "lines-left-out",
+     "More events of the number given came within a second than are written; "
+     "so many were left out.",
+     "Look at the metrics, which count all of them."},
     {event_id::kHostStarted, event_level::kInfo, "host-started",
      "The entry host began to decide, in the life given.", "Nothing to do."},
     {event_id::kHostStopped, event_level::kInfo, "host-stopped",
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -314,7 +314,8 @@
 
   void StepLease(time_point now, assigner_actions& out);
   bool MayTake(time_point now) const;
-  void WriteLease(assigner_lease next, time_point now, assigner_actions& out);
+  void WriteLease(const assigner_lease& next, time_point now,
+                  assigner_actions& out);
   void Send(pending_write& write, time_point now, assigner_actions& out);
   void RetryWrite(std::optional<pending_write>& write, time_point now,
                   assigner_actions& out);
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -244,7 +244,7 @@
           next.predecessors.push_back(name);
         }
       }
-      WriteLease(std::move(next), now, out);
+      WriteLease(next, now, out);
     }
     return;
   }
@@ -255,7 +255,7 @@
     mine.renewal = lease_ ? lease_->renewal + 1 : 1;
     mine.hosts = lease_ ? lease_->hosts : 1;
     mine.predecessors = Predecessors();
-    WriteLease(std::move(mine), now, out);
+    WriteLease(mine, now, out);
   }
 }
 
@@ -287,7 +287,7 @@
   return taken_at_ + last_word;
 }
 
-void key_assigner::WriteLease(assigner_lease next, time_point now,
+void key_assigner::WriteLease(const assigner_lease& next, time_point now,
                               assigner_actions& out) {
   lease_write_ = pending_write{.name = std::string{kLeaseName},
                                .content = FormatLease(next),
@@ -422,7 +422,7 @@
     each.write.reset();
   }
   out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseLost});
-  WriteLease(std::move(last), now, out);
+  WriteLease(last, now, out);
 }
 
 }  // namespace foxtailspread
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -306,7 +306,8 @@
 
 void edge_daemon::CarryOne(const key_order& action) {
   orders_[action.id] = orders_pool_.Send(
-      platform::ToOrder(action), [this, id = action.id](call_result result) {
+      platform::ToOrder(action),
+      [this, id = action.id](const call_result& result) {
         orders_.erase(id);
         assigner_actions actions;
         assigner_.OnOrderEnded(platform::ReadOrderAnswer(id, result), Now(),
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -140,6 +140,7 @@
   }
   // A receiver may cancel another late call, which destroys its connection.
   std::vector<call_id> ids;
+  ids.reserve(late.size());
   for (const pooled_connection* connection : late) {
     ids.push_back(connection->id());
   }
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -1,6 +1,7 @@
 #include "net/log.h"
 
 #include <fcntl.h>
+#include <glib.h>
 #include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -8,9 +9,11 @@
 #include <log4cxx/patternlayout.h>
 #include <unistd.h>
 
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
 
 namespace foxtailspread {
 namespace {
@@ -136,6 +139,47 @@
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+namespace {
+
+/// Lines of one event that are written in one second. Under a storm of
+/// refusals the log would otherwise take more processor time than the
+/// requests; what is left out is counted and said.
+constexpr uint32_t kLinesPerSecond = 40;
+
+/// What one event wrote within the present second.
+struct event_budget {
+  int64_t second = 0;
+  uint32_t written = 0;
+  uint32_t left_out = 0;
+};
+
+/// Notes one line of `id`. Returns how many were left out in the second before
+/// if a new one begins, and whether this one may be written.
+std::pair<uint32_t, bool> TakeLine(event_id id) {
+  static std::map<event_id, event_budget> budgets;
+  event_budget& budget = budgets[id];
+  const int64_t second = g_get_monotonic_time() / G_USEC_PER_SEC;
+  uint32_t left_out = 0;
+  if (second != budget.second) {
+    left_out = budget.left_out;
+    budget = {.second = second};
+  }
+  if (budget.written < kLinesPerSecond) {
+    ++budget.written;
+    return {left_out, true};
+  }
+  ++budget.left_out;
+  return {left_out, false};
+}
+
+void WriteLine(const open_log& log, const event_definition& event,
+               std::span<const log_field> fields) {
+  const std::string line = FormatEvent(event, log.program, fields);
+  log.logger->forcedLog(ToLog4cxx(event.level), line.substr(1));
+}
+
+}  // namespace
+
 void LogEvent(event_id id, std::span<const log_field> fields) {
   const event_definition* event = FindEvent(id);
   if (event == nullptr) {
@@ -145,12 +189,18 @@
     OpenLog({});
   }
   const open_log& log = *TheLog();
-  const log4cxx::LevelPtr level = ToLog4cxx(event->level);
-  if (!log.logger->isEnabledFor(level)) {
+  if (!log.logger->isEnabledFor(ToLog4cxx(event->level))) {
     return;
   }
-  const std::string line = FormatEvent(*event, log.program, fields);
-  log.logger->forcedLog(level, line.substr(1));
+  const auto [left_out, may_write] = TakeLine(id);
+  if (left_out > 0) {
+    const log_field about[] = {{"of_event", static_cast<int64_t>(id)},
+                               {"count", int64_t{left_out}}};
+    WriteLine(log, *FindEvent(event_id::kLinesLeftOut), about);
+  }
+  if (may_write) {
+    WriteLine(log, *event, fields);
+  }
 }
 
 }  // namespace foxtailspread
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -35,8 +35,9 @@
 /// standard error from the level info on.
 void OpenLog(const log_options& settings);
 
-/// Writes one event. Values are escaped: a line break in what a caller sent
-/// cannot forge a line of the log.
+/// Writes one event, or leaves it out if many of the same number came within a
+/// second; how many is said in an event of its own. Values are escaped: a line
+/// break in what a caller sent cannot forge a line of the log.
 ///
 /// @code
 /// LogEvent(event_id::kListening, {{"address", address}});
