Stay within the targets' connections; call not run what was never written

Ruled out: broken answers, of which the targets had 594 in all.

A host keeps 0.8 of its part of a target's connections; a deadline that passes before a byte was written is answered as not run.

--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -84,6 +84,9 @@
   own_answer answer = own_answer::kNotRun;
   refusal_reason reason = refusal_reason::kNone;
   std::optional<duration> retry_after{};
+  /// Only the attempt that is being cancelled may have run: the answer is
+  /// kNotRun if no byte of it was written.
+  bool not_run_if_unwritten = false;
   std::string service{};
   int attempts = 0;
   duration age{};
@@ -189,6 +192,8 @@
   void Admit(request& admitted, time_point now, router_actions& out);
   void Refuse(request& refused, refusal_reason reason, time_point now,
               router_actions& out);
+  int ConnectionsAllowed(const std::string& service) const;
+  void LimitConnections();
   void Finish(request& finished);
   void Wait(request& waiting, time_point now);
   bool TrySend(request& sent, time_point now, router_actions& out);
--- a/include/foxtailspread/target_health.h
+++ b/include/foxtailspread/target_health.h
@@ -34,6 +34,9 @@
   /// `slots` is the target's own number of requests at once.
   target_health(int slots, duration first_latency);
 
+  /// Sets how many requests may be there at once at most; 0 for the usual.
+  void SetMost(int most);
+
   void OnSent(time_point now);
   /// Takes the end of an attempt that was sent at `sent`. `objective` is the
   /// latency that its route wants.
@@ -65,6 +68,7 @@
   int slots_;
   int in_flight_ = 0;
   double limit_;
+  double most_;
   duration latency_;
   uint64_t served_ = 0;
   duration recent_sum_{0};
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -38,6 +38,10 @@
 /// Least time to the deadline that makes another send worthwhile.
 constexpr duration kLeastTimeToSend{std::chrono::milliseconds{15}};
 
+/// The part of a target's connections that all hosts use together. The rest is
+/// for hosts that are not counted yet and for connections being closed.
+constexpr double kConnectionShare = 0.8;
+
 /// Weight of one outcome in the share of refused attempts, and the share
 /// above which repeats only add to the load of a service that is full.
 constexpr double kShedWeight = 0.05;
@@ -107,13 +111,38 @@
   for (const service_settings& each : table_->config().services) {
     ServiceOf(each.name).keyed = each.keyed;
   }
+  LimitConnections();
   for (auto& [name, each] : services_) {
     Pump(*each, now, out);
   }
 }
 
+/// This host's part of the connections that a target takes from all hosts; 0
+/// for no limit. A target resets what goes beyond, and whether a request on
+/// such a connection ran is not known.
+int request_router::ConnectionsAllowed(const std::string& service_name) const {
+  const service_settings* settings =
+      table_ ? table_->FindService(service_name) : nullptr;
+  if (settings == nullptr || settings->max_connections <= 0) {
+    return 0;
+  }
+  const double part = settings->max_connections * kConnectionShare /
+                      static_cast<double>(hosts_);
+  return std::max(1, static_cast<int>(part));
+}
+
+void request_router::LimitConnections() {
+  for (auto& [name, each] : services_) {
+    const int allowed = ConnectionsAllowed(name);
+    for (const auto& one : each->targets) {
+      one->health.SetMost(allowed);
+    }
+  }
+}
+
 void request_router::OnHostCount(size_t hosts) {
   hosts_ = hosts;
+  LimitConnections();
   for (auto& [name, each] : services_) {
     each->budget.SetHosts(hosts);
   }
@@ -133,6 +162,7 @@
       }
       at.targets.push_back(new target(entry, latency));
       known = at.targets.back().get();
+      known->health.SetMost(ConnectionsAllowed(entry.service));
     }
     known->entry = entry;
     known->missing_since.reset();
@@ -422,6 +452,7 @@
 void request_router::Expire(request& expired, time_point now,
                             router_actions& out) {
   service& at = *expired.at;
+  const bool only_current = expired.current && !expired.may_have_run;
   if (expired.current) {
     expired.current->health.OnEnded(attempt_verdict::kTimedOut, expired.sent,
                                     expired.by->objective, now);
@@ -429,7 +460,13 @@
     expired.may_have_run = true;
     out.emplace_back(cancel_action{expired.id});
   }
+  const duration retry_after = RetryAfter(expired, now);
   Refuse(expired, refusal_reason::kDeadline, now, out);
+  if (auto* said = std::get_if<own_answer_action>(&out.back());
+      said != nullptr && only_current) {
+    said->not_run_if_unwritten = true;
+    said->retry_after = retry_after;
+  }
   Pump(at, now, out);
 }
 
--- a/src/core/target_health.cc
+++ b/src/core/target_health.cc
@@ -41,8 +41,14 @@
 target_health::target_health(int slots, duration first_latency)
     : slots_(std::max(slots, 1)),
       limit_(2.0 * std::max(slots, 1)),
+      most_(kLimitMost),
       latency_(first_latency) {}
 
+void target_health::SetMost(int most) {
+  most_ = most > 0 ? std::min<double>(most, kLimitMost) : kLimitMost;
+  limit_ = std::min(limit_, most_);
+}
+
 void target_health::OnSent(time_point now) {
   ++in_flight_;
   sent_.push_back(now);
@@ -78,7 +84,7 @@
       if (took > std::chrono::duration_cast<duration>(objective * kLateShare)) {
         Shrink(kShrinkLate);
       } else {
-        limit_ = std::min(kLimitMost, limit_ + 1.0 / limit_);
+        limit_ = std::min(most_, limit_ + 1.0 / limit_);
       }
       return;
     case attempt_verdict::kShed:
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -258,7 +258,13 @@
                                        {"attempts", int64_t{action.attempts}},
                                        {"age_ms", action.age.count() / 1000},
                                        {"target", found->second.target.id}});
-  callers_.Answer(action.id, platform::OwnAnswer(action));
+  own_answer_action said = action;
+  if (action.not_run_if_unwritten && found->second.unwritten) {
+    said.answer = own_answer::kNotRun;
+  } else if (action.not_run_if_unwritten) {
+    said.retry_after.reset();
+  }
+  callers_.Answer(action.id, platform::OwnAnswer(said));
   flights_.erase(found);
 }
 
@@ -279,6 +285,7 @@
 void edge_daemon::CarryOne(const cancel_action& action) {
   const auto found = flights_.find(action.id);
   if (found != flights_.end() && found->second.call) {
+    found->second.unwritten = !targets_pool_.HasWritten(*found->second.call);
     targets_pool_.Cancel(*found->second.call);
     found->second.call.reset();
   }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -50,6 +50,7 @@
     std::optional<call_id> call;
     std::optional<http_message> answer;
     target_life target;
+    bool unwritten = false;  ///< The cancelled attempt was never written.
   };
 
   void OnRequest(exchange_id id, http_message request);
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -111,6 +111,11 @@
   }
 }
 
+bool connection_pool::HasWritten(call_id id) const {
+  const auto found = calls_.find(id);
+  return found != calls_.end() && found->second->HasWritten();
+}
+
 void connection_pool::CloseIdle(std::string_view address) {
   const auto found = idle_.find(std::string{address});
   if (found == idle_.end()) {
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -38,6 +38,10 @@
   /// the network still holds of the request is lost with it.
   void Cancel(call_id id);
 
+  /// Whether any byte of a call under way was handed to the network. While
+  /// none was, nobody can have run it.
+  bool HasWritten(call_id id) const;
+
   /// Closes the idle connections to an address.
   void CloseIdle(std::string_view address);
 
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -99,6 +99,9 @@
   /// Ends the call; its receiver is the pool's to run.
   call_receiver TakeReceiver();
 
+  /// Whether any byte of the call was handed to the network.
+  bool HasWritten() const { return stream_.bytes_sent() > sent_before_; }
+
   call_id id() const { return id_; }
   const std::string& address() const { return address_; }
   uint64_t number() const { return number_; }
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -303,6 +303,37 @@
   EXPECT_EQ(refused[0].answer, own_answer::kTimedOut);
 }
 
+// A target takes fifty connections from all hosts together and resets the
+// rest; what was sent on those can neither be repeated nor called not run.
+TEST_F(RequestRouterTest, RequestsAtATargetStayWithinItsConnections) {
+  config_.services[0].max_connections = 50;
+  Apply();
+  router_.OnHostCount(12);
+  std::map<std::string, int> sent;
+  for (request_id id = 1; id <= 60; ++id) {
+    for (const auto& each : Only<send_action>(Ask(id, "/orders/7"))) {
+      ++sent[each.target.id];
+    }
+  }
+  for (const auto& [id, count] : sent) {
+    EXPECT_EQ(count, 3) << id;
+  }
+}
+
+// The connection to a target hangs until the deadline. No byte was sent, so
+// that even an order may be called not run, and its caller can try again.
+TEST_F(RequestRouterTest, DeadlineWhileConnectingMayBeCalledNotRun) {
+  Ask(1, "/orders/7");
+  const auto refused = Only<own_answer_action>(Wait(milliseconds{2001}));
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_TRUE(refused[0].not_run_if_unwritten);
+  Ask(2, "/looks/7");
+  End(2, attempt_verdict::kBroken);
+  const auto again = Only<own_answer_action>(Wait(milliseconds{2001}));
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_FALSE(again[0].not_run_if_unwritten);
+}
+
 // A target says that it leaves: from then on it gets no new work.
 TEST_F(RequestRouterTest, DrainingTargetGetsNothingNew) {
   for (target_entry& each : targets_) {
