--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -90,6 +90,8 @@
   std::string service{};
   int attempts = 0;
   duration age{};
+  std::optional<key_point> key{};
+  uint64_t config_version = 0;  ///< By which it was routed.
 };
 
 /// Ends a request with the answer that its last attempt brought.
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -426,7 +426,9 @@
                             .reason = reason,
                             .service = refused.at->name,
                             .attempts = refused.arrivals,
-                            .age = now - refused.arrived};
+                            .age = now - refused.arrived,
+                            .key = refused.key,
+                            .config_version = refused.table->config().version};
   if (!refused.may_have_run) {
     refusal.answer = own_answer::kNotRun;
     refusal.retry_after = RetryAfter(refused, now);
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -9,6 +9,7 @@
 #include "net/log.h"
 #include "platform/config_codec.h"
 #include "platform/request_codec.h"
+#include "platform/wire.h"
 
 namespace foxtailspread {
 namespace {
@@ -252,12 +253,15 @@
     return;
   }
   const std::string attempt{platform::AttemptId(found->second.request)};
-  LogEvent(event_id::kRequestRefused, {{"request", attempt},
-                                       {"reason", ToString(action.reason)},
-                                       {"service", action.service},
-                                       {"attempts", int64_t{action.attempts}},
-                                       {"age_ms", action.age.count() / 1000},
-                                       {"target", found->second.target.id}});
+  LogEvent(event_id::kRequestRefused,
+           {{"request", attempt},
+            {"reason", ToString(action.reason)},
+            {"service", action.service},
+            {"attempts", int64_t{action.attempts}},
+            {"age_ms", action.age.count() / 1000},
+            {"target", found->second.target.id},
+            {"key", action.key ? int64_t{*action.key} : int64_t{-1}},
+            {"config", static_cast<int64_t>(action.config_version)}});
   own_answer_action said = action;
   if (action.not_run_if_unwritten && found->second.unwritten) {
     said.answer = own_answer::kNotRun;
--- a/src/programs/foxtail-fleet/main.cc
+++ b/src/programs/foxtail-fleet/main.cc
@@ -6,8 +6,8 @@
 #include <iostream>
 
 #include "net/loop.h"
-#include "stand_in/fleet.h"
-#include "stand_in/fleet_load.h"
+#include "platform/stand_in/fleet.h"
+#include "platform/stand_in/fleet_load.h"
 
 namespace {
 
--- a/tests/edge_daemon_test.cc
+++ b/tests/edge_daemon_test.cc
@@ -11,7 +11,8 @@
 #include <vector>
 
 #include "net/connection_pool.h"
-#include "stand_in/fleet.h"
+#include "platform/stand_in/fleet.h"
+#include "platform/wire.h"
 
 namespace foxtailspread {
 namespace {
@@ -78,9 +79,9 @@
     request.target = path;
     last_attempt_ = "try-" + std::to_string(++attempts_);
     request.headers = {{"Host", service + ".example"},
-                       {"Attempt-Id", last_attempt_},
-                       {"Deadline-Ms", "1500"},
-                       {"Shard-Key", "4711"}};
+                       {std::string{platform::kAttemptId}, last_attempt_},
+                       {std::string{platform::kDeadline}, "1500"},
+                       {std::string{platform::kShardKey}, "4711"}};
     request.body = service == "orders" ? "body" : "";
     return Exchange(hosts_[host]->callers_port(), FormatRequest(request));
   }
@@ -100,8 +101,8 @@
     const http_message answer = Call(host, "orders", "/order/9?x=1");
     EXPECT_EQ(answer.status, 200);
     EXPECT_EQ(answer.body, "/order/9?x=1");
-    EXPECT_EQ(answer.Header("Attempt-Id"), last_attempt_);
-    EXPECT_TRUE(answer.Header("Response-Signature"));
+    EXPECT_EQ(answer.Header(platform::kAttemptId), last_attempt_);
+    EXPECT_TRUE(answer.Header(platform::kSignature));
     EXPECT_EQ(fleet_.RunsOf(last_attempt_), 1);
   }
 }
@@ -116,10 +117,17 @@
   std::string bytes;
   for (int i = 0; i < 5; ++i) {
     const std::string id = "pipe-" + std::to_string(i);
-    bytes += "GET /" + id +
-             " HTTP/1.1\r\nHost: keyed.example\r\nAttempt-Id: " + id +
-             "\r\nShard-Key: " + std::to_string(i * 13000) +
-             (i == 4 ? "\r\nConnection: close" : "") + "\r\n\r\n";
+    http_message request;
+    request.method = "GET";
+    request.target = "/" + id;
+    request.headers = {
+        {"Host", "keyed.example"},
+        {std::string{platform::kAttemptId}, id},
+        {std::string{platform::kShardKey}, std::to_string(i * 13000)}};
+    if (i == 4) {
+      request.headers.push_back({"Connection", "close"});
+    }
+    bytes += FormatRequest(request);
   }
   http_reader reader(HTTP_RESPONSE, {});
   const int port = hosts_[0]->callers_port();
@@ -209,7 +217,8 @@
 // A host is asked to stop. The balancer must hear of it at once, and requests
 // go on being served until it looks away.
 TEST_F(EdgeDaemonTest, LeavingHostIsUnreadyServesOnAndEnds) {
-  const std::string ask = "GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::string ask = "GET " + std::string{platform::kReadinessPath} +
+                          " HTTP/1.1\r\nHost: a\r\n\r\n";
   ASSERT_EQ(Exchange(hosts_[0]->readiness_port(), ask).status, 200);
   hosts_[0]->Leave();
   EXPECT_EQ(Exchange(hosts_[0]->readiness_port(), ask).status, 503);
