Part hot cells that fit into no target's share

Cause: four hot cells of 14 requests a second on one target stayed together once its cold keys were gone, since each was more than any other target lacked (test CellsTooHotForAnyShareStillPartCompany: busiest 56 before, below 22 after). Ruled out: slow reports, the moves simply stopped.

--- a/src/core/key_balance.cc
+++ b/src/core/key_balance.cc
@@ -144,9 +144,12 @@
 
 namespace {
 
-/// Returns the load that should go from one to the other, 0 for none.
-double WantedLoad(const target_state& giver, const target_state& receiver,
-                  const balance_limits& limits) {
+/// Finds keys of `giver` whose move to `receiver` makes the busier of the two
+/// less busy.
+std::optional<cut> FindMove(const key_map& map, const range_load& loads,
+                            const target_state& giver,
+                            const target_state& receiver,
+                            const balance_limits& limits) {
   // A target that does next to nothing gets something from each that is over
   // its share, however little that is.
   const bool starved = receiver.Ratio() < limits.underload;
@@ -154,15 +157,20 @@
                                : std::min(limits.least_load, receiver.goal / 2);
   const double up_to_share =
       std::min(giver.load - giver.goal, receiver.goal - receiver.load);
-  if (up_to_share >= least) {
-    return up_to_share;
-  }
-  // All others have about their share: one that has far more, since its keys
-  // could not be cut to fit, meets the least busy one half-way.
+  // Cells too hot to fit into what the receiver lacks: the two meet half-way.
   const double half_way =
       (giver.load * receiver.goal - receiver.load * giver.goal) /
       (giver.goal + receiver.goal);
-  return half_way >= least ? half_way : 0.0;
+  for (const double wanted : {up_to_share, half_way}) {
+    if (wanted < least) {
+      continue;
+    }
+    const auto part = FindCut(map, loads, giver.target->life, wanted);
+    if (part && (receiver.load + part->load) / receiver.goal < giver.Ratio()) {
+      return part;
+    }
+  }
+  return std::nullopt;
 }
 
 }  // namespace
@@ -195,14 +203,11 @@
         *std::max_element(states.begin(), states.end(), less);
     const bool uneven =
         giver.Ratio() > limits.overload || receiver.Ratio() < limits.underload;
-    const double wanted = WantedLoad(giver, receiver, limits);
-    if (!uneven || wanted <= 0.0) {
+    if (!uneven) {
       break;
     }
-    const auto part = FindCut(planned, load, giver.target->life, wanted);
-    const bool helps =
-        part && (receiver.load + part->load) / receiver.goal < giver.Ratio();
-    if (!helps) {
+    const auto part = FindMove(planned, load, giver, receiver, limits);
+    if (!part) {
       stuck.push_back(giver.target->life);
       continue;
     }
--- a/tests/key_balance_test.cc
+++ b/tests/key_balance_test.cc
@@ -99,6 +99,19 @@
   EXPECT_LT(moved, kKeyCells * kKeysPerCell / 2);
 }
 
+// Sixty neighbouring keys, four cells, get two fifths of all requests. Each cell
+// is more than any other target has room for up to its share; together on one
+// target they are far more than it can serve.
+TEST_F(KeyBalanceTest, CellsTooHotForAnyShareStillPartCompany) {
+  Deal(12);
+  std::fill(loads_.begin(), loads_.end(), 84.0 / kKeyCells);
+  for (size_t cell = 2000; cell < 2004; ++cell) {
+    loads_[cell] += 14.0;
+  }
+  Settle();
+  EXPECT_LT(Busiest(), 22.0);
+}
+
 // A single key is hotter than any target can serve. It cannot be cut; the rest
 // of its owner's keys go elsewhere, and planning ends.
 TEST_F(KeyBalanceTest, SingleHotKeyStaysAloneWithItsOwner) {
