--- /dev/null
+++ b/src/core/key_assigner_moves.cc
@@ -0,0 +1,236 @@
+#include <algorithm>
+#include <utility>
+
+#include "foxtailspread/key_assigner.h"
+
+// Which keys change hands: those of lost targets, those that overload their
+// owner, and the first deal.
+
+namespace foxtailspread {
+namespace {
+
+/// How often load is averaged and moves are planned.
+constexpr duration kBalanceEvery{std::chrono::milliseconds{500}};
+/// Weights of the newest half second in the two running means of load. The
+/// quick one finds keys that have become hot within a second; the steady one
+/// evens out what is left without taking chance for a difference.
+constexpr double kRecentWeight = 0.5;
+constexpr double kSteadyWeight = 0.1;
+/// How uneven the recent load must be for moves at once.
+constexpr double kHotOverload = 1.7;
+constexpr double kHotUnderload = 0.25;
+constexpr size_t kHotMoves = 12;
+/// How uneven the steady load must be. Forty requests of a target, some four
+/// seconds' worth, differ by a sixth by chance alone.
+constexpr double kSteadyOverload = 1.4;
+constexpr double kSteadyUnderload = 0.5;
+/// How often the steady load is evened out.
+constexpr duration kRefineEvery{std::chrono::seconds{2}};
+
+/// The bounds of a target's speed against the others'. A mean latency tells of
+/// its queue as well as of its speed; the bounds keep that from running away.
+constexpr double kSlowest = 0.4;
+constexpr double kFastest = 2.5;
+
+/// How long after the start the first targets are waited for, so that the
+/// first map deals keys to all of them and not to those seen first.
+constexpr duration kFirstDealAfter{std::chrono::milliseconds{1500}};
+
+}  // namespace
+
+bool key_assigner::PlanChanges(keyed_service& of, key_map& draft,
+                               time_point now, assigner_actions& out) {
+  if (draft.ranges.empty()) {
+    const auto candidates = Candidates(of.name, now);
+    if (candidates.empty() || now < taken_at_ + kFirstDealAfter) {
+      return false;
+    }
+    draft = DealKeys(candidates, draft.last_fence + 1);
+    return true;
+  }
+  const bool confirmed = ConfirmGrants(of, draft, out);
+  const bool replaced = ReplaceOwners(of, draft, now, out);
+  if (confirmed || replaced) {
+    return true;
+  }
+  return Balance(of, draft, now, out);
+}
+
+bool key_assigner::ConfirmGrants(keyed_service& of, key_map& draft,
+                                 assigner_actions& out) {
+  bool changed = false;
+  for (key_range& range : draft.ranges) {
+    const auto found = of.transfers.find(IdOf(range));
+    if (range.granted || found == of.transfers.end() ||
+        !found->second.confirmed) {
+      continue;
+    }
+    range.granted = true;
+    range.former.reset();
+    changed = true;
+    out.emplace_back(assigner_note{.what = assigner_note::kind::kKeysGranted,
+                                   .service = of.name,
+                                   .target = range.owner.id,
+                                   .first = range.first,
+                                   .last = range.last,
+                                   .fence = range.fence});
+  }
+  return changed;
+}
+
+void key_assigner::Reassign(keyed_service& of, key_map& draft, key_range& range,
+                            const target_life& to) {
+  const auto found = of.transfers.find(IdOf(range));
+  const bool offered = range.granted || found == of.transfers.end() ||
+                       found->second.offered || found->second.inherited;
+  range.former = offered ? std::optional{range.owner} : std::nullopt;
+  range.owner = to;
+  range.granted = false;
+  // Two numbers: one for the release, which must be above what the former
+  // owner has seen, so that a late renewal is refused; one for the grant.
+  draft.last_fence += 2;
+  range.fence = draft.last_fence;
+}
+
+bool key_assigner::ReplaceOwners(keyed_service& of, key_map& draft,
+                                 time_point now, assigner_actions& out) {
+  bool changed = false;
+  for (key_range& range : draft.ranges) {
+    const auto under_way = of.transfers.find(IdOf(range));
+    const bool known = under_way != of.transfers.end();
+    if (!range.granted && known && !under_way->second.let_go) {
+      continue;  // The owner before may hold the keys; first it lets go.
+    }
+    const bool fenced = known && under_way->second.fenced;
+    if (IsUsable(range.owner, now) && !fenced) {
+      continue;
+    }
+    if (fenced) {
+      draft.last_fence += 2;
+      range.fence = draft.last_fence;
+      range.former.reset();
+      range.granted = false;
+      changed = true;
+      continue;
+    }
+    const auto candidates = Candidates(of.name, now);
+    const balance_target* to = LeastLoaded(draft, of.loads, candidates);
+    // The same target in a new life keeps its keys, if it is there already.
+    for (const balance_target& each : candidates) {
+      if (each.life.id == range.owner.id) {
+        to = &each;
+      }
+    }
+    if (to == nullptr || to->life == range.owner) {
+      continue;
+    }
+    out.emplace_back(assigner_note{.what = assigner_note::kind::kTargetLost,
+                                   .service = of.name,
+                                   .target = range.owner.id,
+                                   .first = range.first,
+                                   .last = range.last,
+                                   .fence = range.fence});
+    Reassign(of, draft, range, to->life);
+    changed = true;
+  }
+  return changed;
+}
+
+void key_assigner::CountLoad(keyed_service& of, time_point now) {
+  if (of.counted_from == time_point{}) {
+    of.counted_from = now;
+  }
+  const duration passed = now - of.counted_from;
+  if (passed < kBalanceEvery) {
+    return;
+  }
+  const double seconds = std::chrono::duration<double>(passed).count();
+  of.recent_loads.resize(kKeyCells, 0.0);
+  of.loads.resize(kKeyCells, 0.0);
+  of.counts.resize(kKeyCells, 0);
+  for (size_t cell = 0; cell < kKeyCells; ++cell) {
+    const double rate = of.counts[cell] / seconds;
+    of.recent_loads[cell] += kRecentWeight * (rate - of.recent_loads[cell]);
+    of.loads[cell] += kSteadyWeight * (rate - of.loads[cell]);
+    of.counts[cell] = 0;
+  }
+  of.counted_from = now;
+}
+
+std::vector<key_move> key_assigner::PlanBalance(keyed_service& of,
+                                                const key_map& draft,
+                                                time_point now) {
+  const std::vector<balance_target> candidates = Candidates(of.name, now);
+  balance_limits hot;
+  hot.max_moves = kHotMoves;
+  hot.overload = kHotOverload;
+  hot.underload = kHotUnderload;
+  std::vector<key_move> moves =
+      PlanMoves(draft, of.recent_loads, candidates, hot);
+  const bool moving =
+      std::any_of(draft.ranges.begin(), draft.ranges.end(),
+                  [](const key_range& range) { return !range.granted; });
+  if (moves.empty() && !moving && now - of.refined_at >= kRefineEvery) {
+    of.refined_at = now;
+    balance_limits steady;
+    steady.overload = kSteadyOverload;
+    steady.underload = kSteadyUnderload;
+    moves = PlanMoves(draft, of.loads, candidates, steady);
+  }
+  return moves;
+}
+
+bool key_assigner::Balance(keyed_service& of, key_map& draft, time_point now,
+                           assigner_actions& out) {
+  if (now - of.balanced_at < kBalanceEvery || doubtful_) {
+    return false;
+  }
+  of.balanced_at = now;
+  const std::vector<key_move> moves = PlanBalance(of, draft, now);
+  for (const key_move& move : moves) {
+    CutBefore(draft, move.first);
+    if (move.last != kLastKey) {
+      CutBefore(draft, static_cast<key_point>(move.last + 1));
+    }
+    for (key_range& range : draft.ranges) {
+      const bool inside = move.first <= range.first && range.last <= move.last;
+      if (inside && range.granted) {
+        out.emplace_back(assigner_note{.what = assigner_note::kind::kKeysMoving,
+                                       .service = of.name,
+                                       .target = move.to.id,
+                                       .first = range.first,
+                                       .last = range.last,
+                                       .fence = range.fence});
+        Reassign(of, draft, range, move.to);
+      }
+    }
+  }
+  return !moves.empty();
+}
+
+std::vector<balance_target> key_assigner::Candidates(const std::string& service,
+                                                     time_point now) const {
+  std::vector<balance_target> found;
+  std::vector<double> latencies;
+  double sum = 0.0;
+  size_t known = 0;
+  for (const auto& [life, state] : targets_) {
+    if (state.listed && state.entry.service == service &&
+        state.failed_orders == 0 && IsUsable(state.entry.life, now)) {
+      found.push_back({.life = state.entry.life,
+                       .capacity = static_cast<double>(state.entry.slots)});
+      latencies.push_back(state.latency_us);
+      sum += state.latency_us;
+      known += state.latency_us > 0.0 ? 1 : 0;
+    }
+  }
+  for (size_t i = 0; i < found.size(); ++i) {
+    if (latencies[i] > 0.0) {
+      const double mean = sum / static_cast<double>(known);
+      found[i].capacity *= std::clamp(mean / latencies[i], kSlowest, kFastest);
+    }
+  }
+  return found;
+}
+
+}  // namespace foxtailspread
--- /dev/null
+++ b/src/edge/edge_daemon_store.cc
@@ -0,0 +1,320 @@
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "edge/edge_daemon.h"
+#include "foxtailspread/host_messages.h"
+#include "net/log.h"
+#include "platform/request_codec.h"
+
+// The entry host towards the store, the other hosts and the keys of targets.
+
+namespace foxtailspread {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Targets that vanish within this time after the store was away may be back:
+/// their entries lapse while nobody can write them.
+constexpr duration kAwayEcho{milliseconds{2500}};
+
+/// How long a beat of the assigner, which reads the store for all, spares this
+/// host its own calls. Three beats may be lost; what they vouch for is then no
+/// older than a second and a half.
+constexpr duration kVouchedFor{milliseconds{900}};
+/// An older view vouches for nothing.
+constexpr uint32_t kMostViewAgeMs = 1100;
+/// A copy that differs from the assigner's is read again no more often: the
+/// assigner's may be the older one.
+constexpr duration kRefreshPause{milliseconds{200}};
+
+}  // namespace
+
+bool edge_daemon::StoreWasAway(time_point now) const {
+  return !store_answers_ ||
+         (store_failed_at_ && now - *store_failed_at_ < kAwayEcho);
+}
+
+void edge_daemon::OnStoreState() {
+  const time_point now = Now();
+  const bool answers = config_.copy().answers() && targets_.copy().answers() &&
+                       own_.copy().answers();
+  for (const auto& failed :
+       {config_.copy().failed_at(), targets_.copy().failed_at(),
+        own_.copy().failed_at()}) {
+    if (failed && (!store_failed_at_ || *failed > *store_failed_at_)) {
+      store_failed_at_ = failed;
+    }
+  }
+  if (answers != store_answers_) {
+    store_answers_ = answers;
+    LogEvent(answers ? event_id::kStoreBack : event_id::kStoreLost);
+  }
+  assigner_.OnStoreAnswers(answers, now);
+  Arm();
+}
+
+void edge_daemon::OnConfigChanged() {
+  const auto& objects = config_.copy().objects();
+  const auto found = objects.find(std::string{platform::kConfigName});
+  // Never back: an older revision, or an object that cannot be read, leaves
+  // what is in force.
+  if (found == objects.end() || !found->second.item ||
+      found->second.revision <= config_revision_) {
+    return;
+  }
+  config_revision_ = found->second.revision;
+  const route_table_ptr table = *found->second.item;
+  const routing_config& config = table->config();
+  callers_.SetLimits(
+      {.sizes = {.max_header_bytes = config.bounds.max_header_bytes,
+                 .max_body_bytes = config.bounds.max_body_bytes},
+       .header_timeout = config.bounds.header_timeout,
+       .idle_timeout = config.bounds.idle_timeout});
+  LogEvent(event_id::kConfigInForce,
+           {{"version", static_cast<int64_t>(config.version)},
+            {"revision", static_cast<int64_t>(config_revision_)},
+            {"routes", static_cast<int64_t>(config.routes.size())}});
+  assigner_.OnServices(config.services);
+  assigner_.BeatSoon();
+  router_actions actions;
+  const time_point now = Now();
+  router_.OnConfig(table, now, actions);
+  assigner_.OnObjects(own_.copy().objects(), now);
+  ShareKeyMaps(now, actions);
+  Carry(actions);
+}
+
+void edge_daemon::OnTargetsChanged() {
+  std::vector<target_entry> listed;
+  for (const auto& [name, object] : targets_.copy().objects()) {
+    if (object.item) {
+      listed.push_back(*object.item);
+    }
+  }
+  const time_point now = Now();
+  const uint64_t digest = DigestOf(listed);
+  if (digest != targets_digest_) {
+    targets_digest_ = digest;
+    assigner_.BeatSoon();
+  }
+  const bool doubtful = StoreWasAway(now);
+  assigner_.OnTargets(listed, doubtful, now);
+  router_actions actions;
+  router_.OnTargets(listed, doubtful, now, actions);
+  Carry(actions);
+}
+
+void edge_daemon::OnOwnObjectsChanged() {
+  const time_point now = Now();
+  assigner_.BeatSoon();
+  assigner_.OnObjects(own_.copy().objects(), now);
+  if (assigner_.lease()) {
+    router_.OnHostCount(assigner_.lease()->hosts);
+  }
+  router_actions actions;
+  ShareKeyMaps(now, actions);
+  Carry(actions);
+}
+
+/// Tells the router of the maps that changed, whether this host wrote them or
+/// another did.
+void edge_daemon::ShareKeyMaps(time_point now, router_actions& out) {
+  if (router_.table() == nullptr) {
+    return;
+  }
+  for (const service_settings& each : router_.table()->config().services) {
+    const key_map* map = each.keyed ? assigner_.MapOf(each.name) : nullptr;
+    if (map == nullptr) {
+      continue;
+    }
+    const uint64_t version = assigner_.MapRevision(each.name);
+    uint64_t& shared = maps_shared_[each.name];
+    if (version != shared) {
+      shared = version;
+      router_.OnKeyMap(each.name, *map, now, out);
+    }
+  }
+}
+
+void edge_daemon::OnDatagram(std::string_view bytes) {
+  const auto message = ParseHostMessage(bytes);
+  if (!message) {
+    LogEvent(event_id::kDatagramRefused);
+    return;
+  }
+  const time_point now = Now();
+  if (const auto* report = std::get_if<load_report>(&message.value())) {
+    assigner_.OnReport(*report, now);
+  } else if (const auto* beat = std::get_if<assigner_beat>(&message.value())) {
+    assigner_.OnBeat(*beat, now);
+    if (beat->view && beat->host != settings_.name) {
+      OnView(*beat->view, now);
+    }
+  } else if (const auto* owners =
+                 std::get_if<owners_record>(&message.value())) {
+    assigner_.OnOwners(*owners);
+    router_actions actions;
+    ShareKeyMaps(now, actions);
+    Carry(actions);
+  }
+}
+
+/// What this host's copy of the store amounts to; empty if it is not complete
+/// or too old to vouch for others'.
+std::optional<store_view> edge_daemon::View(time_point now) const {
+  if (!config_.copy().complete() || !targets_.copy().complete() ||
+      !own_.copy().complete()) {
+    return std::nullopt;
+  }
+  const time_point as_of =
+      std::min({config_.copy().current_as_of(), targets_.copy().current_as_of(),
+                own_.copy().current_as_of()});
+  const auto age = std::chrono::duration_cast<milliseconds>(now - as_of);
+  if (age.count() > kMostViewAgeMs) {
+    return std::nullopt;
+  }
+  return store_view{.config_revision = config_revision_,
+                    .targets = targets_digest_,
+                    .owners = assigner_.OwnersDigest(),
+                    .age_ms = static_cast<uint32_t>(age.count())};
+}
+
+/// Compares this host's copy with the one that the assigner vouches for.
+void edge_daemon::OnView(const store_view& view, time_point now) {
+  if (view.age_ms > kMostViewAgeMs) {
+    return;
+  }
+  const time_point until = now + kVouchedFor;
+  const auto compare = [&](auto& follower, bool same) {
+    if (same) {
+      follower.Confirm(until);
+    } else if (now >= refresh_after_) {
+      follower.Refresh(now, until);
+    }
+  };
+  compare(config_, view.config_revision == config_revision_);
+  compare(targets_, view.targets == targets_digest_);
+  compare(own_, view.owners == assigner_.OwnersDigest());
+  if (now >= refresh_after_) {
+    refresh_after_ = now + kRefreshPause;
+  }
+  Arm();
+}
+
+void edge_daemon::ReportLoad() {
+  if (router_.table() == nullptr) {
+    return;
+  }
+  load_report report{.host = settings_.name,
+                     .zone = settings_.zone,
+                     .address = settings_.hosts,
+                     .lease_revision = assigner_.lease_revision(),
+                     .services = {},
+                     .targets = {}};
+  for (const service_settings& each : router_.table()->config().services) {
+    const std::vector<uint32_t> counts = router_.TakeKeyLoad(each.name);
+    service_load load{.service = each.name, .cells = {}};
+    for (size_t cell = 0; cell < counts.size(); ++cell) {
+      if (counts[cell] > 0) {
+        load.cells.emplace_back(static_cast<uint32_t>(cell), counts[cell]);
+      }
+    }
+    if (!load.cells.empty()) {
+      report.services.push_back(std::move(load));
+    }
+    if (each.keyed) {
+      const auto seen = router_.TakeLatencies(each.name);
+      report.targets.insert(report.targets.end(), seen.begin(), seen.end());
+    }
+  }
+  const auto& lease = assigner_.lease();
+  if (lease && !lease->address.empty()) {
+    hosts_.Send(lease->address, FormatHostMessage(report));
+  }
+}
+
+void edge_daemon::Carry(assigner_actions& actions) {
+  for (const assigner_action& action : actions) {
+    std::visit([this](const auto& each) { CarryOne(each); }, action);
+  }
+  Arm();
+}
+
+void edge_daemon::CarryOne(const store_write& action) {
+  store_.Write(action, [this](const write_report& report) {
+    const time_point now = Now();
+    assigner_actions actions;
+    assigner_.OnWriteEnded(report, now, actions);
+    assigner_.BeatSoon();
+    router_actions routed;
+    ShareKeyMaps(now, routed);
+    Carry(routed);
+    Carry(actions);
+  });
+}
+
+void edge_daemon::CarryOne(const key_order& action) {
+  orders_[action.id] = orders_pool_.Send(
+      platform::ToOrder(action),
+      [this, id = action.id](const call_result& result) {
+        orders_.erase(id);
+        assigner_actions actions;
+        assigner_.OnOrderEnded(platform::ReadOrderAnswer(id, result), Now(),
+                               actions);
+        Carry(actions);
+      });
+}
+
+void edge_daemon::CarryOne(const order_cancel& action) {
+  const auto found = orders_.find(action.id);
+  if (found != orders_.end()) {
+    orders_pool_.Cancel(found->second);
+    orders_.erase(found);
+  }
+}
+
+void edge_daemon::CarryOne(const assigner_note& action) {
+  using kind = assigner_note::kind;
+  event_id event = event_id::kAssignerBegan;
+  switch (action.what) {
+    case kind::kLeaseTaken:
+      event = event_id::kAssignerBegan;
+      break;
+    case kind::kLeaseLost:
+      event = event_id::kAssignerEnded;
+      break;
+    case kind::kTargetLost:
+      event = event_id::kOwnerLost;
+      break;
+    case kind::kKeysMoving:
+      event = event_id::kKeysMoving;
+      break;
+    case kind::kKeysGranted:
+      event = event_id::kKeysGranted;
+      break;
+    case kind::kGrantFenced:
+      event = event_id::kGrantFenced;
+      break;
+  }
+  LogEvent(event, {{"service", action.service},
+                   {"target", action.target},
+                   {"first", int64_t{action.first}},
+                   {"last", int64_t{action.last}},
+                   {"fence", static_cast<int64_t>(action.fence)}});
+}
+
+void edge_daemon::CarryOne(const share_action& action) {
+  const std::string bytes = FormatHostMessage(action.record);
+  for (const std::string& address : action.addresses) {
+    hosts_.Send(address, bytes);
+  }
+}
+
+void edge_daemon::CarryOne(const beat_action& action) {
+  assigner_beat beat = action.beat;
+  beat.view = View(Now());
+  hosts_.Send(action.address, FormatHostMessage(beat));
+}
+
+}  // namespace foxtailspread
--- /dev/null
+++ b/tests/connection_pool_test.cc
@@ -0,0 +1,253 @@
+// Calls to a peer that misbehaves below HTTP. Each test says what the peer
+// writes; the watchdog only ends a test that hangs.
+
+#include "net/connection_pool.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace foxtailspread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+template <typename Predicate>
+bool RunUntil(const Predicate& done) {
+  bool expired = false;
+  const timer watchdog = RunAfter(seconds{20}, [&] { expired = true; });
+  while (!done() && !expired) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  return done();
+}
+
+/// What the peer does with one connection, request by request.
+struct peer_script {
+  std::deque<std::string> replies{};  ///< Written after each request.
+  bool close_after = false;           ///< After the last reply.
+  bool reset_after = false;
+};
+
+/// A peer that counts requests by their blank lines and replies by script.
+class scripted_peer {
+ public:
+  explicit scripted_peer(poller& events)
+      : events_(events), listener_(events, [this](int fd) { OnAccepted(fd); }) {
+    EXPECT_TRUE(listener_.Listen("127.0.0.1:0"));
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(listener_.port());
+  }
+  void Close() { listener_.Close(); }
+  int connections() const { return accepted_; }
+  int requests() const { return requests_; }
+
+  std::deque<peer_script> scripts;
+
+ private:
+  struct connection {
+    connection(scripted_peer& owner, int fd, peer_script its_script)
+        : peer(owner),
+          stream(owner.events_, HandlerFor<&connection::OnReady>(this)),
+          script(std::move(its_script)) {
+      stream.Adopt(fd);
+    }
+
+    void OnReady(uint32_t events) {
+      if (!stream.is_open() || !stream.OnWritable(events)) {
+        return;
+      }
+      const read_result read = stream.Read();
+      if (read.end == read_end::kClosed || read.end == read_end::kBroken) {
+        stream.Close();
+        return;
+      }
+      received.append(read.bytes);
+      size_t end = 0;
+      while ((end = received.find("\r\n\r\n")) != std::string::npos) {
+        received.erase(0, end + 4);
+        Reply();
+      }
+    }
+
+    void Reply() {
+      ++peer.requests_;
+      if (!script.replies.empty()) {
+        stream.Write(script.replies.front());
+        script.replies.pop_front();
+      }
+      if (script.replies.empty() && script.reset_after) {
+        stream.Abort();
+      } else if (script.replies.empty() && script.close_after) {
+        stream.Close();
+      }
+    }
+
+    scripted_peer& peer;
+    tcp_stream stream;
+    peer_script script;
+    std::string received;
+  };
+
+  void OnAccepted(int fd) {
+    ++accepted_;
+    peer_script script;
+    if (!scripts.empty()) {
+      script = std::move(scripts.front());
+      scripts.pop_front();
+    }
+    connections_.push_back(
+        std::make_unique<connection>(*this, fd, std::move(script)));
+  }
+
+  poller& events_;
+  tcp_listener listener_;
+  std::deque<std::unique_ptr<connection>> connections_;
+  int accepted_ = 0;
+  int requests_ = 0;
+};
+
+class ConnectionPoolTest : public ::testing::Test {
+ protected:
+  call_result Call(const std::string& echo, const std::string& address = "") {
+    std::optional<call_result> ended;
+    const std::string to = address.empty() ? peer_.address() : address;
+    pool_call call;
+    call.address = to;
+    call.request = "GET /" + echo + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    call.echo = echo;
+    pool_.Send(std::move(call), [&](call_result result) { ended = result; });
+    EXPECT_TRUE(RunUntil([&] { return ended.has_value(); }));
+    return ended.value_or(call_result{});
+  }
+
+  static std::string Ok(const std::string& echo,
+                        const std::string& body = "fine") {
+    return "HTTP/1.1 200 OK\r\nEcho: " + echo +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
+
+  poller events_;
+  scripted_peer peer_{events_};
+  connection_pool pool_{
+      events_, {.echo_header = "Echo", .echo_exempt_header = "Refused"}};
+};
+
+TEST_F(ConnectionPoolTest, KeptConnectionCarriesTheNextCall) {
+  peer_.scripts = {{.replies = {Ok("a"), Ok("b")}}};
+  EXPECT_EQ(Call("a").end, call_end::kAnswered);
+  const call_result second = Call("b");
+  EXPECT_EQ(second.end, call_end::kAnswered);
+  EXPECT_FALSE(second.fresh_connection);
+  EXPECT_EQ(peer_.connections(), 1);
+}
+
+// A second answer to the first request comes where the answer to the second
+// one is due. Its reader would get another's answer.
+TEST_F(ConnectionPoolTest, LateSecondAnswerIsNotTakenForTheNext) {
+  peer_.scripts = {{.replies = {Ok("a"), Ok("a", "late") + Ok("b", "mine")}}};
+  Call("a");
+  const call_result second = Call("b");
+  EXPECT_EQ(second.end, call_end::kAnswered);
+  EXPECT_EQ(second.answer.body, "mine");
+}
+
+TEST_F(ConnectionPoolTest, BytesBehindAnAnswerSpoilTheConnection) {
+  peer_.scripts = {{.replies = {Ok("a") + "HTTP/1.1 200 OK\r\nEcho: a\r\n"}},
+                   {.replies = {Ok("b")}}};
+  EXPECT_EQ(Call("a").end, call_end::kAnswered);
+  EXPECT_EQ(Call("b").end, call_end::kAnswered);
+  EXPECT_EQ(peer_.connections(), 2);
+}
+
+// The peer breaks off in the middle of a body. What has come looks like an
+// answer and is none.
+TEST_F(ConnectionPoolTest, TruncatedAnswerIsBroken) {
+  const std::string whole = Ok("a", std::string(1000, 'x'));
+  peer_.scripts = {
+      {.replies = {whole.substr(0, whole.size() - 10)}, .close_after = true}};
+  EXPECT_EQ(Call("a").end, call_end::kBroken);
+}
+
+TEST_F(ConnectionPoolTest, AnswerWithoutLengthEndsWithItsConnection) {
+  peer_.scripts = {{.replies = {"HTTP/1.1 200 OK\r\nEcho: a\r\n\r\nwhole"},
+                    .close_after = true}};
+  const call_result result = Call("a");
+  EXPECT_EQ(result.end, call_end::kAnswered);
+  EXPECT_EQ(result.answer.body, "whole");
+}
+
+// The same, but the connection is reset: part of the body may be missing.
+TEST_F(ConnectionPoolTest, AnswerWithoutLengthThatIsResetIsBroken) {
+  peer_.scripts = {{.replies = {"HTTP/1.1 200 OK\r\nEcho: a\r\n\r\npart"},
+                    .reset_after = true}};
+  EXPECT_EQ(Call("a").end, call_end::kBroken);
+}
+
+TEST_F(ConnectionPoolTest, AnswerThatIsNoHttpIsBroken) {
+  peer_.scripts = {{.replies = {"@@@@\r\n\r\n"}}};
+  EXPECT_EQ(Call("a").end, call_end::kBroken);
+}
+
+// The peer closes a kept connection while it is idle. The next call goes to a
+// new one, and nothing was sent twice.
+TEST_F(ConnectionPoolTest, ConnectionThatEndedWhileIdleIsNotUsed) {
+  peer_.scripts = {{.replies = {Ok("a")}, .close_after = true},
+                   {.replies = {Ok("b")}}};
+  Call("a");
+  EXPECT_EQ(Call("b").end, call_end::kAnswered);
+  EXPECT_EQ(peer_.requests(), 2);
+}
+
+// The peer takes the request and ends without an answer. It may have run.
+TEST_F(ConnectionPoolTest, ResetAfterTheRequestIsBroken) {
+  peer_.scripts = {{.reset_after = true}};
+  EXPECT_EQ(Call("a").end, call_end::kBroken);
+  EXPECT_EQ(peer_.requests(), 1) << "sent once";
+}
+
+TEST_F(ConnectionPoolTest, PortWithoutAListenerIsRefused) {
+  const std::string address = peer_.address();
+  peer_.Close();
+  EXPECT_EQ(Call("a", address).end, call_end::kRefused);
+}
+
+TEST_F(ConnectionPoolTest, AddressThatIsNoneIsUnreachable) {
+  EXPECT_EQ(Call("a", "nowhere:1").end, call_end::kUnreachable);
+}
+
+TEST_F(ConnectionPoolTest, RefusalWithoutEchoIsTakenWhenItSaysSo) {
+  peer_.scripts = {
+      {.replies = {Ok("a"),
+                   "HTTP/1.1 503 No\r\nRefused: 1\r\nContent-Length: "
+                   "0\r\n\r\n"}}};
+  Call("a");
+  EXPECT_EQ(Call("b").answer.status, 503);
+}
+
+// A process that was started anew has no memory of fences. A call that must
+// reach the former one does not go out on a new connection.
+TEST_F(ConnectionPoolTest, CallForOldConnectionsMakesNoNewOne) {
+  peer_.scripts = {{.replies = {Ok("a")}, .close_after = true}};
+  const call_result first = Call("a");
+  std::optional<call_result> ended;
+  const std::string to = peer_.address();
+  pool_call call;
+  call.address = to;
+  call.request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  call.newest_connection = first.connection;
+  pool_.Send(std::move(call), [&](call_result result) { ended = result; });
+  ASSERT_TRUE(RunUntil([&] { return ended.has_value(); }));
+  EXPECT_EQ(ended->end, call_end::kUnreachable);
+  EXPECT_EQ(peer_.connections(), 1);
+}
+
+}  // namespace
+}  // namespace foxtailspread
