--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -350,6 +350,9 @@
                assigner_actions& out);
   std::vector<key_move> PlanBalance(keyed_service& of, const key_map& draft,
                                     time_point now);
+  static assigner_note NoteOf(assigner_note::kind what, const keyed_service& of,
+                              const key_range& range,
+                              const std::string& target);
   void Reassign(keyed_service& of, key_map& draft, key_range& range,
                 const target_life& to);
   void CountLoad(keyed_service& of, time_point now);
--- a/src/core/key_assigner_moves.cc
+++ b/src/core/key_assigner_moves.cc
@@ -56,6 +56,18 @@
   return Balance(of, draft, now, out);
 }
 
+assigner_note key_assigner::NoteOf(assigner_note::kind what,
+                                   const keyed_service& of,
+                                   const key_range& range,
+                                   const std::string& target) {
+  return {.what = what,
+          .service = of.name,
+          .target = target,
+          .first = range.first,
+          .last = range.last,
+          .fence = range.fence};
+}
+
 bool key_assigner::ConfirmGrants(keyed_service& of, key_map& draft,
                                  assigner_actions& out) {
   bool changed = false;
@@ -68,12 +80,8 @@
     range.granted = true;
     range.former.reset();
     changed = true;
-    out.emplace_back(assigner_note{.what = assigner_note::kind::kKeysGranted,
-                                   .service = of.name,
-                                   .target = range.owner.id,
-                                   .first = range.first,
-                                   .last = range.last,
-                                   .fence = range.fence});
+    out.emplace_back(
+        NoteOf(assigner_note::kind::kKeysGranted, of, range, range.owner.id));
   }
   return changed;
 }
@@ -124,12 +132,8 @@
     if (to == nullptr || to->life == range.owner) {
       continue;
     }
-    out.emplace_back(assigner_note{.what = assigner_note::kind::kTargetLost,
-                                   .service = of.name,
-                                   .target = range.owner.id,
-                                   .first = range.first,
-                                   .last = range.last,
-                                   .fence = range.fence});
+    out.emplace_back(
+        NoteOf(assigner_note::kind::kTargetLost, of, range, range.owner.id));
     Reassign(of, draft, range, to->life);
     changed = true;
   }
@@ -195,12 +199,8 @@
     for (key_range& range : draft.ranges) {
       const bool inside = move.first <= range.first && range.last <= move.last;
       if (inside && range.granted) {
-        out.emplace_back(assigner_note{.what = assigner_note::kind::kKeysMoving,
-                                       .service = of.name,
-                                       .target = move.to.id,
-                                       .first = range.first,
-                                       .last = range.last,
-                                       .fence = range.fence});
+        out.emplace_back(
+            NoteOf(assigner_note::kind::kKeysMoving, of, range, move.to.id));
         Reassign(of, draft, range, move.to);
       }
     }
--- a/src/programs/foxtail-fleet/main.cc
+++ b/src/programs/foxtail-fleet/main.cc
@@ -27,16 +27,18 @@
   loop.Run();
 }
 
+double Milliseconds(foxtailspread::duration time) {
+  return std::chrono::duration<double, std::milli>(time).count();
+}
+
 void Print(const fleet_load& load) {
   std::printf("%-12s %8s %8s %8s %8s %9s %9s\n", "service", "sent", "served",
               "refused", "failed", "p50 ms", "p99 ms");
   for (const auto& [name, counts] : load.counts()) {
-    const auto ms = [&](double share) {
-      return static_cast<double>(counts.Quantile(share).count()) / 1000.0;
-    };
     std::printf("%-12s %8lu %8lu %8lu %8lu %9.1f %9.1f\n", name.c_str(),
                 counts.sent, counts.served, counts.refused, counts.failed,
-                ms(0.5), ms(0.99));
+                Milliseconds(counts.Quantile(0.5)),
+                Milliseconds(counts.Quantile(0.99)));
   }
 }
 
--- a/tests/key_balance_test.cc
+++ b/tests/key_balance_test.cc
@@ -99,9 +99,9 @@
   EXPECT_LT(moved, kKeyCells * kKeysPerCell / 2);
 }
 
-// Sixty neighbouring keys, four cells, get two fifths of all requests. Each cell
-// is more than any other target has room for up to its share; together on one
-// target they are far more than it can serve.
+// Sixty neighbouring keys, four cells, get two fifths of all requests. Each
+// cell is more than any other target has room for up to its share; together on
+// one target they are far more than it can serve.
 TEST_F(KeyBalanceTest, CellsTooHotForAnyShareStillPartCompany) {
   Deal(12);
   std::fill(loads_.begin(), loads_.end(), 84.0 / kKeyCells);
