--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -114,7 +114,8 @@
     call.address = to;
     call.request = "GET /" + echo + " HTTP/1.1\r\nHost: a\r\n\r\n";
     call.echo = echo;
-    pool_.Send(std::move(call), [&](call_result result) { ended = result; });
+    pool_.Send(std::move(call),
+               [&](const call_result& result) { ended = result; });
     EXPECT_TRUE(RunUntil([&] { return ended.has_value(); }));
     return ended.value_or(call_result{});
   }
@@ -235,7 +236,8 @@
   call.address = to;
   call.request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
   call.newest_connection = first.connection;
-  pool_.Send(std::move(call), [&](call_result result) { ended = result; });
+  pool_.Send(std::move(call),
+             [&](const call_result& result) { ended = result; });
   ASSERT_TRUE(RunUntil([&] { return ended.has_value(); }));
   EXPECT_EQ(ended->end, call_end::kUnreachable);
   EXPECT_EQ(peer_.connections(), 1);
--- a/tests/edge_daemon_test.cc
+++ b/tests/edge_daemon_test.cc
@@ -57,7 +57,8 @@
     const std::string address = "127.0.0.1:" + std::to_string(port);
     call.address = address;
     call.request = bytes;
-    pool_.Send(std::move(call), [&](call_result result) { ended = result; });
+    pool_.Send(std::move(call),
+               [&](const call_result& result) { ended = result; });
     EXPECT_TRUE(RunUntil([&] { return ended.has_value(); }));
     return ended ? ended->answer : http_message{};
   }
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -10,7 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using testing::assigner_world;
-using testing::kWatchedKeys;
 
 /// Time from the start until all keys are owned.
 constexpr duration kSettled{seconds{4}};
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -401,7 +401,7 @@
   return all;
 }
 
-void assigner_world::Fail(std::string problem) {
+void assigner_world::Fail(const std::string& problem) {
   if (problem_.empty()) {
     const auto passed = std::chrono::duration_cast<milliseconds>(
         now_.time_since_epoch() - seconds{1000});
--- a/tests/support/assigner_world.h
+++ b/tests/support/assigner_world.h
@@ -137,7 +137,7 @@
   order_report ApplyOrder(const key_order& order, time_point arrived);
   void Report(size_t host, uint64_t life, const order_report& report);
   void CheckHolds();
-  void Fail(std::string problem);
+  void Fail(const std::string& problem);
   void Note(std::string what);
   std::vector<target_entry> Listed();
   bool Chance(double part);
