Let orders of a lost lease end, so that their targets' holds are known

Cause, found on reading: a host that lost the lease forgot its orders under way but not that their targets might hold keys; after it had taken the lease again, keys of such a target, once lost, waited for ever.

An unused field and function go.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -179,9 +179,9 @@
 
   explicit key_assigner(assigner_settings settings);
 
-  /// Takes the system's own objects as the store has them. `current` is
-  /// whether the store still answers this host.
+  /// Takes the system's own objects as the store has them.
   void OnObjects(const own_objects& objects, time_point now);
+  /// Takes whether the store answers this host.
   void OnStoreAnswers(bool answers, time_point now);
 
   /// Takes the services of the declarations.
@@ -191,6 +191,7 @@
   void OnTargets(const std::vector<target_entry>& targets, bool doubtful,
                  time_point now);
 
+  /// Take other hosts' messages in.
   void OnReport(const load_report& report, time_point now);
   void OnBeat(const assigner_beat& beat, time_point now);
   void OnOwners(const owners_record& record);
@@ -201,6 +202,7 @@
                     assigner_actions& out);
   void OnOrderEnded(const order_report& report, time_point now,
                     assigner_actions& out);
+  /// Does what is due; call at NextDue() or earlier.
   void OnTime(time_point now, assigner_actions& out);
   time_point NextDue(time_point now) const;
 
@@ -278,7 +280,6 @@
     time_point counted_from{};
     time_point balanced_at{};
     time_point refined_at{};
-    time_point all_seen_at{};
   };
 
   struct target_state {
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -400,7 +400,6 @@
     each.renewals.clear();
     each.write.reset();
   }
-  orders_.clear();
   out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseLost});
 }
 
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -187,11 +187,13 @@
 
 void key_assigner::OnTime(time_point now, assigner_actions& out) {
   StepLease(now, out);
+  // Also of a lease that was lost since: what a target may hold counts from
+  // the ends of all orders, and one that never ends would count for ever.
+  EndLateOrders(now, out);
   const bool holds = was_holder_ && IsHolder(now) && synced_since_taken_;
   if (!holds && now >= keeping_until_) {
     return;
   }
-  EndLateOrders(now, out);
   for (auto& [name, each] : services_) {
     if (holds) {
       StepService(each, now, out);
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -116,18 +116,6 @@
   return found != calls_.end() && found->second->HasWritten();
 }
 
-void connection_pool::CloseIdle(std::string_view address) {
-  const auto found = idle_.find(std::string{address});
-  if (found == idle_.end()) {
-    return;
-  }
-  const std::vector<pooled_connection*> closing = std::move(found->second);
-  idle_.erase(found);
-  for (pooled_connection* connection : closing) {
-    Drop(connection);
-  }
-}
-
 void connection_pool::Sweep() {
   sweep_armed_ = false;
   const time_point now = Now();
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -42,9 +42,6 @@
   /// none was, nobody can have run it.
   bool HasWritten(call_id id) const;
 
-  /// Closes the idle connections to an address.
-  void CloseIdle(std::string_view address);
-
   uint64_t connections_made() const { return connections_made_; }
 
  private:
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -175,6 +175,33 @@
   EXPECT_EQ(world_.UnownedKeys(), 0U);
 }
 
+// A host loses the lease while orders of its own are under way, and gets it
+// back later. If it still waited for their ends, keys of a target that is lost
+// then would never be served again.
+TEST_F(KeyAssignerTest, HolderThatComesBackStillRecoversLostTargets) {
+  world_.Run(kSettled);
+  const size_t first = world_.holder().value();
+  world_.late_orders = 0.9;
+  world_.Run(milliseconds{900});
+  world_.host(first).reaches_store = false;
+  world_.Run(seconds{3});
+  world_.late_orders = 0.0;
+  world_.host(first).reaches_store = true;
+  world_.Run(seconds{12});
+  for (size_t i = 0; i < world_.host_count(); ++i) {
+    if (i != first) {
+      world_.KillHost(i);
+    }
+  }
+  world_.Run(seconds{25});
+  ASSERT_EQ(world_.holder(), first);
+  for (size_t i = 0; i + 1 < world_.target_count(); ++i) {
+    world_.target(i).alive = false;
+    world_.Run(seconds{7});
+    EXPECT_EQ(world_.UnownedKeys(), 0U) << i;
+  }
+}
+
 // A partition that answers in the targets' place makes them look dead. Keys
 // granted elsewhere at once would have two owners.
 TEST_F(KeyAssignerTest, RefusedConnectionsDoNotCountAsDeath) {
