--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -74,6 +74,40 @@
   }
 }
 
+// The lease goes from one host to another and back, and a third one has heard
+// no beat since the first time. An old beat must not count as silence of the
+// present holder: hosts that went by it took the lease from one another every
+// ten milliseconds.
+TEST_F(KeyAssignerTest, LeaseThatCameBackIsNotTakenForAnOldBeat) {
+  key_assigner third({.host = "third", .zone = "z", .address = "third"});
+  third.OnServices({});
+  third.OnStoreAnswers(true, world_.now());
+  time_point now = world_.now();
+  const auto read = [&](const std::string& holder, uint64_t revision) {
+    const assigner_lease lease{
+        .host = holder, .address = holder, .renewal = revision};
+    third.OnObjects({{std::string{key_assigner::kLeaseName},
+                      {.name = std::string{key_assigner::kLeaseName},
+                       .revision = revision,
+                       .item = FormatLease(lease)}}},
+                    now);
+  };
+  read("first", 1);
+  third.OnBeat({.host = "first", .lease_revision = 1, .successors = {"third"}},
+               now);
+  now += milliseconds{200};
+  read("second", 2);
+  now += seconds{3};
+  read("first", 3);
+  assigner_actions actions;
+  now += milliseconds{10};
+  third.OnTime(now, actions);
+  EXPECT_TRUE(actions.empty());
+  now += seconds{1};
+  third.OnTime(now, actions);
+  EXPECT_EQ(actions.size(), 1U) << "real silence is acted on";
+}
+
 // A host restarts and is chosen as successor in the place of another, which
 // hears no more beats. It must not take the silence for a lost holder.
 TEST_F(KeyAssignerTest, SuccessorThatIsReplacedDoesNotTakeOver) {
