Leave a leaving target in time, however late a host hears of it

Cause: a holder of the lease that is cut off from the store goes on beating for 1.1 s, and each beat spared the others their calls for 0.9 s from its arrival, whatever the age of the copy it vouched for: 2.0 s in all. A host that heard of a draining owner of keys so late sent to it for 1.2 s more. Ruled out: deaf watches (the store was stable), frozen hosts (the requests came through hosts that were never disturbed). Change: a copy vouches until 0.8 of the drain bound after it was read, and the grace for a draining owner counts from when its entry was last known unchanged. A differing copy is read again with a pause of its own for each kind; before, a change of one kind held the others back.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "foxtailspread/error.h"
+#include "foxtailspread/time.h"
 
 namespace foxtailspread {
 
@@ -58,6 +59,12 @@
   bool operator==(const store_view&) const = default;
 };
 
+/// Until when a view that arrived at `now` spares a host its own calls; nothing
+/// if it is too old to vouch for anything. `drain` is how long a leaving target
+/// may still get requests after its word.
+std::optional<time_point> VouchedUntil(const store_view& view, duration drain,
+                                       time_point now);
+
 /// The assigner's sign of life. It reads the store for all hosts: those whose
 /// copies are the same need not ask. Each call of the store is paid for, and a
 /// thousand hosts that watch it would be its main load.
--- a/include/foxtailspread/kind_follower.h
+++ b/include/foxtailspread/kind_follower.h
@@ -58,6 +58,9 @@
   duration pace{0};
   duration retry_first{std::chrono::milliseconds{100}};
   duration retry_most{std::chrono::milliseconds{800}};
+  /// A copy that differs from another host's is read again no more often: the
+  /// other's may be the older one.
+  duration refresh_pause{std::chrono::milliseconds{200}};
 };
 
 /// The next call of a follower.
@@ -102,6 +105,9 @@
   /// from before.
   bool OnListed(list_page<Item> page, time_point now) {
     Answered(now);
+    if (listing_revision_ == 0) {
+      listing_began_ = began_;
+    }
     for (store_object<Item>& object : page.objects) {
       listing_after_ = std::max(listing_after_, object.name);
       std::string name = object.name;
@@ -119,6 +125,7 @@
     listing_after_.clear();
     must_list_ = false;
     complete_ = true;
+    IsCurrentAsOf(listing_began_);
     return true;
   }
 
@@ -131,6 +138,7 @@
       changed = Apply(change) || changed;
     }
     revision_ = std::max(revision_, page.revision);
+    IsCurrentAsOf(now);
     return changed;
   }
 
@@ -151,12 +159,20 @@
     next_call_ = now + pause_.Fail();
   }
 
-  /// Another host vouches that the copy is current: no call before `until`.
-  void Confirm(time_point until) { vouched_until_ = until; }
+  /// Another host vouches that the copy was current at `as_of`: no call before
+  /// `until`.
+  void Confirm(time_point as_of, time_point until) {
+    vouched_until_ = until;
+    current_as_of_ = std::max(current_as_of_, as_of);
+  }
 
-  /// Another host's copy differs: read the kind again now. It will have been
-  /// compared again by `until`.
+  /// Another host's copy differs: read the kind again now, unless that was
+  /// just done. It will have been compared again by `until`.
   void Refresh(time_point now, time_point until) {
+    if (now < refresh_after_) {
+      return;
+    }
+    refresh_after_ = now + timing_.refresh_pause;
     vouched_until_ = until;
     if (!calling_ && complete_) {
       next_call_ = now;
@@ -171,10 +187,12 @@
   bool answers() const { return answers_; }
   /// When a call last failed.
   std::optional<time_point> failed_at() const { return failed_at_; }
-  /// When the last call was answered: the copy holds all that the store had
-  /// by then, unless it has stopped hearing the watch, which the next one
-  /// shows.
+  /// The copy holds all that the store had by then, unless it has stopped
+  /// hearing the watch, which the next one shows.
   time_point current_as_of() const { return current_as_of_; }
+  /// The same of the copy before the last answer: what that answer changed
+  /// happened after this.
+  time_point same_until() const { return same_until_; }
 
  private:
   time_point DueAt() const {
@@ -185,11 +203,15 @@
   void Answered(time_point now) {
     calling_ = false;
     answers_ = true;
-    current_as_of_ = now;
     next_call_ = now;
     pause_.Succeed();
   }
 
+  void IsCurrentAsOf(time_point as_of) {
+    same_until_ = current_as_of_;
+    current_as_of_ = std::max(current_as_of_, as_of);
+  }
+
   bool Apply(store_change<Item>& change) {
     const auto found = objects_.find(change.object.name);
     if (found != objects_.end() &&
@@ -218,7 +240,10 @@
   time_point began_{};
   time_point next_call_{};
   time_point vouched_until_{};
+  time_point refresh_after_{};
   time_point current_as_of_{};
+  time_point same_until_{};
+  time_point listing_began_{};
   std::optional<time_point> failed_at_;
 };
 
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -127,6 +127,8 @@
 struct router_settings {
   std::string zone;
   retry_bounds retries;
+  /// A leaving target must get no request later than this after its word.
+  duration drain{std::chrono::seconds{2}};
   uint64_t seed = 1;
 };
 
@@ -146,9 +148,10 @@
 
   /// Takes the targets of all services as the store lists them now.
   /// `doubtful` tells that the store was away of late: targets that are
-  /// missing may be back within seconds.
+  /// missing may be back within seconds. What differs from the list before
+  /// happened after `same_until`, when that one was still current.
   void OnTargets(const std::vector<target_entry>& targets, bool doubtful,
-                 time_point now, router_actions& out);
+                 time_point same_until, time_point now, router_actions& out);
 
   /// Takes the owners of a keyed service's keys.
   void OnKeyMap(const std::string& service, const key_map& map, time_point now,
--- a/include/foxtailspread/time.h
+++ b/include/foxtailspread/time.h
@@ -32,6 +32,12 @@
 /// be compared.
 using time_point = boot_clock::time_point;
 
+/// Returns `share` of `whole`.
+constexpr duration Part(duration whole, double share) {
+  return duration{
+      static_cast<int64_t>(static_cast<double>(whole.count()) * share)};
+}
+
 /// The bound on how much two hosts' clocks may differ in rate: 1 part in
 /// 1,000, two orders above a crystal oscillator's.
 inline constexpr int64_t kClockDriftDivisor = 1000;
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -12,6 +12,12 @@
 constexpr std::string_view kBeatTag = "beat";
 constexpr std::string_view kOwnersTag = "keys";
 
+/// How long after a view was read it spares others their calls, as a part of
+/// the time that a leaving target goes on taking requests (2 s). Watches are
+/// renewed within a second, so two beats may be lost; what changed right after
+/// the view was read is still known everywhere in time.
+constexpr double kVouchedPart = 0.8;
+
 json ToJson(const load_report& report) {
   json services = json::array();
   for (const service_load& each : report.services) {
@@ -128,4 +134,11 @@
   return Malformed();
 }
 
+std::optional<time_point> VouchedUntil(const store_view& view, duration drain,
+                                       time_point now) {
+  const time_point read = now - std::chrono::milliseconds{view.age_ms};
+  const time_point until = read + Part(drain, kVouchedPart);
+  return until > now ? std::optional{until} : std::nullopt;
+}
+
 }  // namespace foxtailspread
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -47,11 +47,6 @@
 constexpr double kShedWeight = 0.05;
 constexpr double kShedShareMost = 0.5;
 
-duration Part(duration whole, double share) {
-  return duration{
-      static_cast<int64_t>(static_cast<double>(whole.count()) * share)};
-}
-
 }  // namespace
 
 std::string_view ToString(refusal_reason reason) {
@@ -149,8 +144,8 @@
 }
 
 void request_router::OnTargets(const std::vector<target_entry>& targets,
-                               bool doubtful, time_point now,
-                               router_actions& out) {
+                               bool doubtful, time_point same_until,
+                               time_point now, router_actions& out) {
   std::unordered_set<const target*> listed;
   for (const target_entry& entry : targets) {
     service& at = ServiceOf(entry.service);
@@ -169,7 +164,7 @@
     if (!entry.draining) {
       known->draining_since.reset();
     } else if (!known->draining_since) {
-      known->draining_since = now;
+      known->draining_since = same_until;
     }
     listed.insert(known);
   }
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -21,9 +21,11 @@
 /// each other's requests from all taking the one that looks best.
 constexpr int kChoices = 2;
 
-/// How long requests still go to a keyed target that is leaving, while its
-/// keys find a new owner.
-constexpr duration kDrainingGrace{std::chrono::milliseconds{1200}};
+/// Part of its time of grace in which requests still go to a keyed target that
+/// is leaving, while its keys find a new owner. It counts from when the target
+/// may have begun to leave: this host hears of it up to a second and a half
+/// later, and a target must not be asked after its time.
+constexpr double kDrainPart = 0.8;
 
 /// Keys change hands in tens of milliseconds plus the work that runs on them.
 /// Those that take longer wait for a lost owner's grant to end, and requests
@@ -60,7 +62,8 @@
     return nullptr;
   }
   const bool left =
-      owner->draining_since && now - *owner->draining_since > kDrainingGrace;
+      owner->draining_since &&
+      now - *owner->draining_since > Part(settings_.drain, kDrainPart);
   const bool usable =
       !left && owner->health.IsReachable(now) && owner->health.HasRoom();
   return usable ? owner : nullptr;
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -24,7 +24,7 @@
 
   target_entry entry;
   target_health health;
-  /// When its draining was first seen.
+  /// It began to drain after this.
   std::optional<time_point> draining_since;
   /// When it was first missing from the list.
   std::optional<time_point> missing_since;
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -107,7 +107,6 @@
   std::map<std::string, uint64_t> maps_shared_;
   uint64_t config_revision_ = 0;
   uint64_t targets_digest_ = 0;
-  time_point refresh_after_{};
   std::optional<time_point> store_failed_at_;
   bool store_answers_ = true;
   graceful_stop stop_;
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -18,16 +18,6 @@
 /// their entries lapse while nobody can write them.
 constexpr duration kAwayEcho{milliseconds{2500}};
 
-/// How long a beat of the assigner, which reads the store for all, spares this
-/// host its own calls. Three beats may be lost; what they vouch for is then no
-/// older than a second and a half.
-constexpr duration kVouchedFor{milliseconds{900}};
-/// An older view vouches for nothing.
-constexpr uint32_t kMostViewAgeMs = 1100;
-/// A copy that differs from the assigner's is read again no more often: the
-/// assigner's may be the older one.
-constexpr duration kRefreshPause{milliseconds{200}};
-
 }  // namespace
 
 bool edge_daemon::StoreWasAway(time_point now) const {
@@ -101,7 +91,8 @@
   const bool doubtful = StoreWasAway(now);
   assigner_.OnTargets(listed, doubtful, now);
   router_actions actions;
-  router_.OnTargets(listed, doubtful, now, actions);
+  router_.OnTargets(listed, doubtful, targets_.copy().same_until(), now,
+                    actions);
   Carry(actions);
 }
 
@@ -171,9 +162,6 @@
       std::min({config_.copy().current_as_of(), targets_.copy().current_as_of(),
                 own_.copy().current_as_of()});
   const auto age = std::chrono::duration_cast<milliseconds>(now - as_of);
-  if (age.count() > kMostViewAgeMs) {
-    return std::nullopt;
-  }
   return store_view{.config_revision = config_revision_,
                     .targets = targets_digest_,
                     .owners = assigner_.OwnersDigest(),
@@ -182,23 +170,21 @@
 
 /// Compares this host's copy with the one that the assigner vouches for.
 void edge_daemon::OnView(const store_view& view, time_point now) {
-  if (view.age_ms > kMostViewAgeMs) {
+  const auto until = VouchedUntil(view, settings_.drain, now);
+  if (!until) {
     return;
   }
-  const time_point until = now + kVouchedFor;
+  const time_point as_of = now - milliseconds{view.age_ms};
   const auto compare = [&](auto& follower, bool same) {
     if (same) {
-      follower.Confirm(until);
-    } else if (now >= refresh_after_) {
-      follower.Refresh(now, until);
+      follower.Confirm(as_of, *until);
+    } else {
+      follower.Refresh(now, *until);
     }
   };
   compare(config_, view.config_revision == config_revision_);
   compare(targets_, view.targets == targets_digest_);
   compare(own_, view.owners == assigner_.OwnersDigest());
-  if (now >= refresh_after_) {
-    refresh_after_ = now + kRefreshPause;
-  }
   Arm();
 }
 
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -195,7 +195,7 @@
 // call is made; when it falls silent, calls go on by themselves.
 TEST_F(KindFollowerTest, VouchedCopyMakesNoCalls) {
   List();
-  follower_.Confirm(now_ + milliseconds{900});
+  follower_.Confirm(now_, now_ + milliseconds{900});
   EXPECT_FALSE(follower_.NextCall(now_ + milliseconds{800}));
   EXPECT_TRUE(follower_.NextCall(now_ + milliseconds{900}));
 }
@@ -204,11 +204,41 @@
 TEST_F(KindFollowerTest, VouchingDuringACallOutlastsIt) {
   List();
   ASSERT_TRUE(follower_.NextCall(now_));
-  follower_.Confirm(now_ + milliseconds{900});
+  follower_.Confirm(now_, now_ + milliseconds{900});
   follower_.OnWatched({.changes = {}, .revision = 11}, now_);
   EXPECT_FALSE(follower_.NextCall(now_ + milliseconds{500}));
 }
 
+// The host that reads the store for all is cut off from it, but its beats still
+// arrive, and vouch for a copy that grows older. A target that begins to leave
+// right after that copy was read must be known to the others before its time of
+// grace, two seconds, is over; else callers' requests still go to it.
+TEST_F(KindFollowerTest, CopyOfAHostThatLostTheStoreIsNotTrustedForLong) {
+  List();
+  const time_point read = now_;
+  for (auto age = milliseconds{0}; age < seconds{4}; age += milliseconds{50}) {
+    const store_view view{.config_revision = 1,
+                          .age_ms = static_cast<uint32_t>(age.count())};
+    if (const auto until = VouchedUntil(view, seconds{2}, read + age)) {
+      follower_.Confirm(read, *until);
+    }
+  }
+  EXPECT_LE(follower_.NextDue(), read + milliseconds{1700});
+  EXPECT_GE(follower_.NextDue(), read + milliseconds{1200})
+      << "a single lost beat should cost no call";
+}
+
+TEST_F(KindFollowerTest, CopyThatGoesOnDifferingIsNotReadWithoutAPause) {
+  List();
+  follower_.Refresh(now_, now_ + milliseconds{900});
+  ASSERT_TRUE(follower_.NextCall(now_)->list);
+  follower_.OnListed({.objects = {}, .more = false, .revision = 30}, now_);
+  follower_.Refresh(now_ + milliseconds{100}, now_ + milliseconds{900});
+  EXPECT_FALSE(follower_.NextCall(now_ + milliseconds{100}));
+  follower_.Refresh(now_ + milliseconds{300}, now_ + milliseconds{900});
+  EXPECT_TRUE(follower_.NextCall(now_ + milliseconds{300}));
+}
+
 TEST_F(KindFollowerTest, CopyThatDiffersIsReadAgainOnce) {
   List();
   follower_.Refresh(now_, now_ + milliseconds{900});
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -75,7 +75,7 @@
   void Apply() {
     router_actions ignored;
     router_.OnConfig(route_table_ptr{new route_table(config_)}, now_, ignored);
-    router_.OnTargets(targets_, false, now_, ignored);
+    router_.OnTargets(targets_, false, now_, now_, ignored);
   }
 
   void OwnKeys(const std::string& id, bool granted) {
@@ -347,14 +347,31 @@
   }
 }
 
+// A host learns late that the owner of a key leaves: its copy of the list was
+// old. The owner must get nothing two seconds after it said so, however late
+// the host heard of it; what comes later would be cut off with it.
+TEST_F(RequestRouterTest, DrainingOwnerIsLeftInTimeAlsoWhenHeardOfLate) {
+  const time_point said = now_;
+  for (target_entry& each : targets_) {
+    each.draining = each.life.id == "r0";
+  }
+  now_ += milliseconds{1400};
+  router_actions ignored;
+  router_.OnTargets(targets_, false, said, now_, ignored);
+  EXPECT_EQ(Only<send_action>(Ask(1, "/reports/7")).size(), 1U)
+      << "its keys have no other owner yet";
+  now_ = said + milliseconds{1700};
+  EXPECT_TRUE(Only<send_action>(Ask(2, "/reports/7")).empty());
+}
+
 // The store was away and all entries lapsed, although the targets live. They
 // are back within two seconds; refusing everything until then helps nobody.
 TEST_F(RequestRouterTest, TargetsThatVanishWithTheStoreAreUsedForAWhile) {
   router_actions ignored;
-  router_.OnTargets({}, true, now_, ignored);
+  router_.OnTargets({}, true, now_, now_, ignored);
   EXPECT_EQ(Only<send_action>(Ask(1, "/orders/7")).size(), 1U);
   now_ += seconds{1};
-  router_.OnTargets({}, true, now_, ignored);
+  router_.OnTargets({}, true, now_, now_, ignored);
   EXPECT_TRUE(Only<send_action>(Ask(2, "/orders/7")).empty());
 }
 
