Refuse a content that crashed two targets, on all hosts

Cause: a request that kills each target that begins it comes again as a new attempt, and each attempt was bounded only by its route's attempts: one caller could take a service down. Weighed: counting broken answers alone (links that are reset and spoiled answers would block harmless content), a refused connection after one (a partition answers in the target's place). Chosen: the answer broke off and that life of the target then left a list that can be relied on. Test: ContentThatCrashesItsTargetsReachesNoThird failed with the check taken out, passes with it.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "foxtailspread/error.h"
+#include "foxtailspread/poison_guard.h"
 #include "foxtailspread/time.h"
 
 namespace foxtailspread {
@@ -45,6 +46,8 @@
   uint64_t lease_revision = 0;
   std::vector<service_load> services;
   std::vector<target_latency> targets;
+  /// Contents that it saw crash targets since its last report.
+  std::vector<poison_mark> crashes{};
 
   bool operator==(const load_report&) const = default;
 };
@@ -73,6 +76,7 @@
   uint64_t lease_revision = 0;
   std::vector<std::string> successors;  ///< The first in line first.
   std::optional<store_view> view{};     ///< Absent if it is not up to date.
+  std::vector<poison_mark> crashes{};   ///< Contents that crash targets.
 
   bool operator==(const assigner_beat&) const = default;
 };
--- a/include/foxtailspread/poison_guard.h
+++ b/include/foxtailspread/poison_guard.h
@@ -21,6 +21,8 @@
   int crashes = 0;
   duration age{0};  ///< Since the latest crash, so that marks passed round
                     ///< between hosts still run out.
+
+  bool operator==(const poison_mark&) const = default;
 };
 
 /// Counts the targets lost per content, in bounded memory.
@@ -43,8 +45,10 @@
   static constexpr size_t kDefaultCapacity = 1024;
   static constexpr duration kMarkLifetime{std::chrono::minutes{30}};
 
-  /// Keeps at most `capacity` contents; the least recently marked goes first.
-  explicit poison_guard(size_t capacity = kDefaultCapacity);
+  /// Keeps at most `capacity` contents, each for `lifetime` after its latest
+  /// crash; the least recently marked goes first.
+  explicit poison_guard(size_t capacity = kDefaultCapacity,
+                        duration lifetime = kMarkLifetime);
   poison_guard(const poison_guard&) = delete;
   poison_guard& operator=(const poison_guard&) = delete;
 
@@ -98,6 +102,7 @@
   const entry* Find(uint64_t content_hash, time_point now) const;
   void Remove(entry& marked);
 
+  duration lifetime_;
   std::vector<entry> entries_;
   std::vector<entry_set::bucket_type> buckets_;
   entry_set by_hash_;
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -20,6 +20,7 @@
 #include <variant>
 #include <vector>
 
+#include "foxtailspread/crash_watch.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_map.h"
 #include "foxtailspread/retry_budget.h"
@@ -41,6 +42,7 @@
   std::string_view path{};
   std::optional<key_point> key{};
   std::optional<duration> patience{};  ///< How long the caller will wait.
+  uint64_t content = 0;  ///< The same for requests of the same content.
 };
 
 /// Sends a request to a target.
@@ -73,6 +75,7 @@
   kTargetBroke,
   kDeadline,
   kStopping,
+  kCrashesTargets,
 };
 
 /// Returns the stable name of a reason.
@@ -182,6 +185,8 @@
   const route_table* table() const { return table_.get(); }
   size_t pending() const { return requests_.size(); }
   const router_counts& counts() const { return counts_; }
+  /// Contents that crash targets, to be shared among the hosts.
+  crash_watch& crashes() { return crashes_; }
 
  private:
   struct target;
@@ -226,6 +231,7 @@
   std::unordered_map<request_id, std::unique_ptr<request>> requests_;
   std::priority_queue<due, std::vector<due>, std::greater<>> due_;
   size_t hosts_ = 8;
+  crash_watch crashes_;
   router_counts counts_;
 };
 
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -18,6 +18,15 @@
 /// the view was read is still known everywhere in time.
 constexpr double kVouchedPart = 0.8;
 
+/// Contents that crash targets, as hash, crashes and age in milliseconds.
+json ToJson(const std::vector<poison_mark>& marks) {
+  json list = json::array();
+  for (const poison_mark& each : marks) {
+    list.push_back({each.content_hash, each.crashes, each.age.count() / 1000});
+  }
+  return list;
+}
+
 json ToJson(const load_report& report) {
   json services = json::array();
   for (const service_load& each : report.services) {
@@ -34,7 +43,7 @@
   }
   return json::array({kReportTag, report.host, report.zone, report.address,
                       report.lease_revision, std::move(services),
-                      std::move(targets)});
+                      std::move(targets), ToJson(report.crashes)});
 }
 
 json ToJson(const assigner_beat& beat) {
@@ -44,7 +53,7 @@
                         beat.view->owners, beat.view->age_ms});
   }
   return json::array({kBeatTag, beat.host, beat.lease_revision, beat.successors,
-                      std::move(view)});
+                      std::move(view), ToJson(beat.crashes)});
 }
 
 json ToJson(const owners_record& record) {
@@ -56,6 +65,17 @@
 // The readers use the checked accessors of the JSON library, whose exceptions
 // ParseHostMessage turns into an error.
 
+std::vector<poison_mark> ReadMarks(const json& list) {
+  std::vector<poison_mark> marks;
+  for (const json& each : list) {
+    marks.push_back(
+        {.content_hash = each.at(0).get<uint64_t>(),
+         .crashes = each.at(1).get<int>(),
+         .age = std::chrono::milliseconds{each.at(2).get<int64_t>()}});
+  }
+  return marks;
+}
+
 load_report ReadReport(const json& value) {
   load_report report;
   report.host = value.at(1).get<std::string>();
@@ -76,6 +96,7 @@
                               .latency_us = one.at(1).get<uint32_t>(),
                               .served = one.at(2).get<uint32_t>()});
   }
+  report.crashes = ReadMarks(value.at(7));
   return report;
 }
 
@@ -91,6 +112,7 @@
                            .owners = view.at(2).get<uint64_t>(),
                            .age_ms = view.at(3).get<uint32_t>()};
   }
+  beat.crashes = ReadMarks(value.at(5));
   return beat;
 }
 
--- a/src/core/poison_guard.cc
+++ b/src/core/poison_guard.cc
@@ -5,8 +5,9 @@
 
 namespace foxtailspread {
 
-poison_guard::poison_guard(size_t capacity)
-    : entries_(capacity),
+poison_guard::poison_guard(size_t capacity, duration lifetime)
+    : lifetime_(lifetime),
+      entries_(capacity),
       buckets_(std::bit_ceil(capacity)),
       by_hash_(entry_set::bucket_traits(buckets_.data(), buckets_.size())) {
   for (entry& unused : entries_) {
@@ -76,7 +77,7 @@
   marks.reserve(in_use_.size());
   for (const entry& marked : in_use_) {
     const duration age = now - marked.marked_at;
-    if (age < kMarkLifetime) {
+    if (age < lifetime_) {
       marks.push_back({marked.content_hash, marked.crashes, age});
     }
   }
@@ -85,7 +86,7 @@
 
 void poison_guard::Import(std::span<const poison_mark> marks, time_point now) {
   for (const poison_mark& mark : marks) {
-    if (mark.age >= kMarkLifetime) {
+    if (mark.age >= lifetime_) {
       continue;
     }
     if (Crashes(mark.content_hash, now) >= mark.crashes) {
@@ -101,7 +102,7 @@
                                                 time_point now) {
   const auto found = by_hash_.find(content_hash);
   if (found != by_hash_.end()) {
-    if (now - found->marked_at >= kMarkLifetime) {
+    if (now - found->marked_at >= lifetime_) {
       found->crashes = 0;
     }
     in_use_.splice(in_use_.end(), in_use_, in_use_.iterator_to(*found));
@@ -127,7 +128,7 @@
     return nullptr;
   }
   const auto found = by_hash_.find(content_hash);
-  if (found == by_hash_.end() || now - found->marked_at >= kMarkLifetime) {
+  if (found == by_hash_.end() || now - found->marked_at >= lifetime_) {
     return nullptr;
   }
   return &*found;
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -75,6 +75,8 @@
       return "deadline";
     case refusal_reason::kStopping:
       return "stopping";
+    case refusal_reason::kCrashesTargets:
+      return "crashes-targets";
   }
   return "unknown";
 }
@@ -168,6 +170,15 @@
     }
     listed.insert(known);
   }
+  if (!doubtful) {
+    crashes_.OnListed(
+        [&](const target_life& life) {
+          return std::any_of(
+              targets.begin(), targets.end(),
+              [&](const target_entry& each) { return each.life == life; });
+        },
+        now);
+  }
   for (auto& [name, at] : services_) {
     std::erase_if(at->targets, [&](const auto& each) {
       if (listed.contains(each.get())) {
@@ -228,6 +239,7 @@
   made->table = table_;
   made->by = by;
   made->key = incoming.key;
+  made->content = incoming.content;
   made->arrived = now;
   const duration patience = incoming.patience.value_or(kDefaultPatience);
   made->caller_waits = now + patience;
@@ -308,6 +320,9 @@
 
 bool request_router::MayRepeat(request& repeated, time_point now) {
   const int limit = std::max(repeated.by->max_attempts, 1);
+  if (crashes_.IsCrashing(repeated.content, now)) {
+    return false;
+  }
   if (repeated.arrivals >= limit || repeated.at->shed_share > kShedShareMost ||
       repeated.expires - now < kLeastTimeToSend) {
     return false;
@@ -347,11 +362,13 @@
   const bool idempotent = ended.by->repeat == repeat_rule::kIdempotent;
   switch (report.verdict) {
     case attempt_verdict::kServed:
+      crashes_.OnAnswered(ended.content);
       out.emplace_back(deliver_action{ended.id});
       ++counts_.delivered;
       Finish(ended);
       break;
     case attempt_verdict::kFailed:
+      crashes_.OnAnswered(ended.content);
       ended.may_have_run = true;
       ended.has_answer = true;
       if (idempotent) {
@@ -377,6 +394,7 @@
       }
       break;
     case attempt_verdict::kBroken:
+      crashes_.OnBroken(ended.content, was->entry.life, now);
       ended.may_have_run = true;
       if (idempotent) {
         Repeat(ended, refusal_reason::kTargetBroke, now, out);
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -141,6 +141,9 @@
 std::optional<refusal_reason> request_router::CannotServe(service& by,
                                                           const request& asked,
                                                           time_point now) {
+  if (crashes_.IsCrashing(asked.content, now)) {
+    return refusal_reason::kCrashesTargets;
+  }
   const auto hopeless = [&](duration expected) {
     const double most =
         static_cast<double>(asked.by->objective.count()) * kHopelessShare;
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -41,6 +41,7 @@
   const route* by = nullptr;
   service* at = nullptr;
   std::optional<key_point> key;
+  uint64_t content = 0;
   time_point arrived{};
   time_point expires{};       ///< An answer is due by then.
   time_point caller_waits{};  ///< The caller leaves then.
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -18,6 +18,9 @@
 /// their entries lapse while nobody can write them.
 constexpr duration kAwayEcho{milliseconds{2500}};
 
+/// Contents that crash targets named in one beat: some 300 bytes.
+constexpr size_t kMarksInBeat = 20;
+
 }  // namespace
 
 bool edge_daemon::StoreWasAway(time_point now) const {
@@ -137,10 +140,14 @@
   const time_point now = Now();
   if (const auto* report = std::get_if<load_report>(&message.value())) {
     assigner_.OnReport(*report, now);
+    router_.crashes().Import(report->crashes, now);
   } else if (const auto* beat = std::get_if<assigner_beat>(&message.value())) {
     assigner_.OnBeat(*beat, now);
-    if (beat->view && beat->host != settings_.name) {
-      OnView(*beat->view, now);
+    if (beat->host != settings_.name) {
+      router_.crashes().Import(beat->crashes, now);
+      if (beat->view) {
+        OnView(*beat->view, now);
+      }
     }
   } else if (const auto* owners =
                  std::get_if<owners_record>(&message.value())) {
@@ -197,7 +204,8 @@
                      .address = settings_.hosts,
                      .lease_revision = assigner_.lease_revision(),
                      .services = {},
-                     .targets = {}};
+                     .targets = {},
+                     .crashes = router_.crashes().TakeNews(Now())};
   for (const service_settings& each : router_.table()->config().services) {
     const std::vector<uint32_t> counts = router_.TakeKeyLoad(each.name);
     service_load load{.service = each.name, .cells = {}};
@@ -300,6 +308,7 @@
 void edge_daemon::CarryOne(const beat_action& action) {
   assigner_beat beat = action.beat;
   beat.view = View(Now());
+  beat.crashes = router_.crashes().Marks(kMarksInBeat, Now());
   hosts_.Send(action.address, FormatHostMessage(beat));
 }
 
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -97,12 +97,14 @@
                            .address = "10.0.0.1:7000",
                            .lease_revision = 77,
                            .services = {{"keyed", {{3, 1}, {4095, 200}}}},
-                           .targets = {{"t", 90000, 12}}};
+                           .targets = {{"t", 90000, 12}},
+                           .crashes = {{81, 2, seconds{3}}}};
   const assigner_beat beat{
       .host = "a",
       .lease_revision = 78,
       .successors = {"b", "c"},
-      .view = store_view{.config_revision = 5, .targets = 1, .owners = 2}};
+      .view = store_view{.config_revision = 5, .targets = 1, .owners = 2},
+      .crashes = {{81, 2, seconds{3}}}};
   EXPECT_EQ(ParseHostMessage(FormatHostMessage(report)).value(),
             host_message{report});
   EXPECT_EQ(ParseHostMessage(FormatHostMessage(beat)).value(),
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -95,7 +95,8 @@
                        .host = "shop.example",
                        .path = path,
                        .key = key_point{77},
-                       .patience = seconds{3}},
+                       .patience = seconds{3},
+                       .content = content_},
                       now_, actions_);
     return actions_;
   }
@@ -123,6 +124,7 @@
   router_actions actions_;
   time_point now_{seconds{100}};
   fence_number fence_ = 0;
+  uint64_t content_ = 0;
 };
 
 TEST_F(RequestRouterTest, RequestGoesToATargetOfItsRoutesService) {
@@ -347,6 +349,29 @@
   }
 }
 
+// An order kills each target that begins it, and its caller sends it again as
+// a new attempt. After two targets it must reach no third; its caller is told
+// at once, and other orders go on.
+TEST_F(RequestRouterTest, ContentThatCrashesItsTargetsReachesNoThird) {
+  content_ = 5;
+  for (request_id id = 1; id <= 2; ++id) {
+    const auto sent = Only<send_action>(Ask(id, "/orders/7"));
+    ASSERT_EQ(sent.size(), 1U);
+    End(id, attempt_verdict::kBroken);
+    std::erase_if(targets_, [&](const target_entry& each) {
+      return each.life == sent[0].target;
+    });
+    now_ += seconds{1};
+    Apply();
+  }
+  const auto refused = Only<own_answer_action>(Ask(3, "/orders/7"));
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].reason, refusal_reason::kCrashesTargets);
+  EXPECT_EQ(refused[0].answer, own_answer::kNotRun);
+  content_ = 6;
+  EXPECT_EQ(Only<send_action>(Ask(4, "/orders/8")).size(), 1U);
+}
+
 // A host learns late that the owner of a key leaves: its copy of the list was
 // old. The owner must get nothing two seconds after it said so, however late
 // the host heard of it; what comes later would be cut off with it.
