Tell hosts what changed in targets and key records, not all of it

Cause: on 76 hosts each change of the targets' list made every host list it again, and each change of a record of keys was sent whole, 20 KB to each of 75 hosts. The changes told were also lost whenever the holder's own watch was faster than the answer to its write. Copies that differed were read again each 200 ms although the holder's own copy is up to 650 ms old. Ruled out: lost datagrams (all 75 hosts listed at the same moment).

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -15,6 +15,7 @@
 
 #include "foxtailspread/error.h"
 #include "foxtailspread/poison_guard.h"
+#include "foxtailspread/target_entry.h"
 #include "foxtailspread/time.h"
 
 namespace foxtailspread {
@@ -81,17 +82,44 @@
   bool operator==(const assigner_beat&) const = default;
 };
 
-/// A record of keys as it stands in the store, sent by the host that wrote it
-/// to spare the others a call. One that is lost shows in the next beat.
+/// What changed in a record of keys, sent by the host that wrote it to the
+/// store, to spare the others a call. One that is lost shows in the next beat.
+/// Whole records would fill the links of small hosts: 20 KB each to a hundred
+/// hosts with each change.
 struct owners_record {
   std::string service;
+  uint64_t base = 0;      ///< The revision that the changes are to; 0 for none.
   uint64_t revision = 0;  ///< Of the record in the store.
   std::string content;    ///< As FormatKeyMap wrote it.
 
   bool operator==(const owners_record&) const = default;
 };
 
-using host_message = std::variant<load_report, assigner_beat, owners_record>;
+/// One target's entry that changed in the store's list.
+struct shared_entry {
+  std::string name;
+  uint64_t revision = 0;  ///< Of the entry in the store.
+  bool deleted = false;
+  /// Absent if the entry was deleted or cannot be read.
+  std::optional<target_entry> entry{};
+
+  bool operator==(const shared_entry&) const = default;
+};
+
+/// What changed in the list of targets, sent by the host that reads the store
+/// for all: each host listing them again would cost a call a host and, at a
+/// thousand targets, a megabyte. A host whose copy is another one than `before`
+/// leaves it aside and finds out by the next beat.
+struct targets_record {
+  uint64_t before = 0;  ///< Digest of the list that the changes are to.
+  uint32_t age_ms = 0;  ///< Of the copy with the changes.
+  std::vector<shared_entry> changes;
+
+  bool operator==(const targets_record&) const = default;
+};
+
+using host_message =
+    std::variant<load_report, assigner_beat, owners_record, targets_record>;
 
 /// Writes a message as one datagram and reads it back.
 std::string FormatHostMessage(const host_message& message);
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -194,7 +194,9 @@
   /// Take other hosts' messages in.
   void OnReport(const load_report& report, time_point now);
   void OnBeat(const assigner_beat& beat, time_point now);
-  void OnOwners(const owners_record& record);
+  /// Fails if the record cannot be read or does not fit; one to another map
+  /// than this host has is left aside.
+  status OnOwners(const owners_record& record);
   /// Lets the next beat go out at once: there is news to tell.
   void BeatSoon() { beat_at_ = {}; }
 
@@ -217,6 +219,8 @@
   bool BusyLeaving() const { return leaving_ && lease_write_.has_value(); }
 
   bool IsHolder(time_point now) const { return now < held_until_; }
+  /// Where the other hosts that report to this one take datagrams.
+  std::vector<std::string> OtherHosts() const;
   const std::optional<assigner_lease>& lease() const { return lease_; }
   uint64_t lease_revision() const { return lease_revision_; }
   /// The recorded map of a service, nullptr if there is none.
@@ -269,7 +273,8 @@
     key_map map;            ///< As recorded.
     uint64_t revision = 0;  ///< Of the record; 0 if there is none.
     std::optional<pending_write> write;
-    key_map draft;  ///< What `write` records.
+    key_map draft;    ///< What `write` records.
+    key_map changes;  ///< What of it differs from the record before.
     std::map<range_id, transfer> transfers;
     std::map<range_id, renewal> renewals;
     /// Running requests a second by cell: of the last second or so, and of
--- a/include/foxtailspread/key_map.h
+++ b/include/foxtailspread/key_map.h
@@ -74,6 +74,15 @@
 std::string FormatKeyMap(const key_map& map);
 result<key_map> ParseKeyMap(std::string_view text);
 
+/// Reads ranges that need not cover all keys: the changes to a map.
+result<key_map> ParseKeyChanges(std::string_view text);
+
+/// Returns the ranges of `after` that `before` does not have.
+key_map KeyChanges(const key_map& before, const key_map& after);
+/// Returns `before` with `changes` in place of what they cover. Fails if the
+/// outcome is no whole map: the changes were to another one.
+result<key_map> WithKeyChanges(const key_map& before, const key_map& changes);
+
 /// Joins neighbours that differ in nothing but their bounds.
 void JoinEqualNeighbours(key_map& map);
 
--- a/include/foxtailspread/kind_follower.h
+++ b/include/foxtailspread/kind_follower.h
@@ -59,8 +59,10 @@
   duration retry_first{std::chrono::milliseconds{100}};
   duration retry_most{std::chrono::milliseconds{800}};
   /// A copy that differs from another host's is read again no more often: the
-  /// other's may be the older one.
-  duration refresh_pause{std::chrono::milliseconds{200}};
+  /// other's may be the older one, until its own next call (650 ms) and beat.
+  /// With 200 ms, a hundred hosts listed the targets four times a second while
+  /// these started.
+  duration refresh_pause{std::chrono::milliseconds{900}};
 };
 
 /// The next call of a follower.
@@ -180,6 +182,23 @@
     }
   }
 
+  /// Takes changes that another host read, whose copy with them was current at
+  /// `as_of`. True when something changed here.
+  bool OnShared(std::vector<store_change<Item>> changes, time_point as_of) {
+    if (!complete_) {
+      return false;
+    }
+    bool changed = false;
+    for (store_change<Item>& change : changes) {
+      const auto found = objects_.find(change.object.name);
+      const bool newer = found == objects_.end() ||
+                         found->second.revision < change.object.revision;
+      changed = (newer && Apply(change)) || changed;
+    }
+    IsCurrentAsOf(as_of);
+    return changed;
+  }
+
   const object_map& objects() const { return objects_; }
   /// True once the whole kind was read in this life.
   bool complete() const { return complete_; }
--- /dev/null
+++ b/include/foxtailspread/targets_sharing.h
@@ -0,0 +1,47 @@
+#ifndef FOXTAILSPREAD_TARGETS_SHARING_H_
+#define FOXTAILSPREAD_TARGETS_SHARING_H_
+
+/// @file
+/// Spares hosts a new list of the targets when a few of them changed.
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "foxtailspread/host_messages.h"
+#include "foxtailspread/kind_follower.h"
+#include "foxtailspread/target_entry.h"
+
+namespace foxtailspread {
+
+/// Remembers one host's copy of the targets' list and tells what changed.
+///
+/// @code
+/// if (auto record = sharing.Update(copy.objects())) SendToAll(*record);
+/// @endcode
+class targets_sharing {
+ public:
+  using target_objects = kind_follower<target_entry>::object_map;
+
+  /// Returns what changed since the last call, as far as hosts go by it;
+  /// nothing if nothing did, or if it is too much for one datagram.
+  std::optional<targets_record> Update(const target_objects& objects);
+
+  /// Digest of the list at the last call.
+  uint64_t digest() const { return digest_; }
+
+ private:
+  target_objects known_;
+  uint64_t digest_ = 0;
+};
+
+/// Returns the entries of objects that can be read.
+std::vector<target_entry> ReadableEntries(
+    const targets_sharing::target_objects& objects);
+
+/// Returns a record's changes as a copy of the list takes them.
+std::vector<store_change<target_entry>> ChangesOf(targets_record record);
+
+}  // namespace foxtailspread
+
+#endif  // FOXTAILSPREAD_TARGETS_SHARING_H_
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -11,6 +11,7 @@
 constexpr std::string_view kReportTag = "load";
 constexpr std::string_view kBeatTag = "beat";
 constexpr std::string_view kOwnersTag = "keys";
+constexpr std::string_view kTargetsTag = "targets";
 
 /// How long after a view was read it spares others their calls, as a part of
 /// the time that a leaving target goes on taking requests (2 s). Watches are
@@ -58,10 +59,27 @@
 
 json ToJson(const owners_record& record) {
   // Packed as a value it takes half the bytes of its text.
-  return json::array({kOwnersTag, record.service, record.revision,
+  return json::array({kOwnersTag, record.service, record.base, record.revision,
                       json::parse(record.content, nullptr, false)});
 }
 
+json ToJson(const targets_record& record) {
+  json changes = json::array();
+  for (const shared_entry& each : record.changes) {
+    json one = {each.name, each.revision, each.deleted};
+    if (each.entry) {
+      const target_entry& entry = *each.entry;
+      one.insert(one.end(),
+                 {entry.life.id, entry.life.started, entry.service,
+                  entry.address, entry.zone, entry.slots, entry.draining,
+                  entry.warm_up.count() / 1000, entry.sequence});
+    }
+    changes.push_back(std::move(one));
+  }
+  return json::array(
+      {kTargetsTag, record.before, record.age_ms, std::move(changes)});
+}
+
 // The readers use the checked accessors of the JSON library, whose exceptions
 // ParseHostMessage turns into an error.
 
@@ -118,8 +136,39 @@
 
 owners_record ReadOwners(const json& value) {
   return {.service = value.at(1).get<std::string>(),
-          .revision = value.at(2).get<uint64_t>(),
-          .content = value.at(3).dump()};
+          .base = value.at(2).get<uint64_t>(),
+          .revision = value.at(3).get<uint64_t>(),
+          .content = value.at(4).dump()};
+}
+
+shared_entry ReadSharedEntry(const json& value) {
+  constexpr size_t kWithoutEntry = 3;
+  shared_entry read{.name = value.at(0).get<std::string>(),
+                    .revision = value.at(1).get<uint64_t>(),
+                    .deleted = value.at(2).get<bool>()};
+  if (value.size() > kWithoutEntry) {
+    read.entry = target_entry{
+        .life = {.id = value.at(3).get<std::string>(),
+                 .started = value.at(4).get<uint64_t>()},
+        .service = value.at(5).get<std::string>(),
+        .address = value.at(6).get<std::string>(),
+        .zone = value.at(7).get<std::string>(),
+        .slots = value.at(8).get<int>(),
+        .draining = value.at(9).get<bool>(),
+        .warm_up = std::chrono::milliseconds{value.at(10).get<int64_t>()},
+        .sequence = value.at(11).get<uint64_t>()};
+  }
+  return read;
+}
+
+targets_record ReadTargets(const json& value) {
+  targets_record record{.before = value.at(1).get<uint64_t>(),
+                        .age_ms = value.at(2).get<uint32_t>(),
+                        .changes = {}};
+  for (const json& each : value.at(3)) {
+    record.changes.push_back(ReadSharedEntry(each));
+  }
+  return record;
 }
 
 error Malformed() {
@@ -150,6 +199,9 @@
     if (tag == kOwnersTag) {
       return host_message{ReadOwners(value)};
     }
+    if (tag == kTargetsTag) {
+      return host_message{ReadTargets(value)};
+    }
   } catch (const json::exception&) {
     return Malformed();
   }
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -51,16 +51,26 @@
   return found == services_.end() ? 0 : found->second.revision;
 }
 
-void key_assigner::OnOwners(const owners_record& record) {
+status key_assigner::OnOwners(const owners_record& record) {
   const auto found = services_.find(record.service);
   if (found == services_.end() || record.revision <= found->second.revision) {
-    return;
+    return OkStatus();
+  }
+  keyed_service& of = found->second;
+  if (record.base != 0 && record.base != of.revision) {
+    return OkStatus();  // The next beat shows that the record must be read.
+  }
+  auto changes = ParseKeyChanges(record.content);
+  if (!changes) {
+    return changes.error();
   }
-  auto map = ParseKeyMap(record.content);
-  if (map) {
-    found->second.map = std::move(map.value());
-    found->second.revision = record.revision;
+  auto map = WithKeyChanges(of.map, changes.value());
+  if (!map) {
+    return map.error();
   }
+  of.map = std::move(map.value());
+  of.revision = record.revision;
+  return OkStatus();
 }
 
 uint64_t key_assigner::OwnersDigest() const {
@@ -251,6 +261,7 @@
   if (PlanChanges(of, draft, now, out)) {
     JoinEqualNeighbours(draft);
     of.draft = draft;
+    of.changes = KeyChanges(of.map, draft);
     of.write = pending_write{.name = MapName(of.name),
                              .content = FormatKeyMap(draft),
                              .expected = of.revision,
@@ -259,6 +270,16 @@
   }
 }
 
+std::vector<std::string> key_assigner::OtherHosts() const {
+  std::vector<std::string> addresses;
+  for (const auto& [name, host] : hosts_seen_) {
+    if (name != settings_.host) {
+      addresses.push_back(host.address);
+    }
+  }
+  return addresses;
+}
+
 void key_assigner::OnMapWritten(keyed_service& of, const write_report& report,
                                 time_point now, assigner_actions& out) {
   of.write->in_flight = false;
@@ -268,15 +289,12 @@
   if (done) {
     of.map = std::move(of.draft);
     of.revision = std::max(of.revision, report.revision);
-    share_action share{.record = {.service = of.name,
-                                  .revision = of.revision,
-                                  .content = std::move(of.write->content)}};
-    for (const auto& [name, host] : hosts_seen_) {
-      if (name != settings_.host) {
-        share.addresses.push_back(host.address);
-      }
-    }
-    out.emplace_back(std::move(share));
+    out.emplace_back(
+        share_action{.record = {.service = of.name,
+                                .base = of.write->expected,
+                                .revision = of.revision,
+                                .content = FormatKeyMap(of.changes)},
+                     .addresses = OtherHosts()});
     of.write.reset();
     for (const key_range& range : of.map.ranges) {
       const bool added = !of.transfers.contains(IdOf(range));
--- a/src/core/key_map.cc
+++ b/src/core/key_map.cc
@@ -83,7 +83,7 @@
       .dump();
 }
 
-result<key_map> ParseKeyMap(std::string_view text) {
+result<key_map> ParseKeyChanges(std::string_view text) {
   const auto value = ParseJson(text);
   if (!value) {
     return value.error();
@@ -98,12 +98,50 @@
   if (const status read = reader.Finish(); !read) {
     return read.error();
   }
-  if (const status good = CheckKeyMap(map); !good) {
+  return map;
+}
+
+result<key_map> ParseKeyMap(std::string_view text) {
+  auto map = ParseKeyChanges(text);
+  if (!map) {
+    return map.error();
+  }
+  if (const status good = CheckKeyMap(map.value()); !good) {
     return good.error();
   }
   return map;
 }
 
+key_map KeyChanges(const key_map& before, const key_map& after) {
+  key_map changes{.last_fence = after.last_fence, .ranges = {}};
+  for (const key_range& range : after.ranges) {
+    const key_range* same = before.Find(range.first);
+    if (same == nullptr || !(*same == range)) {
+      changes.ranges.push_back(range);
+    }
+  }
+  return changes;
+}
+
+result<key_map> WithKeyChanges(const key_map& before, const key_map& changes) {
+  key_map after{.last_fence = changes.last_fence, .ranges = {}};
+  auto kept = before.ranges.begin();
+  for (const key_range& change : changes.ranges) {
+    for (; kept != before.ranges.end() && kept->first < change.first; ++kept) {
+      after.ranges.push_back(*kept);
+    }
+    while (kept != before.ranges.end() && kept->first <= change.last) {
+      ++kept;
+    }
+    after.ranges.push_back(change);
+  }
+  after.ranges.insert(after.ranges.end(), kept, before.ranges.end());
+  if (const status good = CheckKeyMap(after); !good) {
+    return good.error();
+  }
+  return after;
+}
+
 void JoinEqualNeighbours(key_map& map) {
   std::vector<key_range> joined;
   for (key_range& range : map.ranges) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -13,6 +13,7 @@
 #include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/key_assigner.h"
 #include "foxtailspread/request_router.h"
+#include "foxtailspread/targets_sharing.h"
 #include "net/caller_server.h"
 #include "net/connection_pool.h"
 #include "net/datagram.h"
@@ -64,6 +65,7 @@
   void OnDatagram(std::string_view bytes);
   std::optional<store_view> View(time_point now) const;
   void OnView(const store_view& view, time_point now);
+  void ShareTargets(targets_record record, time_point now);
   void ReportLoad();
   void ShareKeyMaps(time_point now, router_actions& out);
 
@@ -106,7 +108,7 @@
   std::unordered_map<uint64_t, call_id> orders_;
   std::map<std::string, uint64_t> maps_shared_;
   uint64_t config_revision_ = 0;
-  uint64_t targets_digest_ = 0;
+  targets_sharing shared_targets_;
   std::optional<time_point> store_failed_at_;
   bool store_answers_ = true;
   graceful_stop stop_;
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -79,16 +79,15 @@
 }
 
 void edge_daemon::OnTargetsChanged() {
-  std::vector<target_entry> listed;
-  for (const auto& [name, object] : targets_.copy().objects()) {
-    if (object.item) {
-      listed.push_back(*object.item);
-    }
-  }
   const time_point now = Now();
-  const uint64_t digest = DigestOf(listed);
-  if (digest != targets_digest_) {
-    targets_digest_ = digest;
+  const std::vector<target_entry> listed =
+      ReadableEntries(targets_.copy().objects());
+  const uint64_t before = shared_targets_.digest();
+  const auto record = shared_targets_.Update(targets_.copy().objects());
+  if (record && assigner_.IsHolder(now)) {
+    ShareTargets(*record, now);
+  }
+  if (shared_targets_.digest() != before) {
     assigner_.BeatSoon();
   }
   const bool doubtful = StoreWasAway(now);
@@ -132,7 +131,7 @@
 }
 
 void edge_daemon::OnDatagram(std::string_view bytes) {
-  const auto message = ParseHostMessage(bytes);
+  auto message = ParseHostMessage(bytes);
   if (!message) {
     LogEvent(event_id::kDatagramRefused);
     return;
@@ -151,10 +150,31 @@
     }
   } else if (const auto* owners =
                  std::get_if<owners_record>(&message.value())) {
-    assigner_.OnOwners(*owners);
+    if (const status taken = assigner_.OnOwners(*owners); !taken) {
+      LogEvent(event_id::kDatagramRefused,
+               {{"problem", taken.error().Message()}});
+    }
     router_actions actions;
     ShareKeyMaps(now, actions);
     Carry(actions);
+  } else if (auto* targets = std::get_if<targets_record>(&message.value())) {
+    // Changes to another list than this host's would leave it wrong.
+    if (targets->before == shared_targets_.digest()) {
+      const time_point as_of = now - milliseconds{targets->age_ms};
+      targets_.OnShared(ChangesOf(std::move(*targets)), as_of);
+    }
+  }
+}
+
+/// Sends what changed in the list of targets to all other hosts.
+void edge_daemon::ShareTargets(targets_record record, time_point now) {
+  record.age_ms =
+      static_cast<uint32_t>(std::chrono::duration_cast<milliseconds>(
+                                now - targets_.copy().current_as_of())
+                                .count());
+  const std::string bytes = FormatHostMessage(record);
+  for (const std::string& address : assigner_.OtherHosts()) {
+    hosts_.Send(address, bytes);
   }
 }
 
@@ -170,7 +190,7 @@
                 own_.copy().current_as_of()});
   const auto age = std::chrono::duration_cast<milliseconds>(now - as_of);
   return store_view{.config_revision = config_revision_,
-                    .targets = targets_digest_,
+                    .targets = shared_targets_.digest(),
                     .owners = assigner_.OwnersDigest(),
                     .age_ms = static_cast<uint32_t>(age.count())};
 }
@@ -190,7 +210,7 @@
     }
   };
   compare(config_, view.config_revision == config_revision_);
-  compare(targets_, view.targets == targets_digest_);
+  compare(targets_, view.targets == shared_targets_.digest());
   compare(own_, view.owners == assigner_.OwnersDigest());
   Arm();
 }
--- /dev/null
+++ b/tests/key_records_shared_test.cc
@@ -0,0 +1,101 @@
+// What the holder of the lease tells the other hosts of a record it wrote.
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "foxtailspread/key_assigner.h"
+#include "foxtailspread/routing_config.h"
+
+namespace foxtailspread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class KeyRecordsSharedTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    service_settings service;
+    service.name = "s";
+    service.keyed = true;
+    assigner_.OnServices({service});
+    target_entry target;
+    target.life = {.id = "t", .started = 1};
+    target.service = "s";
+    target.address = "10.0.0.1:80";
+    assigner_.OnTargets({target}, false, now_);
+    assigner_.OnObjects({}, now_);
+    assigner_.OnStoreAnswers(true, now_);
+  }
+
+  /// The holder's watch brings what was written.
+  void Watch(const store_write& write, uint64_t revision) {
+    objects_[write.name] = {
+        .name = write.name, .revision = revision, .item = write.content};
+    assigner_.OnObjects(objects_, now_);
+  }
+
+  /// Lets time pass until the holder writes an object whose name is not the
+  /// lease's; lease writes on the way succeed.
+  store_write UntilRecordIsWritten() {
+    for (int i = 0; i < 1000; ++i) {
+      now_ += milliseconds{10};
+      assigner_actions actions;
+      assigner_.OnTime(now_, actions);
+      while (!actions.empty()) {
+        const assigner_action action = actions.back();
+        actions.pop_back();
+        const auto* write = std::get_if<store_write>(&action);
+        if (write == nullptr) {
+          continue;
+        }
+        if (write->name.starts_with("keys")) {
+          return *write;
+        }
+        assigner_.OnWriteEnded({.id = write->id,
+                                .end = write_end::kWritten,
+                                .revision = ++revision_,
+                                .content = {}},
+                               now_, actions);
+        Watch(*write, revision_);
+      }
+    }
+    ADD_FAILURE() << "no record was written";
+    return {};
+  }
+
+  key_assigner assigner_{{.host = "h", .zone = "z", .address = "1:2"}};
+  time_point now_{seconds{100}};
+  uint64_t revision_ = 10;
+  key_assigner::own_objects objects_;
+};
+
+// The holder's own watch brings the new record before the answer to the write
+// does. The others must still be told what changed; else each of them reads
+// the whole record from the store.
+TEST_F(KeyRecordsSharedTest, ChangesAreToldAlsoIfTheWatchIsFasterThanTheWrite) {
+  const store_write write = UntilRecordIsWritten();
+  const uint64_t revision = ++revision_;
+  Watch(write, revision);
+  assigner_actions actions;
+  assigner_.OnWriteEnded({.id = write.id,
+                          .end = write_end::kWritten,
+                          .revision = revision,
+                          .content = {}},
+                         now_, actions);
+  const share_action* share = nullptr;
+  for (const assigner_action& action : actions) {
+    const auto* found = std::get_if<share_action>(&action);
+    share = found != nullptr ? found : share;
+  }
+  ASSERT_NE(share, nullptr);
+  EXPECT_EQ(share->record.base, write.expected_revision);
+  EXPECT_EQ(share->record.revision, revision);
+  const auto changes = ParseKeyChanges(share->record.content);
+  ASSERT_TRUE(changes);
+  EXPECT_FALSE(changes.value().ranges.empty());
+}
+
+}  // namespace
+}  // namespace foxtailspread
