Tell all hosts how many they are, in beats

Cause: the lease names the number of hosts, and its first write says one. Since beats spare hosts their reading of the store, most never read a later one: each used the whole slack of the retry budget, and took each target's connections for its own. Ruled out: attempts that count as never sent (the repeats traced were shed), killed hosts that forget their repeats (12 of 76, once). Tests: BeatsCarryTheNumberOfHosts, NumberOfHostsInABeatGoesBeforeTheLeases.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -78,6 +78,9 @@
   std::vector<std::string> successors;  ///< The first in line first.
   std::optional<store_view> view{};     ///< Absent if it is not up to date.
   std::vector<poison_mark> crashes{};   ///< Contents that crash targets.
+  /// Hosts that share what all of them may use together: the lease names their
+  /// number too, but is not read again while beats come.
+  size_t hosts = 1;
 
   bool operator==(const assigner_beat&) const = default;
 };
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -219,6 +219,8 @@
   bool BusyLeaving() const { return leaving_ && lease_write_.has_value(); }
 
   bool IsHolder(time_point now) const { return now < held_until_; }
+  /// How many hosts there are, as far as is known; at least 1.
+  size_t HostCount() const;
   /// Where the other hosts that report to this one take datagrams.
   std::vector<std::string> OtherHosts() const;
   const std::optional<assigner_lease>& lease() const { return lease_; }
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -127,6 +127,14 @@
   }
 }
 
+size_t key_assigner::HostCount() const {
+  const size_t recorded = lease_ ? lease_->hosts : 1;
+  if (was_holder_) {
+    return std::max(recorded, hosts_seen_.size());
+  }
+  return beat_heard_ ? std::max<size_t>(beat_heard_->hosts, 1) : recorded;
+}
+
 /// Mixes what one host saw into the running mean, by its number of requests.
 void key_assigner::AddLatency(target_state& target,
                               const target_latency& seen) {
@@ -211,7 +219,8 @@
   ChooseSuccessors(now);
   const assigner_beat beat{.host = settings_.host,
                            .lease_revision = lease_revision_,
-                           .successors = successors_};
+                           .successors = successors_,
+                           .hosts = HostCount()};
   for (const auto& [name, host] : hosts_seen_) {
     if (name != settings_.host) {
       out.emplace_back(beat_action{host.address, beat});
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -54,7 +54,7 @@
                         beat.view->owners, beat.view->age_ms});
   }
   return json::array({kBeatTag, beat.host, beat.lease_revision, beat.successors,
-                      std::move(view), ToJson(beat.crashes)});
+                      std::move(view), ToJson(beat.crashes), beat.hosts});
 }
 
 json ToJson(const owners_record& record) {
@@ -131,6 +131,7 @@
                            .age_ms = view.at(3).get<uint32_t>()};
   }
   beat.crashes = ReadMarks(value.at(5));
+  beat.hosts = value.at(6).get<size_t>();
   return beat;
 }
 
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -138,6 +138,9 @@
 }
 
 void request_router::OnHostCount(size_t hosts) {
+  if (hosts == hosts_) {
+    return;
+  }
   hosts_ = hosts;
   LimitConnections();
   for (auto& [name, each] : services_) {
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -102,9 +102,7 @@
   const time_point now = Now();
   assigner_.BeatSoon();
   assigner_.OnObjects(own_.copy().objects(), now);
-  if (assigner_.lease()) {
-    router_.OnHostCount(assigner_.lease()->hosts);
-  }
+  router_.OnHostCount(assigner_.HostCount());
   router_actions actions;
   ShareKeyMaps(now, actions);
   Carry(actions);
@@ -142,6 +140,7 @@
     router_.crashes().Import(report->crashes, now);
   } else if (const auto* beat = std::get_if<assigner_beat>(&message.value())) {
     assigner_.OnBeat(*beat, now);
+    router_.OnHostCount(assigner_.HostCount());
     if (beat->host != settings_.name) {
       router_.crashes().Import(beat->crashes, now);
       if (beat->view) {
@@ -216,6 +215,7 @@
 }
 
 void edge_daemon::ReportLoad() {
+  router_.OnHostCount(assigner_.HostCount());
   if (router_.table() == nullptr) {
     return;
   }
--- a/tests/key_records_shared_test.cc
+++ b/tests/assigner_sharing_test.cc
@@ -1,4 +1,4 @@
-// What the holder of the lease tells the other hosts of a record it wrote.
+// What the holder of the lease tells the other hosts.
 
 #include <gtest/gtest.h>
 
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-class KeyRecordsSharedTest : public ::testing::Test {
+class AssignerSharingTest : public ::testing::Test {
  protected:
   void SetUp() override {
     service_settings service;
@@ -74,7 +74,7 @@
 // The holder's own watch brings the new record before the answer to the write
 // does. The others must still be told what changed; else each of them reads
 // the whole record from the store.
-TEST_F(KeyRecordsSharedTest, ChangesAreToldAlsoIfTheWatchIsFasterThanTheWrite) {
+TEST_F(AssignerSharingTest, ChangesAreToldAlsoIfTheWatchIsFasterThanTheWrite) {
   const store_write write = UntilRecordIsWritten();
   const uint64_t revision = ++revision_;
   Watch(write, revision);
@@ -97,5 +97,47 @@
   EXPECT_FALSE(changes.value().ranges.empty());
 }
 
+// All hosts share a budget of repeats and the connections that a target takes.
+// The lease names their number as it was when it was first written: one. Hosts
+// that go by it each use the whole budget, and callers' repeats keep a service
+// overloaded.
+TEST_F(AssignerSharingTest, BeatsCarryTheNumberOfHosts) {
+  UntilRecordIsWritten();
+  for (int i = 0; i < 12; ++i) {
+    const std::string name = "other-" + std::to_string(i);
+    assigner_.OnReport({.host = name,
+                        .zone = "z",
+                        .address = "1:3",
+                        .services = {},
+                        .targets = {}},
+                       now_);
+  }
+  now_ += seconds{1};
+  assigner_actions actions;
+  assigner_.OnTime(now_, actions);
+  size_t beats = 0;
+  for (const assigner_action& action : actions) {
+    if (const auto* beat = std::get_if<beat_action>(&action)) {
+      EXPECT_EQ(beat->beat.hosts, 12U);
+      ++beats;
+    }
+  }
+  EXPECT_EQ(beats, 12U);
+}
+
+TEST_F(AssignerSharingTest, NumberOfHostsInABeatGoesBeforeTheLeases) {
+  key_assigner other({.host = "o", .zone = "z", .address = "1:4"});
+  other.OnObjects(
+      {{"assigner",
+        {.name = "assigner",
+         .revision = 11,
+         .item = FormatLease({.host = "h", .address = "1:2", .hosts = 1})}}},
+      now_);
+  EXPECT_EQ(other.HostCount(), 1U);
+  other.OnBeat(
+      {.host = "h", .lease_revision = 11, .successors = {}, .hosts = 12}, now_);
+  EXPECT_EQ(other.HostCount(), 12U);
+}
+
 }  // namespace
 }  // namespace foxtailspread
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -104,7 +104,8 @@
       .lease_revision = 78,
       .successors = {"b", "c"},
       .view = store_view{.config_revision = 5, .targets = 1, .owners = 2},
-      .crashes = {{81, 2, seconds{3}}}};
+      .crashes = {{81, 2, seconds{3}}},
+      .hosts = 12};
   EXPECT_EQ(ParseHostMessage(FormatHostMessage(report)).value(),
             host_message{report});
   EXPECT_EQ(ParseHostMessage(FormatHostMessage(beat)).value(),
