Read what has arrived before closing a caller's connection

Cause: a host that stalls finds a kept connection idle for too long, or is asked to stop, while a whole request lies unread on it; it closed the connection, read the request while lingering and dropped it. The caller sees a request lost that it sent in time. Test: RequestThatLiesUnreadAtAStopIsAnswered failed before.

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -164,7 +164,18 @@
   }
 }
 
+// A busy host may come to close a connection on which a whole request lies
+// unread: its caller sent it in time and would see it lost. So what has arrived
+// is read first.
+
 void caller_connection::CloseWhenIdle(time_point now) {
+  if (lingering_) {
+    return;
+  }
+  if (exchanges_.empty() && !ReadAll()) {
+    End();
+    return;
+  }
   if (lingering_) {
     return;
   }
@@ -175,33 +186,39 @@
   }
 }
 
-bool caller_connection::CheckTimes(time_point now) {
+/// Whether the caller has taken too long to send its request, or to begin one.
+bool caller_connection::IsOverdue(time_point now) const {
   const caller_limits& limits = server_.limits_;
+  if (!exchanges_.empty()) {
+    return false;
+  }
+  if (reader_.in_message() && !reader_.headers_done()) {
+    return now - message_began_ > limits.header_timeout;
+  }
+  return now - last_byte_ > limits.idle_timeout;
+}
+
+void caller_connection::CheckTimes(time_point now) {
   if (lingering_) {
-    if (now < linger_until_ && stream_.is_open()) {
-      return true;
+    if (now >= linger_until_ || !stream_.is_open()) {
+      End();
     }
+    return;
+  }
+  if (!IsOverdue(now)) {
+    return;
+  }
+  if (!ReadAll()) {
     End();
-    return false;
+    return;
   }
-  if (!exchanges_.empty()) {
-    return true;
+  if (lingering_ || !IsOverdue(now)) {
+    return;
   }
   if (reader_.in_message()) {
-    const bool late = reader_.headers_done()
-                          ? now - last_byte_ > limits.idle_timeout
-                          : now - message_began_ > limits.header_timeout;
-    if (late) {
-      stream_.Write(
-          FormatAnswer(PlainAnswer(HTTP_STATUS_REQUEST_TIMEOUT), true));
-      BeginLingering(now);
-    }
-    return true;
+    stream_.Write(FormatAnswer(PlainAnswer(HTTP_STATUS_REQUEST_TIMEOUT), true));
   }
-  if (now - last_byte_ > limits.idle_timeout) {
-    BeginLingering(now);
-  }
-  return true;
+  BeginLingering(now);
 }
 
 void caller_connection::End() {
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -29,8 +29,8 @@
   void Answer(exchange_id id, const http_message& answer);
   /// Closes when nothing is in work; else after the last answer.
   void CloseWhenIdle(time_point now);
-  /// Ends a connection whose time is over. False when it was destroyed.
-  bool CheckTimes(time_point now);
+  /// Ends a connection whose time is over, which may destroy it.
+  void CheckTimes(time_point now);
 
  private:
   struct exchange {
@@ -42,6 +42,7 @@
 
   void OnReady(uint32_t events);
   bool ReadAll();
+  bool IsOverdue(time_point now) const;
   void TakeRequests();
   void AddRequest(http_message request);
   void RefuseRest();
--- /dev/null
+++ b/tests/caller_server_test.cc
@@ -0,0 +1,93 @@
+// Callers' connections over loopback, in orders that only a busy host sees.
+
+#include "net/caller_server.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+
+#include "foxtailspread/address.h"
+#include "net/poller.h"
+#include "net/tcp_stream.h"
+#include "run_until.h"
+
+namespace foxtailspread {
+namespace {
+
+/// A caller that keeps what it gets.
+class test_caller {
+ public:
+  explicit test_caller(poller& events)
+      : stream_(events, HandlerFor<&test_caller::OnReady>(this)) {}
+
+  bool Connect(uint16_t port) {
+    const auto address = ParseAddress("127.0.0.1:" + std::to_string(port));
+    return address && stream_.Connect(address.value());
+  }
+  void Send(std::string_view bytes) { stream_.Write(bytes); }
+  bool is_connected() const { return stream_.is_connected(); }
+  bool HasLeft() const { return ended_; }
+  const std::string& got() const { return got_; }
+
+ private:
+  void OnReady(uint32_t events) {
+    if (!stream_.is_open() || !stream_.OnWritable(events)) {
+      ended_ = true;
+      return;
+    }
+    const read_result read = stream_.Read();
+    got_.append(read.bytes);
+    if (read.end == read_end::kClosed || read.end == read_end::kBroken) {
+      ended_ = true;
+      stream_.Close();
+    }
+  }
+
+  tcp_stream stream_;
+  std::string got_;
+  bool ended_ = false;
+};
+
+class CallerServerTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    ASSERT_TRUE(server_.Listen("127.0.0.1:0"));
+    ASSERT_TRUE(caller_.Connect(server_.port()));
+    ASSERT_TRUE(RunUntil(
+        [&] { return caller_.is_connected() && server_.connections() == 1; }));
+  }
+
+  poller events_;
+  std::optional<exchange_id> asked_;
+  caller_server server_{
+      events_,
+      {.on_request = [this](exchange_id id,
+                            const http_message&) { asked_ = id; },
+       .on_gone = [](exchange_id) {}}};
+  test_caller caller_{events_};
+};
+
+// A busy host is asked to stop while a whole request lies unread on a kept
+// connection. The caller sent it before anything told it of the stop; closing
+// the connection without an answer loses the request.
+TEST_F(CallerServerTest, RequestThatLiesUnreadAtAStopIsAnswered) {
+  caller_.Send("GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n");
+  server_.BeginClosing();
+  ASSERT_TRUE(RunUntil([&] { return asked_ || caller_.HasLeft(); }));
+  ASSERT_TRUE(asked_);
+  http_message answer;
+  answer.status = 200;
+  server_.Answer(*asked_, answer);
+  ASSERT_TRUE(RunUntil([&] { return caller_.HasLeft(); }));
+  EXPECT_TRUE(caller_.got().starts_with("HTTP/1.1 200")) << caller_.got();
+}
+
+TEST_F(CallerServerTest, IdleConnectionIsClosedAtAStop) {
+  server_.BeginClosing();
+  ASSERT_TRUE(RunUntil([&] { return caller_.HasLeft(); }));
+  EXPECT_EQ(caller_.got(), "");
+}
+
+}  // namespace
+}  // namespace foxtailspread
