--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -316,6 +316,8 @@
   target_state* StateOf(const target_life& life);
   bool IsUsable(const target_life& life, time_point now) const;
   bool IsKnownDead(const target_life& life) const;
+  /// How long after its arrival a grant may hold, by the target's clock.
+  duration LongestHold() const;
   time_point HeldUntil(const target_life& life) const;
   std::vector<balance_target> Candidates(const std::string& service,
                                          time_point now) const;
--- a/include/foxtailspread/key_map.h
+++ b/include/foxtailspread/key_map.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <limits>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -89,6 +90,10 @@
 /// Cuts the range that contains `at` so that one begins there.
 void CutBefore(key_map& map, key_point at);
 
+/// Cuts the map so that ranges begin at `first` and end at `last`, and returns
+/// those between. Valid until the map's ranges change.
+std::span<key_range> CutOut(key_map& map, key_point first, key_point last);
+
 }  // namespace foxtailspread
 
 #endif  // FOXTAILSPREAD_KEY_MAP_H_
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -221,6 +221,8 @@
                         time_point now) const;
   duration RetryAfter(const request& refused, time_point now);
   void Schedule(time_point at, request_id id);
+  /// Whether it has been missing from the list for too long to be used.
+  static bool IsRetired(const target& of, time_point now);
   void DropRetired(service& from, time_point now);
 
   router_settings settings_;
--- a/include/foxtailspread/target_entry.h
+++ b/include/foxtailspread/target_entry.h
@@ -28,7 +28,8 @@
 };
 
 /// Returns a digest of what hosts go by: not of the sequence, which changes
-/// all the time, nor of the rest of a warm-up. The same on every host.
+/// all the time, nor of the rest of a warm-up. The same on every host, and the
+/// sum of the digests of each entry by itself.
 uint64_t DigestOf(std::span<const target_entry> targets);
 
 }  // namespace foxtailspread
--- a/include/foxtailspread/targets_sharing.h
+++ b/include/foxtailspread/targets_sharing.h
@@ -5,7 +5,9 @@
 /// Spares hosts a new list of the targets when a few of them changed.
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "foxtailspread/host_messages.h"
@@ -14,7 +16,8 @@
 
 namespace foxtailspread {
 
-/// Remembers one host's copy of the targets' list and tells what changed.
+/// Remembers what hosts go by of one host's copy of the targets' list, and
+/// tells what changed.
 ///
 /// @code
 /// if (auto record = sharing.Update(copy.objects())) SendToAll(*record);
@@ -31,7 +34,12 @@
   uint64_t digest() const { return digest_; }
 
  private:
-  target_objects known_;
+  struct known_entry {
+    uint64_t revision = 0;
+    uint64_t digest = 0;  ///< 0 for an entry that cannot be read.
+  };
+
+  std::map<std::string, known_entry> known_;
   uint64_t digest_ = 0;
 };
 
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -18,6 +18,10 @@
 /// reported to the store meanwhile.
 constexpr duration kFailingFor{std::chrono::seconds{2}};
 
+/// Between a target's id and its start in the name of its life. Lives of one
+/// id are next to each other in order of their names.
+constexpr char kLifeSeparator = '@';
+
 /// While the store was away of late a missing target may be back: its entry
 /// lapsed although it lives.
 constexpr duration kMissingGrace{std::chrono::milliseconds{2300}};
@@ -32,7 +36,7 @@
 }
 
 std::string key_assigner::LifeKey(const target_life& life) {
-  return life.id + "@" + std::to_string(life.started);
+  return life.id + kLifeSeparator + std::to_string(life.started);
 }
 
 key_assigner::target_state* key_assigner::StateOf(const target_life& life) {
@@ -166,11 +170,18 @@
   // Another life under the same id: this one has ended. A refused connection
   // proves nothing: some partitions answer in the target's place, and a target
   // behind one goes on serving those on its side.
-  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& each) {
-    const target_life& other = each.second.entry.life;
-    return each.second.listed && other.id == life.id &&
-           other.started > life.started;
-  });
+  // Lives of one id are next to each other; this is asked for each range in
+  // each step.
+  const std::string prefix = life.id + kLifeSeparator;
+  for (auto each = targets_.lower_bound(prefix);
+       each != targets_.end() && each->first.starts_with(prefix); ++each) {
+    const target_life& other = each->second.entry.life;
+    if (each->second.listed && other.id == life.id &&
+        other.started > life.started) {
+      return true;
+    }
+  }
+  return false;
 }
 
 bool key_assigner::IsFailing(const target_state& state, time_point now) const {
--- a/src/core/key_assigner_moves.cc
+++ b/src/core/key_assigner_moves.cc
@@ -103,6 +103,8 @@
 bool key_assigner::ReplaceOwners(keyed_service& of, key_map& draft,
                                  time_point now, assigner_actions& out) {
   bool changed = false;
+  // Worked out when first needed: most rounds replace no owner.
+  std::optional<std::vector<balance_target>> usable;
   for (key_range& range : draft.ranges) {
     const auto under_way = of.transfers.find(IdOf(range));
     const bool known = under_way != of.transfers.end();
@@ -121,10 +123,12 @@
       changed = true;
       continue;
     }
-    const auto candidates = Candidates(of.name, now);
-    const balance_target* to = LeastLoaded(draft, of.loads, candidates);
+    if (!usable) {
+      usable = Candidates(of.name, now);
+    }
+    const balance_target* to = LeastLoaded(draft, of.loads, *usable);
     // The same target in a new life keeps its keys, if it is there already.
-    for (const balance_target& each : candidates) {
+    for (const balance_target& each : *usable) {
       if (each.life.id == range.owner.id) {
         to = &each;
       }
@@ -192,13 +196,8 @@
   of.balanced_at = now;
   const std::vector<key_move> moves = PlanBalance(of, draft, now);
   for (const key_move& move : moves) {
-    CutBefore(draft, move.first);
-    if (move.last != kLastKey) {
-      CutBefore(draft, static_cast<key_point>(move.last + 1));
-    }
-    for (key_range& range : draft.ranges) {
-      const bool inside = move.first <= range.first && range.last <= move.last;
-      if (inside && range.granted) {
+    for (key_range& range : CutOut(draft, move.first, move.last)) {
+      if (range.granted) {
         out.emplace_back(
             NoteOf(assigner_note::kind::kKeysMoving, of, range, move.to.id));
         Reassign(of, draft, range, move.to);
--- a/src/core/key_assigner_orders.cc
+++ b/src/core/key_assigner_orders.cc
@@ -29,16 +29,18 @@
 
 }  // namespace
 
+duration key_assigner::LongestHold() const {
+  return settings_.hold + settings_.hold / kSlowClockPart + kHoldSlack;
+}
+
 time_point key_assigner::HeldUntil(const target_life& life) const {
-  const duration longest =
-      settings_.hold + settings_.hold / kSlowClockPart + kHoldSlack;
   // Whoever held the lease before may have granted until it stopped.
   time_point stopped = taken_at_;
   for (const auto& [name, known] : predecessors_) {
     stopped = std::max(stopped, StoppedAt(name));
   }
   stopped += kOrderTimeout;
-  const time_point inherited = stopped + longest;
+  const time_point inherited = stopped + LongestHold();
   const auto found = targets_.find(LifeKey(life));
   if (found == targets_.end()) {
     return inherited;
@@ -134,9 +136,7 @@
   }
   if (context.grant && reached && report.end != order_end::kFenced) {
     // It arrived by now, or never will; its hold counts from its arrival.
-    const duration longest =
-        settings_.hold + settings_.hold / kSlowClockPart + kHoldSlack;
-    state.held_until = std::max(state.held_until, now + longest);
+    state.held_until = std::max(state.held_until, now + LongestHold());
   }
   if (!IsHolder(now)) {
     return;  // It may have gone unsent for want of a connection.
--- a/src/core/key_balance.cc
+++ b/src/core/key_balance.cc
@@ -212,14 +212,8 @@
       continue;
     }
     moves.push_back({part->first, part->last, receiver.target->life});
-    CutBefore(planned, part->first);
-    if (part->last != kLastKey) {
-      CutBefore(planned, static_cast<key_point>(part->last + 1));
-    }
-    for (key_range& range : planned.ranges) {
-      if (part->first <= range.first && range.last <= part->last) {
-        range.owner = receiver.target->life;
-      }
+    for (key_range& range : CutOut(planned, part->first, part->last)) {
+      range.owner = receiver.target->life;
     }
   }
   return moves;
--- a/src/core/key_map.cc
+++ b/src/core/key_map.cc
@@ -173,4 +173,18 @@
   map.ranges.insert(found + 1, std::move(upper));
 }
 
+std::span<key_range> CutOut(key_map& map, key_point first, key_point last) {
+  CutBefore(map, first);
+  if (last != kLastKey) {
+    CutBefore(map, static_cast<key_point>(last + 1));
+  }
+  const auto from = std::partition_point(
+      map.ranges.begin(), map.ranges.end(),
+      [&](const key_range& range) { return range.first < first; });
+  const auto to = std::partition_point(
+      from, map.ranges.end(),
+      [&](const key_range& range) { return range.last <= last; });
+  return {from, to};
+}
+
 }  // namespace foxtailspread
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -190,16 +190,19 @@
       if (!each->missing_since) {
         each->missing_since = now;
       }
-      return !doubtful || now - *each->missing_since >= kMissingGrace;
+      return !doubtful || IsRetired(*each, now);
     });
     Pump(*at, now, out);
   }
 }
 
+bool request_router::IsRetired(const target& of, time_point now) {
+  return of.missing_since && now - *of.missing_since >= kMissingGrace;
+}
+
 void request_router::DropRetired(service& from, time_point now) {
-  std::erase_if(from.targets, [&](const auto& each) {
-    return each->missing_since && now - *each->missing_since >= kMissingGrace;
-  });
+  std::erase_if(from.targets,
+                [&](const auto& each) { return IsRetired(*each, now); });
 }
 
 void request_router::OnKeyMap(const std::string& service_name,
--- a/src/core/targets_sharing.cc
+++ b/src/core/targets_sharing.cc
@@ -9,40 +9,37 @@
 /// store was away; a list is cheaper then.
 constexpr size_t kMostEntries = 40;
 
-bool SameForHosts(const store_object<target_entry>& left,
-                  const store_object<target_entry>& right) {
-  if (!left.item || !right.item) {
-    return left.item.has_value() == right.item.has_value();
-  }
-  return DigestOf({&*left.item, 1}) == DigestOf({&*right.item, 1});
-}
-
 }  // namespace
 
 std::optional<targets_record> targets_sharing::Update(
     const target_objects& objects) {
   targets_record record{.before = digest_, .changes = {}};
+  std::map<std::string, known_entry> known;
+  digest_ = 0;
   for (const auto& [name, object] : objects) {
+    // The digest of a list is the sum of its entries'.
+    const uint64_t digest = object.item ? DigestOf({&*object.item, 1}) : 0;
+    digest_ += digest;
+    known.emplace_hint(known.end(), name, known_entry{object.revision, digest});
     const auto found = known_.find(name);
-    if (found == known_.end() || !SameForHosts(found->second, object)) {
+    if (found == known_.end() || found->second.digest != digest) {
       record.changes.push_back({.name = name,
                                 .revision = object.revision,
                                 .deleted = false,
                                 .entry = object.item});
     }
   }
-  for (const auto& [name, object] : known_) {
-    if (!objects.contains(name)) {
+  for (const auto& [name, entry] : known_) {
+    if (!known.contains(name)) {
       // A later revision than any that a copy can have of this entry, so that
       // it goes, and an older one than if it was created again.
       record.changes.push_back({.name = name,
-                                .revision = object.revision + 1,
+                                .revision = entry.revision + 1,
                                 .deleted = true,
                                 .entry = std::nullopt});
     }
   }
-  known_ = objects;
-  digest_ = DigestOf(ReadableEntries(objects));
+  known_ = std::move(known);
   const bool fits =
       !record.changes.empty() && record.changes.size() <= kMostEntries;
   return fits ? std::optional{std::move(record)} : std::nullopt;
--- a/src/programs/foxtail-edge/main.cc
+++ b/src/programs/foxtail-edge/main.cc
@@ -3,13 +3,12 @@
 
 #include <CLI/CLI.hpp>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "edge/edge_daemon.h"
 #include "net/log.h"
 #include "net/loop.h"
+#include "net/whole_file.h"
 #include "platform/edge_settings.h"
 
 namespace {
@@ -29,15 +28,12 @@
 }
 
 foxtailspread::result<edge_settings> LoadSettings(const std::string& path) {
-  std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    return foxtailspread::error{foxtailspread::error_code::kUnavailable, path,
-                                "the file cannot be read",
-                                "name a readable settings file"};
+  const auto text =
+      foxtailspread::ReadWholeFile(path, "name a readable settings file");
+  if (!text) {
+    return text.error();
   }
-  return foxtailspread::platform::ParseEdgeSettings(text.str());
+  return foxtailspread::platform::ParseEdgeSettings(text.value());
 }
 
 }  // namespace
--- a/src/programs/foxtail-load/main.cc
+++ b/src/programs/foxtail-load/main.cc
@@ -2,12 +2,12 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
-#include <iterator>
 #include <optional>
 
 #include "foxtailspread/json_reader.h"
 #include "load/plots.h"
 #include "load_runner.h"
+#include "net/whole_file.h"
 
 // The load and experiment tool: see docs/LOAD.md.
 namespace foxtailspread {
@@ -29,17 +29,10 @@
   bool validate = false;
 };
 
-result<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    return error{error_code::kUnavailable, path, "the file cannot be read",
-                 "name a scenario file, examples/load/*.json for instance"};
-  }
-  return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
 result<load_scenario> ReadScenario(const load_options& options) {
-  const result<std::string> text = ReadFile(options.scenario_file);
+  const result<std::string> text =
+      ReadWholeFile(options.scenario_file,
+                    "name a scenario file, examples/load/*.json for instance");
   if (!text) {
     return text.error();
   }
--- a/src/programs/foxtail-replay/main.cc
+++ b/src/programs/foxtail-replay/main.cc
@@ -1,12 +1,11 @@
 #include <CLI/CLI.hpp>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <map>
 #include <nlohmann/json.hpp>
 
 #include "foxtailspread/foxtailspread.h"
 #include "net/glib_mac.h"
+#include "net/whole_file.h"
 
 // Replays a recorded trace and compares its decisions with the record: see
 // foxtailspread/trace.h.
@@ -26,12 +25,7 @@
 };
 
 result<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    return error{error_code::kUnavailable, path, "the file cannot be read",
-                 "check the name and the rights"};
-  }
-  return std::string(std::istreambuf_iterator<char>(file), {});
+  return ReadWholeFile(path, "check the name and the rights");
 }
 
 /// Returns the secret without the end of line that editors add.
--- a/src/programs/foxtailspreadd/main.cc
+++ b/src/programs/foxtailspreadd/main.cc
@@ -2,14 +2,13 @@
 // that own their keys.
 
 #include <CLI/CLI.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "foxtailspread/host_settings.h"
 #include "host_daemon.h"
 #include "net/log.h"
 #include "net/loop.h"
+#include "net/whole_file.h"
 
 namespace {
 
@@ -38,15 +37,7 @@
 }
 
 foxtailspread::result<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    return foxtailspread::error{foxtailspread::error_code::kUnavailable, path,
-                                "the file cannot be read",
-                                "name a readable file"};
-  }
-  return text.str();
+  return foxtailspread::ReadWholeFile(path, "name a readable file");
 }
 
 foxtailspread::result<foxtailspread::host_settings> LoadSettings(
--- a/tests/key_balance_test.cc
+++ b/tests/key_balance_test.cc
@@ -31,14 +31,8 @@
       }
       for (const key_move& move : moves) {
         moved += size_t{move.last} - move.first + 1;
-        CutBefore(map_, move.first);
-        if (move.last != kLastKey) {
-          CutBefore(map_, static_cast<key_point>(move.last + 1));
-        }
-        for (key_range& range : map_.ranges) {
-          if (move.first <= range.first && range.last <= move.last) {
-            range.owner = move.to;
-          }
+        for (key_range& range : CutOut(map_, move.first, move.last)) {
+          range.owner = move.to;
         }
       }
       JoinEqualNeighbours(map_);
--- a/tests/key_map_test.cc
+++ b/tests/key_map_test.cc
@@ -31,16 +31,10 @@
 
   /// Gives the keys from `first` to `last` to another owner.
   static void Move(key_map& map, key_point first, key_point last) {
-    CutBefore(map, first);
-    if (last < kLastKey) {
-      CutBefore(map, static_cast<key_point>(last + 1));
-    }
     ++map.last_fence;
-    for (key_range& each : map.ranges) {
-      if (each.first >= first && each.last <= last) {
-        each.owner = {.id = "new", .started = 2};
-        each.fence = map.last_fence;
-      }
+    for (key_range& each : CutOut(map, first, last)) {
+      each.owner = {.id = "new", .started = 2};
+      each.fence = map.last_fence;
     }
     JoinEqualNeighbours(map);
   }
