Count a request in flight until its answer is written

Cause: a stand-in program that stops ends when no request is in flight, and looks every 20 ms. A request left that count when its answer was given to libsoup, which writes it some turns of the loop later; a look that fell in between ended the program with the answer unwritten. Ruled out: the request being cut at its target (it had run its 2 s), the client, and the operating system (the process ended before any byte was written).

The entry host's program waits for its connections, not for this count, and was not concerned.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -45,6 +45,7 @@
 
   // The server is about to be destroyed before libsoup lets go of the socket.
   void Detach() {
+    NoteWritten();
     server_ = nullptr;
     ReleaseResponder();
     deadline_.Cancel();
@@ -53,6 +54,7 @@
   }
 
   void AwaitRequest() {
+    NoteWritten();
     receiving_ = false;
     too_large_ = false;
     received_ = 0;
@@ -117,6 +119,7 @@
 
   void Attach(responder* to) {
     responder_ = to;
+    unwritten_ = true;
     ++server_->in_flight_;
     // libsoup does not look at the socket while a request is being handled
     // and would find out only when it writes the answer. POLLRDHUP tells that
@@ -137,13 +140,22 @@
     }
     responder_->link_ = nullptr;
     responder_ = nullptr;
-    if (server_ != nullptr) {
+  }
+
+  // libsoup writes an answer some turns of the loop after it was given. A
+  // program that ended in between would lose it, and its caller would see a
+  // connection that ends without an answer; so a request counts until then.
+  void NoteWritten() {
+    if (unwritten_ && server_ != nullptr) {
       --server_->in_flight_;
     }
+    unwritten_ = false;
   }
 
-  // Takes the connection out of the server's count.
+  // Takes the connection out of the server's count, and with it an answer that
+  // can no longer be written.
   void Unlink() {
+    NoteWritten();
     if (is_linked()) {
       server_->connections_.erase(server_->connections_.iterator_to(*this));
     }
@@ -195,6 +207,7 @@
   goffset received_ = 0;
   bool receiving_ = false;
   bool too_large_ = false;
+  bool unwritten_ = false;
 };
 
 }  // namespace internal
@@ -527,6 +540,13 @@
                      }
                    }),
                    nullptr);
+  g_signal_connect(message, "wrote-body",
+                   G_CALLBACK(+[](SoupServerMessage* m, gpointer) {
+                     if (auto* connection = ConnectionOf(m)) {
+                       connection->NoteWritten();
+                     }
+                   }),
+                   nullptr);
   g_signal_connect(message, "disconnected",
                    G_CALLBACK(+[](SoupServerMessage* m, gpointer) {
                      if (auto* connection = ConnectionOf(m)) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -144,7 +144,7 @@
   /// The number of open connections.
   size_t ConnectionCount() const { return connections_.size(); }
 
-  /// The number of requests received whole and not yet answered.
+  /// The number of requests received whole whose answers are not yet written.
   size_t RequestsInFlight() const { return in_flight_; }
 
  private:
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -415,5 +415,21 @@
   EXPECT_EQ(Call({.url = Url("/echo")}).outcome, http_outcome::kConnectFailed);
 }
 
+// A program that stops ends once nothing is in flight. An answer that was given
+// but not yet written would then be lost with it, and its caller would see a
+// connection that ends without an answer.
+TEST_F(HttpTest, AnswerIsInFlightUntilItIsWritten) {
+  Listen();
+  std::optional<http_call_result> answer;
+  client_.Send({.url = Url("/later")},
+               [&](http_call_result result) { answer = std::move(result); });
+  ASSERT_TRUE(RunUntil([&] { return waiting_ != nullptr; }));
+  waiting_->Answer({.body = "whole"});
+  EXPECT_EQ(server_->RequestsInFlight(), 1U);
+  ASSERT_TRUE(RunUntil([&] { return server_->RequestsInFlight() == 0; }));
+  ASSERT_TRUE(RunUntil([&] { return answer.has_value(); }));
+  EXPECT_EQ(answer->body, "whole");
+}
+
 }  // namespace
 }  // namespace foxtailspread
