Write a release again that met its own renewal, and report records that cannot be read

Cause of the first: Leave replaces the lease's write under way by the release. If the store takes the renewal first, the release meets a conflict and was given up; the lease then stood until its silence was noticed, and nobody replaced lost owners meanwhile. Now the release is written again under the new revision, unless another host holds the lease. Of the second: a key record or lease that could not be read was passed over without a log line. OnObjects now fails with the object's name, and the host logs event 307.

AssignerLeaseTest: two of three tests failed before (release written again, object reported); the third, of a lease that another host took, passed before and after.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -40,6 +40,7 @@
   kStoreListed = 304,
   kStoreHistoryGone = 305,
   kStoreCallFailed = 306,
+  kRecordRefused = 307,
   kRequestRefused = 310,
   kAssignerBegan = 320,
   kAssignerEnded = 321,
@@ -124,6 +125,11 @@
     {event_id::kStoreCallFailed, event_level::kWarning, "store-call-failed",
      "A read of the kind given brought no answer (status 0) or was refused.",
      "Look at the store, or at this host's link, if it goes on."},
+    {event_id::kRecordRefused, event_level::kError, "record-refused",
+     "A record of the system's own in the store cannot be read; the last good "
+     "one stays in force.",
+     "Find who else writes to the system's own kind; run one release on all "
+     "hosts."},
     {event_id::kRequestRefused, event_level::kInfo, "request-refused",
      "The host answered the request itself, for the reason given.",
      "See docs/OPERATIONS.md for each reason."},
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -179,8 +179,9 @@
 
   explicit key_assigner(assigner_settings settings);
 
-  /// Takes the system's own objects as the store has them.
-  void OnObjects(const own_objects& objects, time_point now);
+  /// Takes the system's own objects as the store has them. Fails, once for
+  /// each revision, if one of them cannot be read; the others are taken.
+  status OnObjects(const own_objects& objects, time_point now);
   /// Takes whether the store answers this host.
   void OnStoreAnswers(bool answers, time_point now);
 
@@ -324,6 +325,7 @@
 
   void StepLease(time_point now, assigner_actions& out);
   bool MayTake(time_point now) const;
+  void Release(time_point now, assigner_actions& out);
   void WriteLease(const assigner_lease& next, time_point now,
                   assigner_actions& out);
   void Send(pending_write& write, time_point now, assigner_actions& out);
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -351,6 +351,13 @@
     lease_revision_ = report.revision;
     lease_seen_at_ = now;
   }
+  if (!done && leaving_ && lease_ && lease_->host == settings_.host &&
+      !lease_->released) {
+    // A renewal that was under way took effect before the release. Given up
+    // here, the lease would stand until its silence is noticed.
+    Release(now, out);
+    return;
+  }
   if (!done) {
     // Somebody has written it meanwhile and so is there.
     beat_heard_at_ = std::max(beat_heard_at_, now);
@@ -417,9 +424,6 @@
   if (!was_holder_ || !lease_ || !IsHolder(now)) {
     return;
   }
-  assigner_lease last = *lease_;
-  last.renewal = lease_->renewal + 1;
-  last.released = true;
   // Nothing moves from here on. What was granted is kept until the store has
   // taken the release: while it is away nobody else can.
   keeping_until_ = now + kLeaveTime;
@@ -430,6 +434,13 @@
     each.write.reset();
   }
   out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseLost});
+  Release(now, out);
+}
+
+void key_assigner::Release(time_point now, assigner_actions& out) {
+  assigner_lease last = *lease_;
+  last.renewal = lease_->renewal + 1;
+  last.released = true;
   WriteLease(last, now, out);
 }
 
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -26,6 +26,12 @@
 /// lapsed although it lives.
 constexpr duration kMissingGrace{std::chrono::milliseconds{2300}};
 
+/// The error with the object it was found in at the head of its path.
+error NamedAfter(const std::string& object, error problem) {
+  problem.path = problem.path.empty() ? object : object + "." + problem.path;
+  return problem;
+}
+
 }  // namespace
 
 key_assigner::key_assigner(assigner_settings settings)
@@ -85,7 +91,8 @@
   return digest;
 }
 
-void key_assigner::OnObjects(const own_objects& objects, time_point now) {
+status key_assigner::OnObjects(const own_objects& objects, time_point now) {
+  status taken = OkStatus();
   if (!objects_read_) {
     objects_read_ = true;
     objects_read_at_ = now;
@@ -97,6 +104,9 @@
     lease_seen_at_ = now;
     // A lease that cannot be read names no holder; it is taken over when it
     // has stood still for as long as any other.
+    if (!parsed) {
+      taken = NamedAfter(lease->first, parsed.error());
+    }
     assigner_lease read = parsed ? parsed.value() : assigner_lease{};
     if (!lease_ || lease_->host != read.host) {
       lease_taken_at_ = now;
@@ -121,8 +131,11 @@
     each.revision = found->second.revision;
     if (map) {
       each.map = std::move(map.value());
+    } else {
+      taken = NamedAfter(found->first, map.error());
     }
   }
+  return taken;
 }
 
 void key_assigner::OnStoreAnswers(bool answers, time_point now) {
@@ -315,7 +328,8 @@
     }
     StepService(of, now, out);
   } else if (report.end == write_end::kConflict) {
-    // Another holder has written: the lease is lost, or will be found so.
+    // Another holder has written: the lease is lost, or will be found so. A
+    // record that cannot be read comes by the watch too and is reported there.
     of.write.reset();
     auto map = ParseKeyMap(report.content);
     if (report.revision > of.revision && map) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -61,6 +61,7 @@
   void OnConfigChanged();
   void OnTargetsChanged();
   void OnOwnObjectsChanged();
+  void TakeOwnObjects(time_point now);
   void OnStoreState();
   void OnDatagram(std::string_view bytes);
   std::optional<store_view> View(time_point now) const;
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -73,7 +73,7 @@
   router_actions actions;
   const time_point now = Now();
   router_.OnConfig(table, now, actions);
-  assigner_.OnObjects(own_.copy().objects(), now);
+  TakeOwnObjects(now);
   ShareKeyMaps(now, actions);
   Carry(actions);
 }
@@ -98,10 +98,17 @@
   Carry(actions);
 }
 
+void edge_daemon::TakeOwnObjects(time_point now) {
+  if (const status read = assigner_.OnObjects(own_.copy().objects(), now);
+      !read) {
+    LogEvent(event_id::kRecordRefused, {{"problem", read.error().Message()}});
+  }
+}
+
 void edge_daemon::OnOwnObjectsChanged() {
   const time_point now = Now();
   assigner_.BeatSoon();
-  assigner_.OnObjects(own_.copy().objects(), now);
+  TakeOwnObjects(now);
   router_.OnHostCount(assigner_.HostCount());
   router_actions actions;
   ShareKeyMaps(now, actions);
--- /dev/null
+++ b/tests/assigner_lease_test.cc
@@ -0,0 +1,127 @@
+// The lease of the host that gives keys, write by write.
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "foxtailspread/key_assigner.h"
+
+namespace foxtailspread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class AssignerLeaseTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    service_settings service;
+    service.name = "s";
+    service.keyed = true;
+    assigner_.OnServices({service});
+    assigner_.OnStoreAnswers(true, now_);
+    ASSERT_TRUE(assigner_.OnObjects({}, now_));
+  }
+
+  /// Lets time pass until the assigner writes its lease.
+  store_write UntilLeaseIsWritten() {
+    for (int i = 0; i < 1000; ++i) {
+      now_ += milliseconds{10};
+      assigner_actions actions;
+      assigner_.OnTime(now_, actions);
+      if (const auto write = LeaseWrite(actions)) {
+        return *write;
+      }
+    }
+    ADD_FAILURE() << "the lease was not written";
+    return {};
+  }
+
+  static std::optional<store_write> LeaseWrite(
+      const assigner_actions& actions) {
+    for (const assigner_action& action : actions) {
+      const auto* write = std::get_if<store_write>(&action);
+      if (write != nullptr && write->name == key_assigner::kLeaseName) {
+        return *write;
+      }
+    }
+    return std::nullopt;
+  }
+
+  /// The store has carried `write` out.
+  void Written(const store_write& write, uint64_t revision) {
+    assigner_actions ignored;
+    assigner_.OnWriteEnded({.id = write.id,
+                            .end = write_end::kWritten,
+                            .revision = revision,
+                            .content = {}},
+                           now_, ignored);
+  }
+
+  key_assigner assigner_{{.host = "h", .zone = "z", .address = "1:2"}};
+  time_point now_{seconds{100}};
+};
+
+// The holder is asked to stop just when it renews its lease, and the store
+// takes the renewal first. A release that is given up then leaves a lease that
+// nobody keeps: the others wait for its silence, and the keys of a target that
+// is lost meanwhile stay unserved for so much longer.
+TEST_F(AssignerLeaseTest, ReleaseThatMeetsItsOwnRenewalIsWrittenAgain) {
+  Written(UntilLeaseIsWritten(), 11);
+  ASSERT_TRUE(assigner_.IsHolder(now_));
+  const store_write renewal = UntilLeaseIsWritten();
+  assigner_actions leaving;
+  assigner_.Leave(now_, leaving);
+  const auto release = LeaseWrite(leaving);
+  ASSERT_TRUE(release);
+  assigner_actions again;
+  assigner_.OnWriteEnded({.id = release->id,
+                          .end = write_end::kConflict,
+                          .revision = 12,
+                          .content = renewal.content},
+                         now_, again);
+  const auto second = LeaseWrite(again);
+  ASSERT_TRUE(second);
+  EXPECT_EQ(second->expected_revision, 12U);
+  EXPECT_TRUE(ParseLease(second->content).value().released);
+  EXPECT_TRUE(assigner_.BusyLeaving());
+  Written(*second, 13);
+  EXPECT_FALSE(assigner_.BusyLeaving());
+}
+
+// The same, but another host has taken the lease: there is nothing to release.
+TEST_F(AssignerLeaseTest, ReleaseThatMeetsAnotherHoldersLeaseIsGivenUp) {
+  Written(UntilLeaseIsWritten(), 11);
+  assigner_actions leaving;
+  assigner_.Leave(now_, leaving);
+  const auto release = LeaseWrite(leaving);
+  ASSERT_TRUE(release);
+  assigner_actions again;
+  assigner_.OnWriteEnded(
+      {.id = release->id,
+       .end = write_end::kConflict,
+       .revision = 12,
+       .content = FormatLease({.host = "other", .address = "3:4"})},
+      now_, again);
+  EXPECT_FALSE(LeaseWrite(again));
+  EXPECT_FALSE(assigner_.BusyLeaving());
+}
+
+// Something else has written over the system's own objects. What this host
+// knows stays in force, and the operator must learn of it, or keys without an
+// owner would have no cause that anyone can find.
+TEST_F(AssignerLeaseTest, ObjectThatCannotBeReadIsReported) {
+  const std::string map = key_assigner::MapName("s");
+  const status records = assigner_.OnObjects(
+      {{map, {.name = map, .revision = 5, .item = "[}"}}}, now_);
+  ASSERT_FALSE(records);
+  EXPECT_NE(records.error().Message().find(map), std::string::npos);
+  const std::string lease{key_assigner::kLeaseName};
+  const status taken = assigner_.OnObjects(
+      {{lease, {.name = lease, .revision = 6, .item = "none"}}}, now_);
+  ASSERT_FALSE(taken);
+  EXPECT_NE(taken.error().Message().find(lease), std::string::npos);
+}
+
+}  // namespace
+}  // namespace foxtailspread
--- a/tests/assigner_sharing_test.cc
+++ b/tests/assigner_sharing_test.cc
@@ -25,7 +25,7 @@
     target.service = "s";
     target.address = "10.0.0.1:80";
     assigner_.OnTargets({target}, false, now_);
-    assigner_.OnObjects({}, now_);
+    ASSERT_TRUE(assigner_.OnObjects({}, now_));
     assigner_.OnStoreAnswers(true, now_);
   }
 
@@ -33,7 +33,7 @@
   void Watch(const store_write& write, uint64_t revision) {
     objects_[write.name] = {
         .name = write.name, .revision = revision, .item = write.content};
-    assigner_.OnObjects(objects_, now_);
+    ASSERT_TRUE(assigner_.OnObjects(objects_, now_));
   }
 
   /// Lets time pass until the holder writes an object whose name is not the
@@ -127,12 +127,12 @@
 
 TEST_F(AssignerSharingTest, NumberOfHostsInABeatGoesBeforeTheLeases) {
   key_assigner other({.host = "o", .zone = "z", .address = "1:4"});
-  other.OnObjects(
+  ASSERT_TRUE(other.OnObjects(
       {{"assigner",
         {.name = "assigner",
          .revision = 11,
          .item = FormatLease({.host = "h", .address = "1:2", .hosts = 1})}}},
-      now_);
+      now_));
   EXPECT_EQ(other.HostCount(), 1U);
   other.OnBeat(
       {.host = "h", .lease_revision = 11, .successors = {}, .hosts = 12}, now_);
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -86,11 +86,12 @@
   const auto read = [&](const std::string& holder, uint64_t revision) {
     const assigner_lease lease{
         .host = holder, .address = holder, .renewal = revision};
-    third.OnObjects({{std::string{key_assigner::kLeaseName},
-                      {.name = std::string{key_assigner::kLeaseName},
-                       .revision = revision,
-                       .item = FormatLease(lease)}}},
-                    now);
+    ASSERT_TRUE(
+        third.OnObjects({{std::string{key_assigner::kLeaseName},
+                          {.name = std::string{key_assigner::kLeaseName},
+                           .revision = revision,
+                           .item = FormatLease(lease)}}},
+                        now));
   };
   read("first", 1);
   third.OnBeat({.host = "first", .lease_revision = 1, .successors = {"third"}},
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -146,7 +146,9 @@
         objects[name] = {
             .name = name, .revision = object.revision, .item = object.content};
       }
-      host.assigner->OnObjects(objects, now_);
+      if (const status read = host.assigner->OnObjects(objects, now_); !read) {
+        Fail(read.error().Message());
+      }
     }
   }
   if (now_ >= host.report_at && host.assigner->lease()) {
