Bound the bytes kept for all callers together

Cause: each body had a limit, all of them together had none: callers that send large bodies slowly could take a process over its memory, and it would be killed with the requests of everybody. A request refused before it was read whole (400, 413, 431, 503) is now logged as event 311; it had no line before.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -42,6 +42,7 @@
   kStoreCallFailed = 306,
   kRecordRefused = 307,
   kRequestRefused = 310,
+  kRequestNotRead = 311,
   kAssignerBegan = 320,
   kAssignerEnded = 321,
   kOwnerLost = 322,
@@ -133,6 +134,13 @@
     {event_id::kRequestRefused, event_level::kInfo, "request-refused",
      "The host answered the request itself, for the reason given.",
      "See docs/OPERATIONS.md for each reason."},
+    {event_id::kRequestNotRead, event_level::kWarning, "request-not-read",
+     "A caller's request was refused before it was read whole: malformed "
+     "(400), "
+     "body too large (413), headers too large (431), or too many bytes kept "
+     "for "
+     "all callers (503).",
+     "For 400, 413 and 431 look at the caller; for 503 add hosts or memory."},
     {event_id::kAssignerBegan, event_level::kInfo, "assigner-began",
      "This host now gives keys to targets.", "Nothing to do."},
     {event_id::kAssignerEnded, event_level::kInfo, "assigner-ended",
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -34,6 +34,11 @@
 /// How often a stopping host looks whether it is done.
 constexpr duration kLeaveStep{milliseconds{100}};
 
+/// One part in so many of the memory is for bytes of callers' requests and
+/// answers: each is kept up to twice on its way, and the process itself needs
+/// some 4 MB (mean peak of a busy played day).
+constexpr size_t kCallersMemoryPart = 4;
+
 /// Longest sleep of the loop while something may be due.
 constexpr duration kLongestSleep{seconds{1}};
 
@@ -114,7 +119,13 @@
                  .address = settings_.hosts,
                  .hold = std::min(settings_.max_hold, kHold),
                  .seed = HashText(settings_.name)}),
-      stop_(settings_.stop_grace) {}
+      stop_(settings_.stop_grace) {
+  LimitMemory();
+}
+
+void edge_daemon::LimitMemory() {
+  callers_.SetMostBuffered((settings_.memory_mb << 20) / kCallersMemoryPart);
+}
 
 status edge_daemon::Start() {
   for (const auto& [server, address] :
@@ -142,8 +153,9 @@
 }
 
 void edge_daemon::Reload(const platform::edge_settings& settings) {
-  // Addresses, names and bounds belong to a process's life; nothing else is
-  // in the settings today.
+  // Addresses, names and bounds belong to a process's life.
+  settings_.memory_mb = settings.memory_mb;
+  LimitMemory();
   LogEvent(event_id::kSettingsReloaded, {{"host", settings.name}});
 }
 
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -83,6 +83,7 @@
   void CarryOne(const share_action& action);
   void CarryOne(const assigner_note& action);
 
+  void LimitMemory();
   void Step();
   void Arm();
   void LeaveStep();
--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "net/caller_server.h"
+#include "net/log.h"
 
 namespace foxtailspread {
 namespace {
@@ -16,9 +17,20 @@
 /// unread bytes would reset it and could destroy the answer on its way.
 constexpr duration kLingerTime{std::chrono::seconds{1}};
 
+/// A request that is still arriving is refused for want of memory only when it
+/// keeps more than this: refusing small ones frees nothing.
+constexpr size_t kSmallRequest = 4096;
+
+/// Retry-After of such a refusal, in seconds: about the time that a megabyte
+/// takes on the slowest of the users' links.
+constexpr char kRetryAfterMemory[] = "1";
+
 http_message PlainAnswer(int status) {
   http_message answer;
   answer.status = status;
+  if (status == HTTP_STATUS_SERVICE_UNAVAILABLE) {
+    answer.headers = {{"Retry-After", kRetryAfterMemory}};
+  }
   return answer;
 }
 
@@ -54,6 +66,7 @@
     End();
     return;
   }
+  CountBytes();
   if (lingering_ && stream_.bytes_waiting() == 0) {
     stream_.ShutDownWriting();
   }
@@ -79,7 +92,9 @@
   const bool good = reader_.Feed(read.bytes);
   TakeRequests();
   if (!good) {
-    RefuseRest();
+    RefuseRest(StatusOf(reader_.error()));
+  } else if (IsShortOfMemory()) {
+    RefuseRest(HTTP_STATUS_SERVICE_UNAVAILABLE);
   } else if (reader_.expects_continue()) {
     stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -103,17 +118,41 @@
   added.id = server_.Register(this);
   added.head = request.method == "HEAD";
   added.close_after = !request.keep_alive;
+  added.request_bytes = request.target.size() + request.body.size();
   // What follows a request that closes the connection is not read: its sender
   // may repeat it elsewhere.
   no_more_requests_ = no_more_requests_ || added.close_after;
   server_.owner_.on_request(added.id, std::move(request));
 }
 
-void caller_connection::RefuseRest() {
+void caller_connection::RefuseRest(int status) {
+  LogEvent(event_id::kRequestNotRead,
+           {{"status", int64_t{status}},
+            {"bytes", static_cast<int64_t>(reader_.buffered())},
+            {"all_bytes", static_cast<int64_t>(server_.buffered_)}});
   exchange& refused = exchanges_.emplace_back();
   refused.close_after = true;
-  refused.answer = FormatAnswer(PlainAnswer(StatusOf(reader_.error())), true);
+  refused.answer = FormatAnswer(PlainAnswer(status), true);
   no_more_requests_ = true;
+  reader_.Drop();
+}
+
+/// Whether the request that is arriving must be refused so that the process
+/// stays inside its memory. Callers that send large bodies slowly would fill it
+/// otherwise, and the host be killed with everybody's requests.
+bool caller_connection::IsShortOfMemory() {
+  CountBytes();
+  return reader_.in_message() && reader_.buffered() > kSmallRequest &&
+         server_.buffered_ > server_.most_buffered_;
+}
+
+void caller_connection::CountBytes() {
+  size_t bytes = reader_.buffered() + stream_.bytes_waiting();
+  for (const exchange& each : exchanges_) {
+    bytes += each.request_bytes + (each.answer ? each.answer->size() : 0);
+  }
+  server_.buffered_ += bytes;
+  server_.buffered_ -= std::exchange(counted_bytes_, bytes);
 }
 
 void caller_connection::Answer(exchange_id id, const http_message& answer) {
@@ -125,6 +164,7 @@
   }
   found->id = 0;
   found->close_after = found->close_after || server_.closing_;
+  found->request_bytes = 0;
   found->answer = FormatAnswer(answer, found->close_after);
   Flush();
 }
@@ -143,6 +183,7 @@
   if (exchanges_.size() < kMaxPipelined) {
     stream_.PauseReading(false);
   }
+  CountBytes();
 }
 
 void caller_connection::BeginLingering(time_point now) {
@@ -157,6 +198,8 @@
   exchanges_.clear();
   no_more_requests_ = true;
   lingering_ = true;
+  reader_.Drop();
+  CountBytes();
   linger_until_ = now + kLingerTime;
   stream_.PauseReading(false);
   if (stream_.bytes_waiting() == 0) {
@@ -229,6 +272,7 @@
     }
   }
   stream_.Close();
+  server_.buffered_ -= counted_bytes_;
   server_.Remove(this);
 }
 
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -37,6 +37,7 @@
     exchange_id id = 0;  ///< 0 once it was answered.
     bool head = false;
     bool close_after = false;
+    size_t request_bytes = 0;  ///< Kept until it is answered.
     std::optional<std::string> answer{};
   };
 
@@ -45,7 +46,9 @@
   bool IsOverdue(time_point now) const;
   void TakeRequests();
   void AddRequest(http_message request);
-  void RefuseRest();
+  void RefuseRest(int status);
+  bool IsShortOfMemory();
+  void CountBytes();
   void Flush();
   void BeginLingering(time_point now);
   /// Destroys the connection and tells the owner of unanswered requests.
@@ -57,6 +60,7 @@
   std::deque<exchange> exchanges_;
   time_point last_byte_;
   time_point message_began_{};
+  size_t counted_bytes_ = 0;  ///< This connection's part of the server's sum.
   bool no_more_requests_ = false;
   bool lingering_ = false;
   time_point linger_until_{};
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -20,6 +20,10 @@
 
 namespace foxtailspread {
 
+/// Bytes kept for all connections unless the owner says otherwise: a quarter of
+/// the memory that a host of the users' smaller sites has.
+inline constexpr size_t kDefaultMostBuffered = size_t{64} << 20;
+
 /// What a caller may send and how long it may take.
 struct caller_limits {
   http_parse_limits sizes{};
@@ -59,12 +63,18 @@
   /// Changes the limits, for requests that begin later.
   void SetLimits(const caller_limits& limits) { limits_ = limits; }
 
+  /// Changes how many bytes of requests and answers all connections together
+  /// may keep. Beyond, a request that is still arriving is refused as not run.
+  void SetMostBuffered(size_t bytes) { most_buffered_ = bytes; }
+
   /// Closes connections after their answers, and idle ones now.
   void BeginClosing();
 
   /// Requests handed on and not answered yet.
   size_t pending() const { return exchanges_.size(); }
   size_t connections() const { return connections_.size(); }
+  /// Bytes of requests and answers kept for all connections.
+  size_t buffered() const { return buffered_; }
 
  private:
   friend class caller_connection;
@@ -86,6 +96,8 @@
   connection_list connections_;
   std::unordered_map<exchange_id, caller_connection*> exchanges_;
   exchange_id last_id_ = 0;
+  size_t buffered_ = 0;
+  size_t most_buffered_ = kDefaultMostBuffered;
   bool closing_ = false;
   bool sweep_armed_ = false;
   timer sweep_;
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -192,6 +192,7 @@
   current_.ended_by_close = parser_.type == HTTP_RESPONSE && IsOpenEnded();
   done_.push_back(std::move(current_));
   current_ = {};
+  header_bytes_ = 0;
   return 0;
 }
 
@@ -233,6 +234,13 @@
   return std::move(done_[taken_++]);
 }
 
+void http_reader::Drop() {
+  current_ = {};
+  header_bytes_ = 0;
+  in_message_ = false;
+  headers_done_ = false;
+}
+
 bool http_reader::expects_continue() {
   if (!headers_done_ || asked_continue_) {
     return false;
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -84,11 +84,16 @@
   /// Takes the next whole message, if any.
   std::optional<http_message> Take();
 
+  /// Forgets the message under way. Nothing more may be fed.
+  void Drop();
+
   /// The next answer belongs to a HEAD request and has no body.
   void ExpectNoBody(bool none) { no_body_ = none; }
 
   /// True when bytes of a message that is not whole have arrived.
   bool in_message() const { return in_message_; }
+  /// Bytes kept of the message under way.
+  size_t buffered() const { return header_bytes_ + current_.body.size(); }
   /// True when the headers of the message under way are through.
   bool headers_done() const { return headers_done_; }
   /// True when the message under way announced that it waits for 100.
--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -89,5 +89,37 @@
   EXPECT_EQ(caller_.got(), "");
 }
 
+// Several callers send large bodies, slowly. Kept all at once they would take
+// the process over its memory, and it would be killed with the requests of
+// everybody. The one that goes beyond is told that it was not run and when to
+// come back; the others are served.
+TEST_F(CallerServerTest, BodiesBeyondTheMemoryAreRefusedAsNotRun) {
+  constexpr size_t kBody = 60'000;
+  const std::string head = "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                           std::to_string(kBody) + "\r\n\r\n";
+  const std::string most_of_body(kBody - 1, 'x');
+  server_.SetMostBuffered(100'000);
+  caller_.Send(head + most_of_body);
+  ASSERT_TRUE(RunUntil([&] { return server_.buffered() >= kBody; }));
+
+  test_caller second{events_};
+  ASSERT_TRUE(second.Connect(server_.port()));
+  ASSERT_TRUE(RunUntil([&] { return second.is_connected(); }));
+  second.Send(head + most_of_body);
+  ASSERT_TRUE(RunUntil([&] { return second.got().ends_with("\r\n\r\n"); }));
+  EXPECT_TRUE(second.got().starts_with("HTTP/1.1 503")) << second.got();
+  EXPECT_NE(second.got().find("Retry-After: "), std::string::npos);
+  EXPECT_FALSE(asked_);
+
+  caller_.Send("x");
+  ASSERT_TRUE(RunUntil([&] { return asked_.has_value(); }));
+  http_message answer;
+  answer.status = 200;
+  server_.Answer(*asked_, answer);
+  ASSERT_TRUE(RunUntil([&] { return !caller_.got().empty(); }));
+  EXPECT_TRUE(caller_.got().starts_with("HTTP/1.1 200")) << caller_.got();
+  ASSERT_TRUE(RunUntil([&] { return server_.buffered() == 0; }));
+}
+
 }  // namespace
 }  // namespace foxtailspread
