Let a successor go on with the wait for a lost holder of the lease

Cause: keys of a target that is lost together with the holder wait until that holder can renew nothing any more, 15 s at most. The lease named the former holders without saying how much of that was left, so each new holder began the wait anew, for all of them. Ruled out: lost releases, targets that refuse grants, a store that was away. Now the lease says of each former holder how long it may still renew.

KeyAssignerTest.WaitForALostHolderIsNotBegunAnewByEachSuccessor failed before (21 of 128 watched keys without an owner).

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -45,6 +45,17 @@
 /// not take its release; its process has ended by then.
 inline constexpr duration kLeaveTime{std::chrono::seconds{6}};
 
+/// A host that held the lease before and may still renew what it granted.
+struct former_holder {
+  std::string host;
+  /// How much longer it may, from the write of the record that says so. A
+  /// successor goes on with that wait: begun anew by each, it kept keys of a
+  /// lost target without an owner for as long as holders changed.
+  duration may_renew{};
+
+  bool operator==(const former_holder&) const = default;
+};
+
 /// The lease, as the store keeps it.
 struct assigner_lease {
   std::string host;       ///< Who holds it.
@@ -53,7 +64,7 @@
   bool released = false;  ///< Given up; anyone may take it at once.
   size_t hosts = 1;       ///< Hosts that report to it.
   /// Former holders that are not known to have stopped renewing grants.
-  std::vector<std::string> predecessors{};
+  std::vector<former_holder> predecessors{};
 
   bool operator==(const assigner_lease&) const = default;
 };
@@ -340,8 +351,7 @@
   void Beat(time_point now, assigner_actions& out);
   void ChooseSuccessors(time_point now);
   bool MayFollow(time_point now) const;
-  std::vector<std::string> Predecessors() const;
-  time_point StoppedAt(const std::string& predecessor) const;
+  std::vector<former_holder> Predecessors() const;
   bool IsFailing(const target_state& state, time_point now) const;
   void NoteOrder(target_state& state, const order_context& context,
                  const order_report& report, time_point now);
@@ -408,9 +418,8 @@
   std::optional<assigner_beat> beat_heard_;
   time_point beat_heard_at_{};
   /// Hosts that held the lease before and may still renew what they granted,
-  /// with the time at which each was known to have stopped.
-  std::map<std::string, std::optional<time_point>> predecessors_;
-  std::string released_by_;  ///< The last of them, if it gave the lease up.
+  /// with the time at which each stops or is known to have stopped.
+  std::map<std::string, time_point> predecessors_;
   std::map<uint64_t, order_context> orders_;
   uint64_t last_id_ = 0;
   bool doubtful_ = false;
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -10,6 +10,9 @@
 namespace foxtailspread {
 namespace {
 
+using std::chrono::ceil;
+using std::chrono::milliseconds;
+
 /// How often the holder writes the lease. Each write wakes the watch of every
 /// host, so it is seldom; successors go by datagrams.
 constexpr duration kRenewEvery{std::chrono::milliseconds{2000}};
@@ -42,16 +45,26 @@
 /// Hosts that reported within this time count as there.
 constexpr duration kHostSeenFor{std::chrono::seconds{4}};
 
+/// The longest time that a former holder can go on, if nothing tells when it
+/// stopped.
+constexpr duration kLongestMayRenew = kLeaseTerm + kKeepAfterLapse;
+
 /// Only hosts heard of within this time are chosen as successors.
 constexpr duration kSuccessorSeenFor{std::chrono::milliseconds{2500}};
 
 }  // namespace
 
 std::string FormatLease(const assigner_lease& lease) {
+  nlohmann::json predecessors = nlohmann::json::array();
+  for (const former_holder& each : lease.predecessors) {
+    predecessors.push_back(
+        {{"host", each.host},
+         {"may_renew_ms", ceil<milliseconds>(each.may_renew).count()}});
+  }
   return nlohmann::json{
       {"host", lease.host},       {"address", lease.address},
       {"renewal", lease.renewal}, {"released", lease.released},
-      {"hosts", lease.hosts},     {"predecessors", lease.predecessors}}
+      {"hosts", lease.hosts},     {"predecessors", std::move(predecessors)}}
       .dump();
 }
 
@@ -68,7 +81,13 @@
   reader.Read("renewal", lease.renewal);
   reader.Read("released", lease.released);
   reader.Read("hosts", lease.hosts);
-  reader.Read("predecessors", lease.predecessors);
+  reader.ReadList("predecessors", [&](object_reader& each) {
+    former_holder& former = lease.predecessors.emplace_back();
+    each.Require({"host", "may_renew_ms"});
+    each.Read("host", former.host);
+    each.ReadMilliseconds("may_renew_ms", former.may_renew,
+                          {duration{0}, kLongestMayRenew});
+  });
   if (const status read = reader.Finish(); !read) {
     return read.error();
   }
@@ -156,9 +175,9 @@
   // Whoever has read this host's lease grants nothing any more. The same goes
   // for a new process on the former holder's host.
   const auto former = predecessors_.find(report.host);
-  if (was_holder_ && former != predecessors_.end() && !former->second &&
+  if (was_holder_ && former != predecessors_.end() &&
       report.lease_revision >= acting_from_revision_) {
-    former->second = now;
+    former->second = std::min(former->second, now);
   }
   for (const target_latency& each : report.targets) {
     for (auto& [life, target] : targets_) {
@@ -248,9 +267,9 @@
       next.renewal = lease_->renewal + 1;
       next.hosts = std::max<size_t>(hosts_seen_.size(), 1);
       next.predecessors.clear();
-      for (const auto& [name, stopped] : predecessors_) {
-        if (!stopped && now < StoppedAt(name)) {
-          next.predecessors.push_back(name);
+      for (const auto& [name, stops] : predecessors_) {
+        if (now < stops) {
+          next.predecessors.push_back({name, stops - now});
         }
       }
       WriteLease(next, now, out);
@@ -269,33 +288,23 @@
 }
 
 /// Those that may still renew grants when this host takes the lease now.
-std::vector<std::string> key_assigner::Predecessors() const {
+std::vector<former_holder> key_assigner::Predecessors() const {
   if (!lease_) {
     return {};
   }
-  std::vector<std::string> former = lease_->predecessors;
-  former.push_back(lease_->host);
+  std::vector<former_holder> former = lease_->predecessors;
+  std::erase_if(former, [&](const former_holder& each) {
+    return each.host == lease_->host;
+  });
+  former.push_back(
+      {lease_->host, lease_->released ? kLeaveTime : kLongestMayRenew});
   // A process of this host that ended renews nothing.
-  std::erase_if(former, [&](const std::string& name) {
-    return name.empty() || name == settings_.host;
+  std::erase_if(former, [&](const former_holder& each) {
+    return each.host.empty() || each.host == settings_.host;
   });
-  std::sort(former.begin(), former.end());
-  former.erase(std::unique(former.begin(), former.end()), former.end());
   return former;
 }
 
-/// When a former holder has stopped for certain: it said so, or the times of
-/// its lease and of keeping after it are over.
-time_point key_assigner::StoppedAt(const std::string& predecessor) const {
-  const auto found = predecessors_.find(predecessor);
-  if (found != predecessors_.end() && found->second) {
-    return *found->second;
-  }
-  const duration last_word =
-      predecessor == released_by_ ? kLeaveTime : kLeaseTerm + kKeepAfterLapse;
-  return taken_at_ + last_word;
-}
-
 void key_assigner::WriteLease(const assigner_lease& next, time_point now,
                               assigner_actions& out) {
   lease_write_ = pending_write{.name = std::string{kLeaseName},
@@ -339,8 +348,6 @@
     return;
   }
   const pending_write written = *std::exchange(lease_write_, std::nullopt);
-  const std::string former = lease_ ? lease_->host : std::string{};
-  const bool released = lease_ && lease_->released;
   const auto parsed =
       ParseLease(done ? std::string_view{written.content} : report.content);
   if (report.revision > lease_revision_ && parsed) {
@@ -378,10 +385,9 @@
     synced_since_taken_ = false;
     successors_.clear();
     predecessors_.clear();
-    for (const std::string& name : lease_->predecessors) {
-      predecessors_.emplace(name, std::nullopt);
+    for (const former_holder& each : lease_->predecessors) {
+      predecessors_.emplace(each.host, now + each.may_renew);
     }
-    released_by_ = released ? former : std::string{};
     out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseTaken});
   }
 }
--- a/src/core/key_assigner_orders.cc
+++ b/src/core/key_assigner_orders.cc
@@ -36,8 +36,8 @@
 time_point key_assigner::HeldUntil(const target_life& life) const {
   // Whoever held the lease before may have granted until it stopped.
   time_point stopped = taken_at_;
-  for (const auto& [name, known] : predecessors_) {
-    stopped = std::max(stopped, StoppedAt(name));
+  for (const auto& [name, at] : predecessors_) {
+    stopped = std::max(stopped, at);
   }
   stopped += kOrderTimeout;
   const time_point inherited = stopped + LongestHold();
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -147,6 +147,27 @@
   EXPECT_EQ(world_.UnownedKeys(), 0U);
 }
 
+// A holder is gone for good together with a target, and its successor is
+// restarted while it still waits for what the first may have granted. The next
+// one must go on with that wait; each that began it anew left the lost target's
+// keys without an owner for as long as holders kept changing.
+TEST_F(KeyAssignerTest, WaitForALostHolderIsNotBegunAnewByEachSuccessor) {
+  world_.Run(kSettled);
+  const size_t first = world_.holder().value();
+  world_.target(2).alive = false;
+  world_.KillHost(first);
+  world_.Run(seconds{14});
+  ASSERT_GT(world_.UnownedKeys(), 0U);
+  ASSERT_TRUE(world_.holder());
+  const size_t second = world_.holder().value();
+  ASSERT_NE(second, first);
+  world_.KillHost(second);
+  world_.Run(milliseconds{500});
+  world_.StartHost(second);
+  world_.Run(milliseconds{8500});
+  EXPECT_EQ(world_.UnownedKeys(), 0U);
+}
+
 // A crashed target is back under the id that it had and holds nothing. Callers
 // of its keys get 421 until they are granted anew.
 TEST_F(KeyAssignerTest, ReturnedTargetGetsItsKeysWithAHigherFence) {
