Measure latencies, waits and the loop's lag as histograms

Cause: the metrics address had counters of the host alone; an engineer could not see how long requests of a service waited, how old a host's copies were or what was left of the retry budget. Now request and wait histograms by service, refusals by service and reason, gauges of queues, targets, budgets, ages, callers' memory, loop lag and peak memory. Boost.Accumulators estimates quantiles, which cannot be added up over hosts, and Debian has no Prometheus library for C++, hence counts by fixed bounds.

The refused and delivered actions now carry one account of the request, for log and metrics.

--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -81,6 +81,15 @@
 /// Returns the stable name of a reason.
 std::string_view ToString(refusal_reason reason);
 
+/// What became of a request, for the log and the metrics.
+struct request_account {
+  std::string service{};  ///< Empty if no route was found.
+  int attempts = 0;       ///< Sends that reached a target.
+  duration age{};         ///< Since its arrival.
+  /// From its arrival to its first send, if it was sent.
+  std::optional<duration> wait{};
+};
+
 /// Ends a request with an answer of this host.
 struct own_answer_action {
   request_id id = 0;
@@ -90,9 +99,7 @@
   /// Only the attempt that is being cancelled may have run: the answer is
   /// kNotRun if no byte of it was written.
   bool not_run_if_unwritten = false;
-  std::string service{};
-  int attempts = 0;
-  duration age{};
+  request_account account{};
   std::optional<key_point> key{};
   uint64_t config_version = 0;  ///< By which it was routed.
 };
@@ -100,6 +107,7 @@
 /// Ends a request with the answer that its last attempt brought.
 struct deliver_action {
   request_id id = 0;
+  request_account account{};
 };
 
 /// Ends the request's attempt under way by closing its connection.
@@ -117,6 +125,14 @@
   attempt_verdict verdict = attempt_verdict::kBroken;
 };
 
+/// How one service stands now.
+struct service_gauges {
+  std::string service;
+  size_t waiting = 0;         ///< Requests not sent yet.
+  size_t usable_targets = 0;  ///< Listed, not leaving and reachable.
+  double repeats_left = 0.0;  ///< This host's part of the budget.
+};
+
 /// Counts since the start.
 struct router_counts {
   uint64_t requests = 0;
@@ -185,6 +201,7 @@
   const route_table* table() const { return table_.get(); }
   size_t pending() const { return requests_.size(); }
   const router_counts& counts() const { return counts_; }
+  std::vector<service_gauges> Gauges(time_point now);
   /// Contents that crash targets, to be shared among the hosts.
   crash_watch& crashes() { return crashes_; }
 
--- a/include/foxtailspread/retry_budget.h
+++ b/include/foxtailspread/retry_budget.h
@@ -34,7 +34,10 @@
   /// Takes one repeat out of the budget, or returns false.
   bool TryRepeat(time_point now);
   /// Whether TryRepeat would succeed.
-  bool HasRoom(time_point now);
+  bool HasRoom(time_point now) { return Left(now) >= 1.0; }
+  /// Repeats that may still be made now; below 0 if the requests that earned
+  /// them have left the window.
+  double Left(time_point now);
 
  private:
   /// The window is cut into so many slices; one more is kept, so that a
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -311,6 +311,9 @@
   }
   sent.current = to;
   sent.sent = now;
+  if (!sent.first_sent) {
+    sent.first_sent = now;
+  }
   to->health.OnSent(now);
   if (!sent.WasTried(to)) {
     sent.tried.emplace_back(to);
@@ -372,7 +375,8 @@
   switch (report.verdict) {
     case attempt_verdict::kServed:
       crashes_.OnAnswered(ended.content);
-      out.emplace_back(deliver_action{ended.id});
+      out.emplace_back(
+          deliver_action{.id = ended.id, .account = ended.Account(now)});
       ++counts_.delivered;
       Finish(ended);
       break;
@@ -439,7 +443,8 @@
 void request_router::Refuse(request& refused, refusal_reason reason,
                             time_point now, router_actions& out) {
   if (refused.has_answer) {
-    out.emplace_back(deliver_action{refused.id});
+    out.emplace_back(
+        deliver_action{.id = refused.id, .account = refused.Account(now)});
     ++counts_.delivered;
     Finish(refused);
     return;
@@ -447,9 +452,7 @@
   ++counts_.refused[reason];
   own_answer_action refusal{.id = refused.id,
                             .reason = reason,
-                            .service = refused.at->name,
-                            .attempts = refused.arrivals,
-                            .age = now - refused.arrived,
+                            .account = refused.Account(now),
                             .key = refused.key,
                             .config_version = refused.table->config().version};
   if (!refused.may_have_run) {
@@ -521,6 +524,22 @@
   return due_.empty() ? time_point::max() : due_.top().at;
 }
 
+std::vector<service_gauges> request_router::Gauges(time_point now) {
+  std::vector<service_gauges> gauges;
+  for (auto& [name, each] : services_) {
+    service_gauges& added = gauges.emplace_back();
+    added.service = name;
+    added.waiting = each->waiting_count;
+    added.repeats_left = each->budget.Left(now);
+    for (const auto& one : each->targets) {
+      const bool usable = !one->entry.draining && !one->missing_since &&
+                          one->health.IsReachable(now);
+      added.usable_targets += usable ? 1 : 0;
+    }
+  }
+  return gauges;
+}
+
 std::vector<uint32_t> request_router::TakeKeyLoad(
     const std::string& service_name) {
   const auto found = services_.find(service_name);
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -53,9 +53,11 @@
   bool has_answer = false;  ///< A target's failure is held to be passed on.
   target_ptr current;       ///< Set while an attempt is under way.
   time_point sent{};
+  std::optional<time_point> first_sent{};
   std::vector<target_ptr> tried;
 
   bool is_waiting() const { return is_linked(); }
+  request_account Account(time_point now) const;
   bool WasTried(const target* one) const {
     for (const target_ptr& each : tried) {
       if (each.get() == one) {
@@ -98,6 +100,15 @@
   std::vector<uint32_t> key_load;
 };
 
+inline request_account request_router::request::Account(time_point now) const {
+  request_account account{
+      .service = at->name, .attempts = arrivals, .age = now - arrived};
+  if (first_sent) {
+    account.wait = *first_sent - arrived;
+  }
+  return account;
+}
+
 }  // namespace foxtailspread
 
 #endif  // FOXTAILSPREAD_CORE_REQUEST_ROUTER_STATE_H_
--- a/src/core/retry_budget.cc
+++ b/src/core/retry_budget.cc
@@ -12,7 +12,7 @@
   return found;
 }
 
-bool retry_budget::HasRoom(time_point now) {
+double retry_budget::Left(time_point now) {
   const int64_t newest = At(now).number;
   double requests = 0.0;
   double repeats = 0.0;
@@ -24,7 +24,7 @@
   }
   const double allowed =
       bounds_.ratio * requests + bounds_.slack / static_cast<double>(hosts_);
-  return repeats + 1.0 <= allowed * kUsedShare;
+  return allowed * kUsedShare - repeats;
 }
 
 bool retry_budget::TryRepeat(time_point now) {
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -1,5 +1,7 @@
 #include "edge/edge_daemon.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -74,6 +76,13 @@
   return route_table_ptr{new route_table(std::move(config.value()))};
 }
 
+/// The most memory that the process has used. The kernel counts in kilobytes.
+double PeakMemoryBytes() {
+  rusage used{};
+  getrusage(RUSAGE_SELF, &used);
+  return static_cast<double>(used.ru_maxrss) * 1024.0;
+}
+
 std::optional<std::string> ReadText(std::string_view /*name*/,
                                     const nlohmann::json& content) {
   return content.dump();
@@ -245,13 +254,14 @@
   if (found == flights_.end()) {
     return;
   }
+  metrics_.OnRefused(action.account, action.reason);
   const std::string attempt{platform::AttemptId(found->second.request)};
   LogEvent(event_id::kRequestRefused,
            {{"request", attempt},
             {"reason", ToString(action.reason)},
-            {"service", action.service},
-            {"attempts", int64_t{action.attempts}},
-            {"age_ms", action.age.count() / 1000},
+            {"service", action.account.service},
+            {"attempts", int64_t{action.account.attempts}},
+            {"age_ms", action.account.age.count() / 1000},
             {"target", found->second.target.id},
             {"key", action.key ? int64_t{*action.key} : int64_t{-1}},
             {"config", static_cast<int64_t>(action.config_version)}});
@@ -270,6 +280,7 @@
   if (found == flights_.end()) {
     return;
   }
+  metrics_.OnDelivered(action.account);
   flight done = std::move(found->second);
   flights_.erase(found);
   if (done.answer) {
@@ -290,6 +301,9 @@
 
 void edge_daemon::Step() {
   const time_point now = Now();
+  if (armed_for_ != time_point::max()) {
+    metrics_.OnLoopLag(std::max(now - armed_for_, duration{0}));
+  }
   armed_for_ = time_point::max();
   config_.Step(now);
   targets_.Step(now);
@@ -349,24 +363,44 @@
   }
 }
 
-std::string edge_daemon::MetricsText() const {
-  const router_counts& counts = router_.counts();
-  std::string text;
-  const auto line = [&](std::string_view name, uint64_t value) {
-    text.append(name).append(" ").append(std::to_string(value)).append("\n");
+std::string edge_daemon::MetricsText() {
+  const time_point now = Now();
+  std::string text = metrics_.Text();
+  const auto line = [&](std::string_view name, double value) {
+    AppendMetric(text, name, "", value);
   };
-  line("requests_total", counts.requests);
-  line("requests_delivered_total", counts.delivered);
-  line("sends_total", counts.sends);
-  line("repeats_total", counts.repeats);
-  for (const auto& [reason, count] : counts.refused) {
-    line("requests_refused_total{reason=\"" + std::string{ToString(reason)} +
-             "\"}",
-         count);
+  const auto age = [&](std::string_view name, const auto& follower) {
+    line(name,
+         std::chrono::duration<double>(now - follower.copy().current_as_of())
+             .count());
+  };
+  const router_counts& counts = router_.counts();
+  line("requests_total", static_cast<double>(counts.requests));
+  line("repeats_total", static_cast<double>(counts.repeats));
+  line("requests_pending", static_cast<double>(router_.pending()));
+  for (const service_gauges& each : router_.Gauges(now)) {
+    const std::string labels = "service=\"" + each.service + "\"";
+    AppendMetric(text, "requests_waiting", labels,
+                 static_cast<double>(each.waiting));
+    AppendMetric(text, "targets_usable", labels,
+                 static_cast<double>(each.usable_targets));
+    AppendMetric(text, "repeats_left", labels, each.repeats_left);
   }
-  line("requests_pending", router_.pending());
-  line("store_calls_total", store_.calls());
-  line("target_connections_total", targets_pool_.connections_made());
+  line("store_calls_total", static_cast<double>(store_.calls()));
+  line("target_connections_total",
+       static_cast<double>(targets_pool_.connections_made()));
+  line("callers_connections", static_cast<double>(callers_.connections()));
+  line("callers_buffered_bytes", static_cast<double>(callers_.buffered()));
+  line("hosts_known", static_cast<double>(assigner_.HostCount()));
+  line("assigner_lease_held", assigner_.IsHolder(now) ? 1.0 : 0.0);
+  line("config_version",
+       router_.table() == nullptr
+           ? 0.0
+           : static_cast<double>(router_.table()->config().version));
+  age("config_age_seconds", config_);
+  age("targets_age_seconds", targets_);
+  age("owners_age_seconds", own_);
+  line("memory_peak_bytes", PeakMemoryBytes());
   return text;
 }
 
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "edge/edge_metrics.h"
 #include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/key_assigner.h"
 #include "foxtailspread/request_router.h"
@@ -90,7 +91,7 @@
   stop_phase StopPhase(time_point now) const;
   bool IsReady() const;
   bool StoreWasAway(time_point now) const;
-  std::string MetricsText() const;
+  std::string MetricsText();
 
   platform::edge_settings settings_;
   std::function<void()> on_done_;
@@ -114,6 +115,7 @@
   std::optional<time_point> store_failed_at_;
   bool store_answers_ = true;
   graceful_stop stop_;
+  edge_metrics metrics_;
   bool closing_ = false;
   time_point armed_for_ = time_point::max();
   timer step_;
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -309,6 +309,7 @@
       event = event_id::kOwnerLost;
       break;
     case kind::kKeysMoving:
+      metrics_.OnKeysMoved();
       event = event_id::kKeysMoving;
       break;
     case kind::kKeysGranted:
--- /dev/null
+++ b/src/edge/edge_metrics.cc
@@ -0,0 +1,48 @@
+#include "edge/edge_metrics.h"
+
+namespace foxtailspread {
+
+void edge_metrics::Count(const request_account& account) {
+  service_metrics& to = services_[account.service];
+  to.sends += static_cast<uint64_t>(account.attempts);
+  to.latency.Add(account.age);
+  if (account.wait) {
+    to.wait.Add(*account.wait);
+  }
+}
+
+void edge_metrics::OnDelivered(const request_account& account) {
+  Count(account);
+  ++services_[account.service].delivered;
+}
+
+void edge_metrics::OnRefused(const request_account& account,
+                             refusal_reason reason) {
+  Count(account);
+  ++services_[account.service].refused[reason];
+}
+
+std::string edge_metrics::Text() const {
+  std::string text;
+  for (const auto& [name, each] : services_) {
+    const std::string service = "service=\"" + name + "\"";
+    const auto count = [&](std::string_view metric, const std::string& labels,
+                           uint64_t value) {
+      AppendMetric(text, metric, labels, static_cast<double>(value));
+    };
+    count("requests_delivered_total", service, each.delivered);
+    count("sends_total", service, each.sends);
+    for (const auto& [reason, refused] : each.refused) {
+      count("requests_refused_total",
+            service + ",reason=\"" + std::string{ToString(reason)} + "\"",
+            refused);
+    }
+    AppendHistogram(text, "request_seconds", service, each.latency);
+    AppendHistogram(text, "wait_seconds", service, each.wait);
+  }
+  AppendHistogram(text, "loop_lag_seconds", "", loop_lag_);
+  AppendMetric(text, "keys_moved_total", "", static_cast<double>(keys_moved_));
+  return text;
+}
+
+}  // namespace foxtailspread
--- a/tests/edge_daemon_test.cc
+++ b/tests/edge_daemon_test.cc
@@ -223,8 +223,15 @@
   const http_message answer = Exchange(
       hosts_[0]->readiness_port(), "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
   EXPECT_EQ(answer.status, 200);
-  EXPECT_NE(answer.body.find("requests_total "), std::string::npos);
-  EXPECT_NE(answer.body.find("store_calls_total "), std::string::npos);
+  for (const char* line :
+       {"requests_total ", "store_calls_total ",
+        "requests_delivered_total{service=\"orders\"} 1.0\n",
+        "request_seconds_bucket{service=\"orders\",le=\"+Inf\"} 1\n",
+        "wait_seconds_count{service=\"orders\"} 1\n",
+        "repeats_left{service=\"orders\"} ", "loop_lag_seconds_count ",
+        "config_age_seconds ", "memory_peak_bytes "}) {
+    EXPECT_NE(answer.body.find(line), std::string::npos) << line;
+  }
 }
 
 }  // namespace
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -433,7 +433,7 @@
   duration most{0};
   for (const own_answer_action& each : refused) {
     EXPECT_EQ(each.reason, refusal_reason::kQueueFull);
-    EXPECT_EQ(each.age, duration{0});
+    EXPECT_EQ(each.account.age, duration{0});
     least = std::min(least, each.retry_after.value_or(duration{0}));
     most = std::max(most, each.retry_after.value_or(duration{0}));
   }
