--- a/include/foxtailspread/bounded_histogram.h
+++ b/include/foxtailspread/bounded_histogram.h
@@ -23,7 +23,8 @@
 /// @code
 /// bounded_histogram waits;
 /// waits.Add(std::chrono::milliseconds{7});
-/// AppendHistogram(text, "wait_seconds", "service=\"a\"", waits);
+/// AppendHistogram(text, "wait_seconds", MetricLabel("service", name),
+///                 waits);
 /// @endcode
 class bounded_histogram {
  public:
@@ -52,6 +53,9 @@
   duration sum_{0};
 };
 
+/// Returns one label as metrics are written, with quotes in `value` escaped.
+std::string MetricLabel(std::string_view name, std::string_view value);
+
 /// Appends the lines of one histogram. `labels` are written as they are.
 void AppendHistogram(std::string& text, std::string_view name,
                      std::string_view labels, const bounded_histogram& from);
--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -136,10 +136,8 @@
      "See docs/OPERATIONS.md for each reason."},
     {event_id::kRequestNotRead, event_level::kWarning, "request-not-read",
      "A caller's request was refused before it was read whole: malformed "
-     "(400), "
-     "body too large (413), headers too large (431), or too many bytes kept "
-     "for "
-     "all callers (503).",
+     "(400), body too large (413), headers too large (431), or too many bytes "
+     "kept for all callers (503).",
      "For 400, 413 and 431 look at the caller; for 503 add hosts or memory."},
     {event_id::kAssignerBegan, event_level::kInfo, "assigner-began",
      "This host now gives keys to targets.", "Nothing to do."},
--- a/src/core/bounded_histogram.cc
+++ b/src/core/bounded_histogram.cc
@@ -24,6 +24,13 @@
 
 }  // namespace
 
+std::string MetricLabel(std::string_view name, std::string_view value) {
+  // JSON escapes the same characters; bytes that are not UTF-8 are replaced.
+  return std::string{name} + "=" +
+         nlohmann::json(value).dump(-1, ' ', false,
+                                    nlohmann::json::error_handler_t::replace);
+}
+
 void bounded_histogram::Add(duration length) {
   const auto* const at =
       std::lower_bound(kBounds.begin(), kBounds.end(), length);
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -87,11 +87,14 @@
   return route_table_ptr{new route_table(std::move(config.value()))};
 }
 
-/// The most memory that the process has used. The kernel counts in kilobytes.
-double PeakMemoryBytes() {
+/// The most memory that the process has used, if the system tells.
+std::optional<double> PeakMemoryBytes() {
   rusage used{};
-  getrusage(RUSAGE_SELF, &used);
-  return static_cast<double>(used.ru_maxrss) * 1024.0;
+  if (getrusage(RUSAGE_SELF, &used) != 0) {
+    return std::nullopt;
+  }
+  constexpr double kKilobyte = 1024.0;  // The unit of ru_maxrss.
+  return static_cast<double>(used.ru_maxrss) * kKilobyte;
 }
 
 std::optional<std::string> ReadText(std::string_view /*name*/,
@@ -391,7 +394,7 @@
   line("repeats_total", static_cast<double>(counts.repeats));
   line("requests_pending", static_cast<double>(router_.pending()));
   for (const service_gauges& each : router_.Gauges(now)) {
-    const std::string labels = "service=\"" + each.service + "\"";
+    const std::string labels = MetricLabel("service", each.service);
     AppendMetric(text, "requests_waiting", labels,
                  static_cast<double>(each.waiting));
     AppendMetric(text, "targets_usable", labels,
@@ -412,7 +415,9 @@
   age("config_age_seconds", config_);
   age("targets_age_seconds", targets_);
   age("owners_age_seconds", own_);
-  line("memory_peak_bytes", PeakMemoryBytes());
+  if (const auto peak = PeakMemoryBytes()) {
+    line("memory_peak_bytes", *peak);
+  }
   return text;
 }
 
--- a/src/edge/edge_metrics.cc
+++ b/src/edge/edge_metrics.cc
@@ -25,7 +25,7 @@
 std::string edge_metrics::Text() const {
   std::string text;
   for (const auto& [name, each] : services_) {
-    const std::string service = "service=\"" + name + "\"";
+    const std::string service = MetricLabel("service", name);
     const auto count = [&](std::string_view metric, const std::string& labels,
                            uint64_t value) {
       AppendMetric(text, metric, labels, static_cast<double>(value));
@@ -34,8 +34,7 @@
     count("sends_total", service, each.sends);
     for (const auto& [reason, refused] : each.refused) {
       count("requests_refused_total",
-            service + ",reason=\"" + std::string{ToString(reason)} + "\"",
-            refused);
+            service + "," + MetricLabel("reason", ToString(reason)), refused);
     }
     AppendHistogram(text, "request_seconds", service, each.latency);
     AppendHistogram(text, "wait_seconds", service, each.wait);
--- a/tests/bounded_histogram_test.cc
+++ b/tests/bounded_histogram_test.cc
@@ -47,6 +47,12 @@
   EXPECT_TRUE(text.ends_with("wait_seconds_count{service=\"a\"} 2\n"));
 }
 
+// Names of services come from declarations. A quote in one must not end the
+// label, or the whole page of metrics could not be read.
+TEST_F(BoundedHistogramTest, QuotesInALabelAreEscaped) {
+  EXPECT_EQ(MetricLabel("service", "a\"b\\c"), R"(service="a\"b\\c")");
+}
+
 TEST_F(BoundedHistogramTest, MetricWithoutLabelsHasNoBraces) {
   std::string text;
   AppendMetric(text, "requests_pending", "", 3);
