Say once what stood twice in metrics, successors and tests

On reading the change again; no behaviour changes: - the router still counted sends, deliveries and refusals that only the new metrics read by then; it keeps the two counts that are read; - each ended request was looked up by service twice in the metrics; - which hosts are too narrow to follow was decided at two places of one function; the candidates now leave them out once; - bytes kept for callers were counted twice for each request read; - a keyed service was declared alike in three test fixtures, and the answer to a write made alike in three places of one.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -352,7 +352,7 @@
   void Lapse(assigner_actions& out);
   void Beat(time_point now, assigner_actions& out);
   void ChooseSuccessors(time_point now);
-  std::vector<std::string> FreshHosts(time_point now) const;
+  std::vector<std::string> SuccessorCandidates(time_point now) const;
   duration TakeoverDelay() const;
   bool MayFollow(time_point now) const;
   std::vector<former_holder> Predecessors() const;
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -136,10 +136,7 @@
 /// Counts since the start.
 struct router_counts {
   uint64_t requests = 0;
-  uint64_t delivered = 0;
-  uint64_t sends = 0;
   uint64_t repeats = 0;
-  std::map<refusal_reason, uint64_t> refused{};
 };
 
 /// What a router goes by.
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -215,9 +215,10 @@
   }
 }
 
-/// The other hosts that were heard of lately, those with the widest links
-/// first.
-std::vector<std::string> key_assigner::FreshHosts(time_point now) const {
+/// The other hosts that were heard of lately and may follow, those with the
+/// widest links first. Narrow ones are among them only if there is no other.
+std::vector<std::string> key_assigner::SuccessorCandidates(
+    time_point now) const {
   std::vector<std::string> names;
   for (const auto& [name, host] : hosts_seen_) {
     if (name != settings_.host && now - host.seen <= kSuccessorSeenFor) {
@@ -229,20 +230,23 @@
                      return hosts_seen_.at(a).link_mbps >
                             hosts_seen_.at(b).link_mbps;
                    });
+  const auto is_wide = [&](const std::string& name) {
+    return hosts_seen_.at(name).link_mbps >= kWideLinkMbps;
+  };
+  if (!names.empty() && is_wide(names.front())) {
+    names.erase(std::partition_point(names.begin(), names.end(), is_wide),
+                names.end());
+  }
   return names;
 }
 
 void key_assigner::ChooseSuccessors(time_point now) {
-  const std::vector<std::string> fresh = FreshHosts(now);
-  const double widest =
-      fresh.empty() ? 0.0 : hosts_seen_[fresh.front()].link_mbps;
+  const std::vector<std::string> candidates = SuccessorCandidates(now);
   // Those chosen stay while they report, unless the first to report had narrow
   // links and one with a wide link is there now.
   std::erase_if(successors_, [&](const std::string& name) {
-    const bool there =
-        std::find(fresh.begin(), fresh.end(), name) != fresh.end();
-    return !there || (widest >= kWideLinkMbps &&
-                      hosts_seen_[name].link_mbps < kWideLinkMbps);
+    return std::find(candidates.begin(), candidates.end(), name) ==
+           candidates.end();
   });
   std::set<std::string> zones{settings_.zone};
   for (const std::string& name : successors_) {
@@ -251,14 +255,11 @@
   // First one host of each other zone: a zone that is cut off or lost takes no
   // more than one of them along. Then any.
   for (const bool any_zone : {false, true}) {
-    for (const std::string& name : fresh) {
-      const host_state& host = hosts_seen_[name];
+    for (const std::string& name : candidates) {
       const bool chosen = std::find(successors_.begin(), successors_.end(),
                                     name) != successors_.end();
-      const bool too_narrow =
-          widest >= kWideLinkMbps && host.link_mbps < kWideLinkMbps;
-      if (successors_.size() >= kSuccessors || chosen || too_narrow ||
-          (!any_zone && !zones.insert(host.zone).second)) {
+      if (successors_.size() >= kSuccessors || chosen ||
+          (!any_zone && !zones.insert(hosts_seen_[name].zone).second)) {
         continue;
       }
       successors_.push_back(name);
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -230,7 +230,6 @@
   if (by == nullptr || by->services.empty()) {
     const auto reason =
         table_ ? refusal_reason::kNoRoute : refusal_reason::kNoConfig;
-    ++counts_.refused[reason];
     // Without any declarations nothing is known to be forbidden.
     own_answer_action refusal{.id = incoming.id, .reason = reason};
     refusal.answer = table_ ? own_answer::kNoRoute : own_answer::kNotRun;
@@ -319,7 +318,6 @@
     sent.tried.emplace_back(to);
   }
   ++sent.arrivals;
-  ++counts_.sends;
   out.emplace_back(send_action{.id = sent.id,
                                .target = to->entry.life,
                                .address = to->entry.address,
@@ -377,7 +375,6 @@
       crashes_.OnAnswered(ended.content);
       out.emplace_back(
           deliver_action{.id = ended.id, .account = ended.Account(now)});
-      ++counts_.delivered;
       Finish(ended);
       break;
     case attempt_verdict::kFailed:
@@ -445,11 +442,9 @@
   if (refused.has_answer) {
     out.emplace_back(
         deliver_action{.id = refused.id, .account = refused.Account(now)});
-    ++counts_.delivered;
     Finish(refused);
     return;
   }
-  ++counts_.refused[reason];
   own_answer_action refusal{.id = refused.id,
                             .reason = reason,
                             .account = refused.Account(now),
--- a/src/edge/edge_metrics.cc
+++ b/src/edge/edge_metrics.cc
@@ -2,24 +2,24 @@
 
 namespace foxtailspread {
 
-void edge_metrics::Count(const request_account& account) {
+edge_metrics::service_metrics& edge_metrics::Count(
+    const request_account& account) {
   service_metrics& to = services_[account.service];
   to.sends += static_cast<uint64_t>(account.attempts);
   to.latency.Add(account.age);
   if (account.wait) {
     to.wait.Add(*account.wait);
   }
+  return to;
 }
 
 void edge_metrics::OnDelivered(const request_account& account) {
-  Count(account);
-  ++services_[account.service].delivered;
+  ++Count(account).delivered;
 }
 
 void edge_metrics::OnRefused(const request_account& account,
                              refusal_reason reason) {
-  Count(account);
-  ++services_[account.service].refused[reason];
+  ++Count(account).refused[reason];
 }
 
 std::string edge_metrics::Text() const {
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -36,7 +36,8 @@
     bounded_histogram wait{};     ///< From arrival to the first send.
   };
 
-  void Count(const request_account& account);
+  /// Counts what all ends have in common; returns the service's metrics.
+  service_metrics& Count(const request_account& account);
 
   std::map<std::string, service_metrics> services_;
   bounded_histogram loop_lag_;
--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -141,9 +141,11 @@
 /// stays inside its memory. Callers that send large bodies slowly would fill it
 /// otherwise, and the host be killed with everybody's requests.
 bool caller_connection::IsShortOfMemory() {
+  if (!reader_.in_message() || reader_.buffered() <= kSmallRequest) {
+    return false;
+  }
   CountBytes();
-  return reader_.in_message() && reader_.buffered() > kSmallRequest &&
-         server_.buffered_ > server_.most_buffered_;
+  return server_.buffered_ > server_.most_buffered_;
 }
 
 void caller_connection::CountBytes() {
--- a/tests/assigner_lease_test.cc
+++ b/tests/assigner_lease_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "foxtailspread/key_assigner.h"
+#include "support/keyed_service.h"
 
 namespace foxtailspread {
 namespace {
@@ -15,10 +16,7 @@
 class AssignerLeaseTest : public ::testing::Test {
  protected:
   void SetUp() override {
-    service_settings service;
-    service.name = "s";
-    service.keyed = true;
-    assigner_.OnServices({service});
+    assigner_.OnServices({testing::KeyedService("s")});
     assigner_.OnStoreAnswers(true, now_);
     ASSERT_TRUE(assigner_.OnObjects({}, now_));
   }
--- a/tests/assigner_sharing_test.cc
+++ b/tests/assigner_sharing_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "foxtailspread/key_assigner.h"
-#include "foxtailspread/routing_config.h"
+#include "support/keyed_service.h"
 
 namespace foxtailspread {
 namespace {
@@ -16,10 +16,7 @@
 class AssignerSharingTest : public ::testing::Test {
  protected:
   void SetUp() override {
-    service_settings service;
-    service.name = "s";
-    service.keyed = true;
-    assigner_.OnServices({service});
+    assigner_.OnServices({testing::KeyedService("s")});
     target_entry target;
     target.life = {.id = "t", .started = 1};
     target.service = "s";
@@ -29,6 +26,16 @@
     assigner_.OnStoreAnswers(true, now_);
   }
 
+  /// The answer to a write that the store carried out.
+  void Written(const store_write& write, uint64_t revision,
+               assigner_actions& out) {
+    assigner_.OnWriteEnded({.id = write.id,
+                            .end = write_end::kWritten,
+                            .revision = revision,
+                            .content = {}},
+                           now_, out);
+  }
+
   /// The holder's watch brings what was written.
   void Watch(const store_write& write, uint64_t revision) {
     objects_[write.name] = {
@@ -53,11 +60,7 @@
         if (write->name.starts_with("keys")) {
           return *write;
         }
-        assigner_.OnWriteEnded({.id = write->id,
-                                .end = write_end::kWritten,
-                                .revision = ++revision_,
-                                .content = {}},
-                               now_, actions);
+        Written(*write, ++revision_, actions);
         Watch(*write, revision_);
       }
     }
@@ -79,11 +82,7 @@
   const uint64_t revision = ++revision_;
   Watch(write, revision);
   assigner_actions actions;
-  assigner_.OnWriteEnded({.id = write.id,
-                          .end = write_end::kWritten,
-                          .revision = revision,
-                          .content = {}},
-                         now_, actions);
+  Written(write, revision, actions);
   const share_action* share = nullptr;
   for (const assigner_action& action : actions) {
     const auto* found = std::get_if<share_action>(&action);
@@ -106,11 +105,7 @@
   Watch(write, revision);
   EXPECT_EQ(assigner_.OwnersDigest(), announced);
   assigner_actions actions;
-  assigner_.OnWriteEnded({.id = write.id,
-                          .end = write_end::kWritten,
-                          .revision = revision,
-                          .content = {}},
-                         now_, actions);
+  Written(write, revision, actions);
   EXPECT_NE(assigner_.OwnersDigest(), announced);
   EXPECT_EQ(assigner_.MapRevision("s"), revision);
 }
--- a/tests/key_map_test.cc
+++ b/tests/key_map_test.cc
@@ -8,6 +8,7 @@
 
 #include "foxtailspread/key_assigner.h"
 #include "foxtailspread/routing_config.h"
+#include "support/keyed_service.h"
 
 namespace foxtailspread {
 namespace {
@@ -88,10 +89,7 @@
 class OwnersRecordTest : public KeyMapTest {
  protected:
   void SetUp() override {
-    service_settings service;
-    service.name = "s";
-    service.keyed = true;
-    assigner_.OnServices({service});
+    assigner_.OnServices({testing::KeyedService("s")});
     ASSERT_TRUE(assigner_.OnOwners({.service = "s",
                                     .base = 0,
                                     .revision = 10,
