See keys that become busy with the first count

Ruled out: the moves themselves (10 to 25 ms each, 150 ms with work running) and the number of moves allowed at once.

Now counts come each quarter of a second, and a block of cells whose count is beyond chance is taken at its newest rate. Two tests of the new module fail with the mean of before.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -22,6 +22,7 @@
 
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_balance.h"
+#include "foxtailspread/key_load.h"
 #include "foxtailspread/key_map.h"
 #include "foxtailspread/kind_follower.h"
 #include "foxtailspread/routing_config.h"
@@ -292,12 +293,7 @@
     key_map changes;  ///< What of it differs from the record before.
     std::map<range_id, transfer> transfers;
     std::map<range_id, renewal> renewals;
-    /// Running requests a second by cell: of the last second or so, and of
-    /// the last several.
-    std::vector<double> recent_loads;
-    std::vector<double> loads;
-    std::vector<uint32_t> counts;  ///< Since `counted_from`.
-    time_point counted_from{};
+    key_load load;
     time_point balanced_at{};
     time_point refined_at{};
   };
@@ -381,7 +377,6 @@
                               const std::string& target);
   void Reassign(keyed_service& of, key_map& draft, key_range& range,
                 const target_life& to);
-  void CountLoad(keyed_service& of, time_point now);
   uint64_t Order(keyed_service& of, const key_range& range, bool grant,
                  bool renews, const target_life& to,
                  const std::string& handover, time_point now,
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -206,11 +206,8 @@
     if (found == services_.end()) {
       continue;
     }
-    found->second.counts.resize(kKeyCells, 0);
     for (const auto& [cell, count] : load.cells) {
-      if (cell < kKeyCells) {
-        found->second.counts[cell] += count;
-      }
+      found->second.load.Add(cell, count);
     }
   }
 }
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -264,7 +264,7 @@
   if (!IsHolder(now)) {
     return;
   }
-  CountLoad(of, now);
+  of.load.Average(now);
   RetryWrite(of.write, now, out);
   std::set<range_id> live;
   for (const key_range& range : of.map.ranges) {
--- a/src/core/key_assigner_moves.cc
+++ b/src/core/key_assigner_moves.cc
@@ -9,13 +9,8 @@
 namespace foxtailspread {
 namespace {
 
-/// How often load is averaged and moves are planned.
-constexpr duration kBalanceEvery{std::chrono::milliseconds{500}};
-/// Weights of the newest half second in the two running means of load. The
-/// quick one finds keys that have become hot within a second; the steady one
-/// evens out what is left without taking chance for a difference.
-constexpr double kRecentWeight = 0.5;
-constexpr double kSteadyWeight = 0.1;
+/// How often moves are planned.
+constexpr duration kBalanceEvery{std::chrono::milliseconds{250}};
 /// How uneven the recent load must be for moves at once.
 constexpr double kHotOverload = 1.7;
 constexpr double kHotUnderload = 0.25;
@@ -126,7 +121,7 @@
     if (!usable) {
       usable = Candidates(of.name, now);
     }
-    const balance_target* to = LeastLoaded(draft, of.loads, *usable);
+    const balance_target* to = LeastLoaded(draft, of.load.steady(), *usable);
     // The same target in a new life keeps its keys, if it is there already.
     for (const balance_target& each : *usable) {
       if (each.life.id == range.owner.id) {
@@ -144,27 +139,6 @@
   return changed;
 }
 
-void key_assigner::CountLoad(keyed_service& of, time_point now) {
-  if (of.counted_from == time_point{}) {
-    of.counted_from = now;
-  }
-  const duration passed = now - of.counted_from;
-  if (passed < kBalanceEvery) {
-    return;
-  }
-  const double seconds = std::chrono::duration<double>(passed).count();
-  of.recent_loads.resize(kKeyCells, 0.0);
-  of.loads.resize(kKeyCells, 0.0);
-  of.counts.resize(kKeyCells, 0);
-  for (size_t cell = 0; cell < kKeyCells; ++cell) {
-    const double rate = of.counts[cell] / seconds;
-    of.recent_loads[cell] += kRecentWeight * (rate - of.recent_loads[cell]);
-    of.loads[cell] += kSteadyWeight * (rate - of.loads[cell]);
-    of.counts[cell] = 0;
-  }
-  of.counted_from = now;
-}
-
 std::vector<key_move> key_assigner::PlanBalance(keyed_service& of,
                                                 const key_map& draft,
                                                 time_point now) {
@@ -174,7 +148,7 @@
   hot.overload = kHotOverload;
   hot.underload = kHotUnderload;
   std::vector<key_move> moves =
-      PlanMoves(draft, of.recent_loads, candidates, hot);
+      PlanMoves(draft, of.load.recent(), candidates, hot);
   const bool moving =
       std::any_of(draft.ranges.begin(), draft.ranges.end(),
                   [](const key_range& range) { return !range.granted; });
@@ -183,7 +157,7 @@
     balance_limits steady;
     steady.overload = kSteadyOverload;
     steady.underload = kSteadyUnderload;
-    moves = PlanMoves(draft, of.loads, candidates, steady);
+    moves = PlanMoves(draft, of.load.steady(), candidates, steady);
   }
   return moves;
 }
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -31,7 +31,7 @@
 constexpr duration kHold{seconds{3}};
 
 /// How often this host tells the assigner of keys about its requests.
-constexpr duration kReportEvery{milliseconds{500}};
+constexpr duration kReportEvery{milliseconds{250}};
 
 /// How often a stopping host looks whether it is done.
 constexpr duration kLeaveStep{milliseconds{100}};
