Take a reused address for the end of the target that had it

The holder of the lease is gone for good at 3.0 s, four targets end at 3.6 s and their addresses go to another service. The new holder must wait until the lost one's time is over, 15 s and a hold, before it gives the keys of a target that does not answer to others; the store then goes down and the wait begins again with the next holder.

Ruled out: a later start under the same id, the proof that was there: these targets have new ids, and no start times on this site. Their entries, once listed at the address, prove as much, since an address is only given away when its target has ended. Only entries of declared services that were first listed after the former target, while that one is no longer listed, count.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -301,6 +301,7 @@
   struct target_state {
     target_entry entry;
     bool listed = false;
+    time_point first_listed{};
     std::optional<time_point> missing_since;
     int failed_orders = 0;  ///< Since the last answered one.
     time_point failing_since{};
@@ -325,6 +326,7 @@
   target_state* StateOf(const target_life& life);
   bool IsUsable(const target_life& life, time_point now) const;
   bool IsKnownDead(const target_life& life) const;
+  bool IsAddressReused(const target_life& life) const;
   /// How long after its arrival a grant may hold, by the target's clock.
   duration LongestHold() const;
   time_point HeldUntil(const target_life& life) const;
@@ -404,6 +406,7 @@
   bool was_holder_ = false;
   bool leaving_ = false;
   std::map<std::string, keyed_service> services_;
+  std::set<std::string> service_names_;          ///< Keyed and others.
   std::map<std::string, target_state> targets_;  ///< By life.
   struct host_state {
     std::string zone;
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -151,7 +151,9 @@
 void key_assigner::OnServices(const std::vector<service_settings>& services) {
   services_known_ = true;
   std::set<std::string> keyed;
+  service_names_.clear();
   for (const service_settings& each : services) {
+    service_names_.insert(each.name);
     if (each.keyed) {
       keyed.insert(each.name);
       services_[each.name].name = each.name;
@@ -168,7 +170,11 @@
     state.listed = false;
   }
   for (const target_entry& entry : targets) {
-    target_state& state = targets_[LifeKey(entry.life)];
+    const auto [found, added] = targets_.try_emplace(LifeKey(entry.life));
+    target_state& state = found->second;
+    if (added) {
+      state.first_listed = now;
+    }
     state.entry = entry;
     state.listed = true;
     state.missing_since.reset();
@@ -180,6 +186,24 @@
   }
 }
 
+bool key_assigner::IsAddressReused(const target_life& life) const {
+  const auto found = targets_.find(LifeKey(life));
+  if (found == targets_.end() || found->second.listed) {
+    return false;
+  }
+  // An entry for a service that is not declared may come from anybody. One that
+  // was there before may be left over from the target that had the address
+  // first.
+  const target_entry& gone = found->second.entry;
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& each) {
+    const target_state& other = each.second;
+    return other.listed && other.entry.address == gone.address &&
+           other.entry.life.id != life.id &&
+           other.first_listed > found->second.first_listed &&
+           service_names_.contains(other.entry.service);
+  });
+}
+
 bool key_assigner::IsKnownDead(const target_life& life) const {
   // Another life under the same id: this one has ended. A refused connection
   // proves nothing: some partitions answer in the target's place, and a target
@@ -195,7 +219,11 @@
       return true;
     }
   }
-  return false;
+  // Its address went to another target, which is given only to one that has
+  // ended. Without that a target that is lost together with the holder of the
+  // lease leaves its keys without an owner until the holder's time is over, up
+  // to nineteen seconds (LostTargetWhoseAddressIsReused...).
+  return IsAddressReused(life);
 }
 
 bool key_assigner::IsFailing(const target_state& state, time_point now) const {
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -168,6 +168,22 @@
   EXPECT_EQ(world_.UnownedKeys(), 0U);
 }
 
+// A holder is gone for good, and so is a target whose address another service's
+// target has now. Until the lost holder's time is over nobody may take the lost
+// target's keys, unless it is certain that it holds none: callers were refused
+// for nineteen seconds.
+TEST_F(KeyAssignerTest, LostTargetWhoseAddressIsReusedKeepsNoKeysFromOthers) {
+  world_.Run(kSettled);
+  const size_t holder = world_.holder().value();
+  world_.target(2).alive = false;
+  world_.KillHost(holder);
+  world_.Run(seconds{3});
+  ASSERT_GT(world_.UnownedKeys(), 0U);
+  world_.ReuseAddress(2);
+  world_.Run(seconds{2});
+  EXPECT_EQ(world_.UnownedKeys(), 0U);
+}
+
 // A crashed target is back under the id that it had and holds nothing. Callers
 // of its keys get 421 until they are granted anew.
 TEST_F(KeyAssignerTest, ReturnedTargetGetsItsKeysWithAHigherFence) {
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -15,6 +15,7 @@
 /// An entry lapses after so much silence of its target.
 constexpr duration kEntryLife{milliseconds{2600}};
 constexpr std::string_view kService = "keyed";
+constexpr std::string_view kOtherService = "pooled";
 
 }  // namespace
 
@@ -50,6 +51,13 @@
   target.holds = {};
 }
 
+void assigner_world::ReuseAddress(size_t index) {
+  AddTarget();
+  target_entry& added = targets_.back().entry;
+  added.service = kOtherService;
+  added.address = targets_[index].entry.address;
+}
+
 void assigner_world::KillHost(size_t index) {
   hosts_[index].alive = false;
   ++hosts_[index].life;
@@ -70,7 +78,9 @@
   service_settings service;
   service.name = kService;
   service.keyed = true;
-  host.assigner->OnServices({service});
+  service_settings other;
+  other.name = kOtherService;
+  host.assigner->OnServices({service, other});
 }
 
 bool assigner_world::Chance(double part) {
@@ -358,6 +368,12 @@
     });
     return;
   }
+  if (target.rejects) {
+    Later(kOrderTime, [this, index, life, id = order.id] {
+      Report(index, life, {.id = id, .end = order_end::kRejected});
+    });
+    return;
+  }
   Later(kOrderTime, [this, index, life, order, used = connection] {
     order_report report = ApplyOrder(order, now_);
     report.connection = used;
--- a/tests/support/assigner_world.h
+++ b/tests/support/assigner_world.h
@@ -39,6 +39,7 @@
   target_entry entry;
   bool alive = true;
   bool reaches_store = true;
+  bool rejects = false;  ///< Another process answers at its address.
   std::set<std::string> unreachable_from{};  ///< Hosts that cannot reach it.
   std::array<fence_number, kWatchedKeys> seen{};
   std::array<std::optional<hold>, kWatchedKeys> holds{};
@@ -95,6 +96,8 @@
 
   void AddTarget();
   void RestartTarget(size_t index);  ///< The same id, a new life.
+  /// Adds a target of another service at the address of `index`.
+  void ReuseAddress(size_t index);
   void KillHost(size_t index);
   void StartHost(size_t index);
 
