Do not take a rejected order for a sign of life

Cause: a target whose process has ended is listed for up to three heartbeats more, and whatever answers at its address takes no orders (400).

Ruled out: the entry's report count, which does not change any more, and the pause after failed orders, which runs out.

TargetThatRejectsOrdersLosesItsKeys failed first (21 of 128 watched keys without an owner after 8 s).

--- a/src/core/key_assigner_orders.cc
+++ b/src/core/key_assigner_orders.cc
@@ -142,7 +142,11 @@
     return;  // It may have gone unsent for want of a connection.
   }
   newest_connection_ = std::max(newest_connection_, report.connection);
-  const bool answered = reached && report.end != order_end::kUnanswered;
+  // An order that is rejected has met a process that takes none, most likely
+  // another at the target's address. Taken for a sign of life it let a lost
+  // target be given more keys, which then waited for its hold to end.
+  const bool answered =
+      report.end == order_end::kDone || report.end == order_end::kFenced;
   if (answered) {
     state.failed_orders = 0;
   } else if (state.failed_orders++ == 0) {
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -184,6 +184,18 @@
   EXPECT_EQ(world_.UnownedKeys(), 0U);
 }
 
+// A target has ended and is still listed; another process answers at its
+// address and takes no orders. Callers of the keys are refused until they have
+// another owner, and for longer with each time that the target is given more.
+TEST_F(KeyAssignerTest, TargetThatRejectsOrdersLosesItsKeys) {
+  world_.Run(kSettled);
+  ASSERT_GT(world_.KeysOf(2), 0U);
+  world_.target(2).rejects = true;
+  world_.Run(seconds{8});
+  EXPECT_EQ(world_.UnownedKeys(), 0U);
+  EXPECT_EQ(world_.KeysOf(2), 0U);
+}
+
 // A crashed target is back under the id that it had and holds nothing. Callers
 // of its keys get 421 until they are granted anew.
 TEST_F(KeyAssignerTest, ReturnedTargetGetsItsKeysWithAHigherFence) {
