Let requests for moving keys wait, whatever was refused before

Cause: keys that have no owner share one line of their service. Two requests that waited too long for one move made it overrun, and for two objectives all requests for other keys on their way were refused at once, though a move takes tens of milliseconds.

Ruled out: lost owners' keys, which are refused at once anyway.

RefusalsInOneMoveDoNotEndTheWaitInTheNext failed first.

--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -483,7 +483,11 @@
     if (looked_at.expires <= now) {
       Expire(looked_at, now, out);
     } else if (looked_at.is_waiting() && looked_at.wait_until <= now) {
-      looked_at.line->NoteRefused(looked_at, now);
+      // Keys on their way have their owner soon, whatever was refused before.
+      const bool for_move = looked_at.at->keyed && !looked_at.waits_for;
+      if (!for_move) {
+        looked_at.line->NoteRefused(looked_at, now);
+      }
       Refuse(looked_at, refusal_reason::kWaitedTooLong, now, out);
     } else if (looked_at.is_waiting()) {
       DropRetired(*looked_at.at, now);
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -173,6 +173,21 @@
   EXPECT_EQ(sent[0].target.id, "r1");
 }
 
+// Two requests for moving keys were refused, since that move took long. The next
+// keys that move have a new owner in a moment; refused at once, their callers
+// would come again for nothing.
+TEST_F(RequestRouterTest, RefusalsInOneMoveDoNotEndTheWaitInTheNext) {
+  OwnKeys("r1", false);
+  Ask(1, "/reports/7");
+  Ask(2, "/reports/7");
+  ASSERT_EQ(Only<own_answer_action>(Wait(milliseconds{350})).size(), 2U);
+  OwnKeys("r2", false);
+  Ask(3, "/reports/7");
+  EXPECT_TRUE(Wait(milliseconds{40}).empty());
+  OwnKeys("r2", true);
+  EXPECT_EQ(Only<send_action>(actions_).size(), 1U);
+}
+
 // A lost owner's keys wait for seconds until its grant ends. Callers that are
 // held until then, to be refused, lose time that they need to come back.
 TEST_F(RequestRouterTest, RequestForKeysOfALostOwnerIsRefusedAtOnce) {
