--- a/src/ctl/declaration_directory.cc
+++ b/src/ctl/declaration_directory.cc
@@ -1,19 +1,20 @@
 #include "ctl/declaration_directory.h"
 
 #include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <system_error>
 #include <utility>
 
+#include "net/whole_file.h"
+
 namespace foxtailspread {
 namespace {
 
 namespace fs = std::filesystem;
 
+constexpr const char* kRemedy = "check the path and its permissions";
+
 error Unreadable(const std::string& path, std::string reason) {
-  return error{error_code::kUnknownName, path, std::move(reason),
-               "check the path and its permissions"};
+  return error{error_code::kUnknownName, path, std::move(reason), kRemedy};
 }
 
 bool IsHidden(const fs::path& path) {
@@ -22,15 +23,6 @@
 
 }  // namespace
 
-result<std::string> ReadTextFile(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  std::string text{std::istreambuf_iterator<char>(in), {}};
-  if (!in.is_open() || in.bad()) {
-    return Unreadable(path, "cannot be read");
-  }
-  return text;
-}
-
 result<std::vector<declaration_file>> ReadDeclarations(
     const std::string& directory) {
   std::error_code failure;
@@ -41,7 +33,7 @@
     if (IsHidden(path)) {
       entry.disable_recursion_pending();
     } else if (entry->is_regular_file() && path.extension() == ".json") {
-      result<std::string> text = ReadTextFile(path.string());
+      result<std::string> text = ReadWholeFile(path.string(), kRemedy);
       if (!text) {
         return text.error();
       }
--- a/src/ctl/declaration_directory.h
+++ b/src/ctl/declaration_directory.h
@@ -16,9 +16,6 @@
 result<std::vector<declaration_file>> ReadDeclarations(
     const std::string& directory);
 
-/// Reads one text file.
-result<std::string> ReadTextFile(const std::string& path);
-
 }  // namespace foxtailspread
 
 #endif  // FOXTAILSPREAD_CTL_DECLARATION_DIRECTORY_H_
--- a/src/programs/foxtailctl/main.cc
+++ b/src/programs/foxtailctl/main.cc
@@ -8,6 +8,7 @@
 
 #include "ctl/http_session.h"
 #include "ctl/run_command.h"
+#include "net/whole_file.h"
 
 namespace foxtailspread {
 namespace {
@@ -41,7 +42,8 @@
   if (what.operator_token_file.empty()) {
     return what.operator_token;
   }
-  result<std::string> token = ReadTextFile(what.operator_token_file);
+  result<std::string> token = ReadWholeFile(
+      what.operator_token_file, "check the path and its permissions");
   if (token) {
     token.value().erase(token.value().find_last_not_of(" \t\r\n") + 1);
   }
