Let the wait for a lost holder of the lease go on at each takeover

Cause: hosts that stand by hear of the lease's renewals by beats, which bring its revision but not its content.

Ruled out: reports of the former holder that are not taken in; orders under way; what the new holder itself had granted (printed for each wait).

Now the time since the lease was read is taken off. The wait only becomes shorter than it was written, by the host's own clock, so that nobody waits for less than the former holder may still act.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -353,7 +353,7 @@
   std::vector<std::string> SuccessorCandidates(time_point now) const;
   duration TakeoverDelay() const;
   bool MayFollow(time_point now) const;
-  std::vector<former_holder> Predecessors() const;
+  std::vector<former_holder> Predecessors(time_point now) const;
   bool IsFailing(const target_state& state, time_point now) const;
   void NoteOrder(target_state& state, const order_context& context,
                  const order_report& report, time_point now);
@@ -392,6 +392,7 @@
   std::optional<assigner_lease> lease_;
   uint64_t lease_revision_ = 0;
   time_point lease_seen_at_{};   ///< Its last write.
+  time_point lease_read_at_{};   ///< When `lease_` was read; beats tell less.
   time_point lease_taken_at_{};  ///< Its last change of holder.
   bool objects_read_ = false;
   std::optional<time_point> able_since_;
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -329,19 +329,28 @@
     mine.address = settings_.address;
     mine.renewal = lease_ ? lease_->renewal + 1 : 1;
     mine.hosts = lease_ ? lease_->hosts : 1;
-    mine.predecessors = Predecessors();
+    mine.predecessors = Predecessors(now);
     WriteLease(mine, now, out);
   }
 }
 
 /// Those that may still renew grants when this host takes the lease now.
-std::vector<former_holder> key_assigner::Predecessors() const {
+std::vector<former_holder> key_assigner::Predecessors(time_point now) const {
   if (!lease_) {
     return {};
   }
+  // Renewals of the lease are not read while its holder beats, so that what
+  // stands here is as old as the last change of hands. Passed on as it stood
+  // then, the wait for a lost holder began anew with each takeover, and keys of
+  // targets lost with it had no owner (seven of eight played days with such
+  // a loss).
+  const duration passed = now - lease_read_at_;
   std::vector<former_holder> former = lease_->predecessors;
+  for (former_holder& each : former) {
+    each.may_renew -= passed;
+  }
   std::erase_if(former, [&](const former_holder& each) {
-    return each.host == lease_->host;
+    return each.host == lease_->host || each.may_renew <= duration{0};
   });
   former.push_back(
       {lease_->host, lease_->released ? kLeaveTime : kLongestMayRenew});
@@ -404,6 +413,7 @@
     lease_ = parsed.value();
     lease_revision_ = report.revision;
     lease_seen_at_ = now;
+    lease_read_at_ = now;
   }
   if (!done && leaving_ && lease_ && lease_->host == settings_.host &&
       !lease_->released) {
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -103,6 +103,7 @@
     const auto parsed = ParseLease(lease->second.item.value_or(""));
     lease_revision_ = lease->second.revision;
     lease_seen_at_ = now;
+    lease_read_at_ = now;
     // A lease that cannot be read names no holder; it is taken over when it
     // has stood still for as long as any other.
     if (!parsed) {
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -109,6 +109,44 @@
   EXPECT_EQ(actions.size(), 1U) << "real silence is acted on";
 }
 
+// The first holder is gone for good. The second renews the lease for fourteen
+// seconds, of which a third host hears by beats alone, and is lost as well. The
+// third must go on with the wait for the first: begun anew, keys of targets
+// that were lost with it are refused for fifteen seconds more.
+TEST_F(KeyAssignerTest, WaitForALostHolderGoesOnWhereOnlyBeatsWereHeard) {
+  key_assigner third({.host = "third", .zone = "z", .address = "third"});
+  third.OnServices({});
+  third.OnStoreAnswers(true, world_.now());
+  time_point now = world_.now();
+  const assigner_lease lease{
+      .host = "second",
+      .address = "second",
+      .predecessors = {{.host = "first", .may_renew = seconds{15}}}};
+  ASSERT_TRUE(third.OnObjects({{std::string{key_assigner::kLeaseName},
+                                {.name = std::string{key_assigner::kLeaseName},
+                                 .revision = 2,
+                                 .item = FormatLease(lease)}}},
+                              now));
+  assigner_actions actions;
+  for (uint64_t revision = 3; revision < 59; ++revision) {
+    third.OnBeat(
+        {.host = "second", .lease_revision = revision, .successors = {"third"}},
+        now);
+    now += milliseconds{250};
+    third.OnTime(now, actions);
+  }
+  ASSERT_TRUE(actions.empty());
+  now += seconds{1};
+  third.OnTime(now, actions);
+  ASSERT_EQ(actions.size(), 1U);
+  const auto taken = ParseLease(std::get<store_write>(actions[0]).content);
+  ASSERT_TRUE(taken);
+  for (const former_holder& each : taken.value().predecessors) {
+    EXPECT_TRUE(each.host == "second" || each.may_renew <= seconds{1})
+        << each.host;
+  }
+}
+
 // A host restarts and is chosen as successor in the place of another, which
 // hears no more beats. It must not take the silence for a lost holder.
 TEST_F(KeyAssignerTest, SuccessorThatIsReplacedDoesNotTakeOver) {
