--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -173,9 +173,9 @@
   EXPECT_EQ(sent[0].target.id, "r1");
 }
 
-// Two requests for moving keys were refused, since that move took long. The next
-// keys that move have a new owner in a moment; refused at once, their callers
-// would come again for nothing.
+// Two requests for moving keys were refused, since that move took long. The
+// next keys that move have a new owner in a moment; refused at once, their
+// callers would come again for nothing.
 TEST_F(RequestRouterTest, RefusalsInOneMoveDoNotEndTheWaitInTheNext) {
   OwnKeys("r1", false);
   Ask(1, "/reports/7");
--- a/tests/worst_load_test.cc
+++ b/tests/worst_load_test.cc
@@ -30,7 +30,7 @@
   }
 };
 
-using OverloadTest = WorstLoadTest;
+class OverloadTest : public WorstLoadTest {};
 
 // More requests come for half a minute than the targets can do. With a queue
 // in order of arrival all of them wait until they are late: callers see a
@@ -55,7 +55,7 @@
                                            load_case{false, 1.3},
                                            load_case{false, 2.0}));
 
-using CalmLoadTest = WorstLoadTest;
+class CalmLoadTest : public WorstLoadTest {};
 
 // The targets have room, but their answers take now a tenth and now five times
 // the mean. A limit that takes the long ones for a queue refuses requests that
