Forget failed orders when the store is back

Cause: a holder of the lease that is cut off together with its zone counts orders to all targets outside as failed. When the cut ends, its copy of the list is still the old one, so that no report shows them alive, and it gives their keys to the targets of its own zone.

HolderThatWasCutOffDoesNotTakeTargetsForLost failed first.

--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -145,6 +145,12 @@
     // Nothing was seen while the store was away: the lease may have been
     // renewed all the time.
     lease_seen_at_ = std::max(lease_seen_at_, now);
+    // Orders that failed meanwhile tell of this host's own links, and the list
+    // that would show its targets alive is as old. Taken for lost, all targets
+    // outside a zone that had been cut off gave their keys to the three inside.
+    for (auto& [life, state] : targets_) {
+      state.failed_orders = 0;
+    }
   }
   store_answers_ = answers;
 }
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -234,6 +234,35 @@
   EXPECT_EQ(world_.KeysOf(2), 0U);
 }
 
+// The holder's zone is cut off from the store and from all targets but one, and
+// nobody can take over. When the cut ends its copy of the list of targets is
+// still the one from before. It must not take the others for lost: their keys
+// went to the one target, which callers overran.
+TEST_F(KeyAssignerTest, HolderThatWasCutOffDoesNotTakeTargetsForLost) {
+  assigner_world world{{.hosts = 1, .targets = 6, .seed = 7}};
+  world.Run(kSettled);
+  const auto before = world.Recorded();
+  const auto cut = [&](bool off) {
+    world.host(0).reaches_store = !off;
+    world.host(0).lists_targets = !off;
+    for (size_t i = 1; i < world.target_count(); ++i) {
+      world.target(i).unreachable_from =
+          off ? std::set<std::string>{world.host(0).name}
+              : std::set<std::string>{};
+    }
+  };
+  cut(true);
+  world.Run(seconds{5});
+  cut(false);
+  world.host(0).lists_targets = false;
+  world.Run(seconds{1});
+  world.host(0).lists_targets = true;
+  world.Run(seconds{11});
+  EXPECT_EQ(world.Recorded(), before);
+  EXPECT_EQ(world.UnownedKeys(), 0U);
+  EXPECT_EQ(world.problem(), "");
+}
+
 // A crashed target is back under the id that it had and holds nothing. Callers
 // of its keys get 421 until they are granted anew.
 TEST_F(KeyAssignerTest, ReturnedTargetGetsItsKeysWithAHigherFence) {
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -147,8 +147,10 @@
   const bool answers = host.reaches_store && !store_down;
   host.assigner->OnStoreAnswers(answers, now_);
   const std::vector<target_entry> listed = Listed();
-  if (answers) {
+  if (answers && host.lists_targets) {
     host.assigner->OnTargets(listed, false, now_);
+  }
+  if (answers) {
     if (host.seen_revision < revision_) {
       host.seen_revision = revision_;
       key_assigner::own_objects objects;
--- a/tests/support/assigner_world.h
+++ b/tests/support/assigner_world.h
@@ -53,6 +53,7 @@
   std::unique_ptr<key_assigner> assigner;
   bool alive = true;
   bool reaches_store = true;
+  bool lists_targets = true;  ///< Its copy of their list is kept up to date.
   std::set<std::string> unreachable_hosts{};
   time_point frozen_until{};
   time_point report_at{};
