--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -326,6 +326,7 @@
   target_state* StateOf(const target_life& life);
   bool IsUsable(const target_life& life, time_point now) const;
   bool IsKnownDead(const target_life& life) const;
+  /// Whether another target has been listed at its address since it was last.
   bool IsAddressReused(const target_life& life) const;
   /// How long after its arrival a grant may hold, by the target's clock.
   duration LongestHold() const;
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -227,10 +227,14 @@
   void LimitConnections();
   void Finish(request& finished);
   void Wait(request& waiting, time_point now);
+  /// Puts a request into the line of its keys' owner, or else of its service.
   void JoinLine(request& waiting);
   void LeaveLine(request& waiting);
+  /// Puts waiting requests into the lines of their keys' present owners.
   void RedealLines(service& of);
   static waiting_line& LineOf(service& at, const request& asked);
+  /// How long an answer takes, most likely, once the request is sent; 0 if
+  /// nothing is known.
   duration LikelyLatency(service& at, const request& asked, time_point now);
   bool TrySend(request& sent, time_point now, router_actions& out);
   target* Pick(service& from, const request& by, time_point now);
