List targets from stale copies, and share many changes of them in parts

Cause: 195 hosts list 540 targets, 50 a page, when they start and whenever their copy is another one than the lease holder's: 11 calls each. Changes of more than 40 targets were not shared at all, so that all hosts listed.

A stale list costs a tenth of a call a page; one watch from the oldest revision of its pages makes it current before it is used.

Ruled out: a watch from the host's own last revision in place of a list: a copy that was vouched for is many seconds old, and each target writes once a second.

--- a/include/foxtailspread/kind_follower.h
+++ b/include/foxtailspread/kind_follower.h
@@ -4,6 +4,9 @@
 /// @file
 /// Keeps a host's copy of one kind of the store's objects up to date: lists it
 /// once, then watches from the listed revision on.
+///
+/// A stale list costs a fraction of a current one, and a watch from its
+/// revision makes it current. Kinds of several pages are listed so.
 
 #include <algorithm>
 #include <cstdint>
@@ -63,11 +66,14 @@
   /// With 200 ms, a hundred hosts listed the targets four times a second while
   /// these started.
   duration refresh_pause{std::chrono::milliseconds{900}};
+  /// Lists may be stale; each is made current by a watch before it is used.
+  bool stale_lists = false;
 };
 
 /// The next call of a follower.
 struct follow_call {
   bool list = false;
+  bool stale = false;   ///< With list: the answer may be seconds old.
   std::string after{};  ///< With list: the last name of the page before.
   uint64_t since = 0;   ///< With watch.
   duration wait{};      ///< With watch.
@@ -94,8 +100,13 @@
     }
     calling_ = true;
     began_ = now;
+    if (catching_up_) {
+      return follow_call{.since = listing_revision_};
+    }
     if (must_list_) {
-      return follow_call{.list = true, .after = listing_after_};
+      return follow_call{.list = true,
+                         .stale = timing_.stale_lists && !stale_failed_,
+                         .after = listing_after_};
     }
     return follow_call{
         .since = revision_,
@@ -109,7 +120,7 @@
   /// from before.
   bool OnListed(list_page<Item> page, time_point now) {
     Answered(now);
-    if (listing_revision_ == 0) {
+    if (listing_after_.empty()) {
       listing_began_ = began_;
     }
     for (store_object<Item>& object : page.objects) {
@@ -117,19 +128,18 @@
       std::string name = object.name;
       listed_.insert_or_assign(std::move(name), std::move(object));
     }
-    if (listing_revision_ == 0) {
-      // Changes between two pages are found by watching from the first.
-      listing_revision_ = page.revision;
-    }
+    // Changes between two pages are found by watching from the oldest.
+    listing_revision_ = listing_revision_ == 0
+                            ? page.revision
+                            : std::min(listing_revision_, page.revision);
     if (page.more && !page.objects.empty()) {
       return false;
     }
-    objects_ = std::exchange(listed_, {});
-    revision_ = std::exchange(listing_revision_, 0);
-    listing_after_.clear();
-    must_list_ = false;
-    complete_ = true;
-    IsCurrentAsOf(listing_began_);
+    if (timing_.stale_lists && !stale_failed_) {
+      catching_up_ = true;
+      return false;
+    }
+    UseListed(listing_began_);
     return true;
   }
 
@@ -138,8 +148,16 @@
     Answered(now);
     next_call_ = std::max(now, began_ + timing_.pace);
     bool changed = false;
+    if (catching_up_) {
+      for (store_change<Item>& change : page.changes) {
+        Apply(change, listed_);
+      }
+      listing_revision_ = std::max(listing_revision_, page.revision);
+      UseListed(began_);
+      return true;
+    }
     for (store_change<Item>& change : page.changes) {
-      changed = Apply(change) || changed;
+      changed = Apply(change, objects_) || changed;
     }
     revision_ = std::max(revision_, page.revision);
     IsCurrentAsOf(now);
@@ -149,10 +167,9 @@
   /// The store no longer has the changes since this copy: list again.
   void OnHistoryGone(time_point now) {
     Answered(now);
+    stale_failed_ = catching_up_;
     must_list_ = true;
-    listed_.clear();
-    listing_after_.clear();
-    listing_revision_ = 0;
+    DropListed();
   }
 
   /// The call brought no answer, or was refused.
@@ -205,7 +222,7 @@
       const auto found = objects_.find(change.object.name);
       const bool newer = found == objects_.end() ||
                          found->second.revision < change.object.revision;
-      changed = (newer && Apply(change)) || changed;
+      changed = (newer && Apply(change, objects_)) || changed;
     }
     IsCurrentAsOf(as_of);
     return changed;
@@ -214,6 +231,8 @@
   const object_map& objects() const { return objects_; }
   /// True once the whole kind was read in this life.
   bool complete() const { return complete_; }
+  /// True while the copy is to be replaced by a list of the whole kind.
+  bool is_listing() const { return must_list_; }
   /// True while the last call was answered.
   bool answers() const { return answers_; }
   /// When a call last failed.
@@ -243,17 +262,36 @@
     current_as_of_ = std::max(current_as_of_, as_of);
   }
 
-  bool Apply(store_change<Item>& change) {
-    const auto found = objects_.find(change.object.name);
-    if (found != objects_.end() &&
-        found->second.revision >= change.object.revision && !change.deleted) {
+  void DropListed() {
+    listed_.clear();
+    listing_after_.clear();
+    listing_revision_ = 0;
+    catching_up_ = false;
+  }
+
+  /// Puts the list in place of the copy; it holds all that the store had by
+  /// `as_of`.
+  void UseListed(time_point as_of) {
+    objects_ = std::exchange(listed_, {});
+    revision_ = listing_revision_;
+    DropListed();
+    stale_failed_ = false;
+    must_list_ = false;
+    complete_ = true;
+    IsCurrentAsOf(as_of);
+  }
+
+  static bool Apply(store_change<Item>& change, object_map& to) {
+    const auto found = to.find(change.object.name);
+    if (found != to.end() && found->second.revision >= change.object.revision &&
+        !change.deleted) {
       return false;
     }
     if (change.deleted) {
-      return objects_.erase(change.object.name) > 0;
+      return to.erase(change.object.name) > 0;
     }
     std::string name = change.object.name;
-    objects_.insert_or_assign(std::move(name), std::move(change.object));
+    to.insert_or_assign(std::move(name), std::move(change.object));
     return true;
   }
 
@@ -265,6 +303,8 @@
   uint64_t listing_revision_ = 0;
   uint64_t revision_ = 0;
   bool must_list_ = true;
+  bool catching_up_ = false;   ///< All pages are there, stale.
+  bool stale_failed_ = false;  ///< History was gone since a stale list.
   bool complete_ = false;
   bool calling_ = false;
   bool answers_ = false;
--- a/include/foxtailspread/targets_sharing.h
+++ b/include/foxtailspread/targets_sharing.h
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,15 +19,16 @@
 /// tells what changed.
 ///
 /// @code
-/// if (auto record = sharing.Update(copy.objects())) SendToAll(*record);
+/// for (auto& each : sharing.Update(copy.objects())) SendToAll(each);
 /// @endcode
 class targets_sharing {
  public:
   using target_objects = kind_follower<target_entry>::object_map;
 
-  /// Returns what changed since the last call, as far as hosts go by it;
-  /// nothing if nothing did, or if it is too much for one datagram.
-  std::optional<targets_record> Update(const target_objects& objects);
+  /// Returns what changed since the last call, as far as hosts go by it, as
+  /// records to be taken one after the other; none if nothing did, or if it is
+  /// too much to be sent.
+  std::vector<targets_record> Update(const target_objects& objects);
 
   /// Digest of the list at the last call.
   uint64_t digest() const { return digest_; }
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -70,6 +70,7 @@
   follow_timing timing;
   timing.pace = kTargetPace;
   timing.wait = kTargetWait;
+  timing.stale_lists = true;
   return timing;
 }
 
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -83,9 +83,11 @@
   const std::vector<target_entry> listed =
       ReadableEntries(targets_.copy().objects());
   const uint64_t before = shared_targets_.digest();
-  const auto record = shared_targets_.Update(targets_.copy().objects());
-  if (record && assigner_.IsHolder(now)) {
-    ShareTargets(*record, now);
+  const auto records = shared_targets_.Update(targets_.copy().objects());
+  if (assigner_.IsHolder(now)) {
+    for (const targets_record& each : records) {
+      ShareTargets(each, now);
+    }
   }
   if (shared_targets_.digest() != before) {
     assigner_.BeatSoon();
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -169,6 +169,80 @@
   EXPECT_EQ(follower_.NextCall(now_)->since, 10U);
 }
 
+class StaleListTest : public ::testing::Test {
+ protected:
+  /// Lists a and b, as the store had them at revision 10.
+  void ListStale() {
+    const auto call = follower_.NextCall(now_);
+    ASSERT_TRUE(call && call->list);
+    EXPECT_TRUE(call->stale);
+    EXPECT_FALSE(follower_.OnListed(
+        {.objects = {{"a", 4, 1}, {"b", 5, 2}}, .more = false, .revision = 10},
+        now_));
+  }
+
+  kind_follower<int> follower_{{.wait = seconds{1}, .stale_lists = true}};
+  time_point now_{seconds{100}};
+};
+
+// A host that starts reads a stale list. Used as it is, it would send requests
+// to a target that left since.
+TEST_F(StaleListTest, ListIsUsedOnlyWithTheChangesSince) {
+  ListStale();
+  EXPECT_FALSE(follower_.complete());
+  const auto call = follower_.NextCall(now_);
+  ASSERT_TRUE(call);
+  EXPECT_FALSE(call->list);
+  EXPECT_EQ(call->since, 10U);
+  EXPECT_EQ(call->wait, duration{0}) << "the answer is needed at once";
+  EXPECT_TRUE(follower_.OnWatched(
+      {.changes = {{{"b", 12, {}}, true}}, .revision = 15}, now_));
+  EXPECT_TRUE(follower_.complete());
+  EXPECT_FALSE(follower_.objects().contains("b"));
+  EXPECT_EQ(follower_.NextCall(now_)->since, 15U);
+}
+
+// Pages of a stale list may come from copies of different ages. Changes between
+// the older one and the newer one would be missed.
+TEST_F(StaleListTest, PagesAreWatchedFromTheOldest) {
+  follower_.NextCall(now_);
+  follower_.OnListed({.objects = {{"a", 4, 1}}, .more = true, .revision = 10},
+                     now_);
+  EXPECT_EQ(follower_.NextCall(now_)->after, "a");
+  follower_.OnListed({.objects = {{"b", 5, 2}}, .more = false, .revision = 8},
+                     now_);
+  EXPECT_EQ(follower_.NextCall(now_)->since, 8U);
+}
+
+// The copy in use is newer than a stale list. It must not go back.
+TEST_F(StaleListTest, CopyInUseStaysUntilTheListIsCurrent) {
+  ListStale();
+  follower_.NextCall(now_);
+  follower_.OnWatched({.changes = {{{"b", 12, 3}, false}}, .revision = 15},
+                      now_);
+  follower_.Refresh(now_, now_);
+  ListStale();
+  EXPECT_EQ(follower_.objects().at("b").item, 3);
+  follower_.NextCall(now_);
+  EXPECT_TRUE(follower_.OnWatched(
+      {.changes = {{{"b", 12, 3}, false}}, .revision = 16}, now_));
+  EXPECT_EQ(follower_.objects().at("b").item, 3);
+}
+
+// The store forgets its history sooner than its stale copies grow old. Another
+// stale list would meet the same again and again, and the host never be ready.
+TEST_F(StaleListTest, LostHistoryLeadsToACurrentList) {
+  ListStale();
+  follower_.NextCall(now_);
+  follower_.OnHistoryGone(now_);
+  const auto call = follower_.NextCall(now_);
+  ASSERT_TRUE(call && call->list);
+  EXPECT_FALSE(call->stale);
+  EXPECT_TRUE(follower_.OnListed(
+      {.objects = {{"a", 4, 1}}, .more = false, .revision = 20}, now_));
+  EXPECT_TRUE(follower_.complete());
+}
+
 TEST_F(KindFollowerTest, ChangesAreAppliedAndOlderOnesAreNot) {
   List();
   follower_.NextCall(now_);
