Count load by key, and move keys for more than chance, as many as it takes

Cause: hosts counted load by 4,096 cells of 16 keys, and a plan moved 12 pieces at most each quarter second.

Load is now counted by key and sent as a list of the keys asked for, differences within three deviations of chance move nothing, a key too hot for what a target lacks moves alone, and a plan gives each target about one piece.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -20,10 +20,10 @@
 
 namespace foxtailspread {
 
-/// Requests by cell of the key space; cells without any are left out.
+/// Requests by key; keys without any are left out.
 struct service_load {
   std::string service;
-  std::vector<std::pair<uint32_t, uint32_t>> cells;
+  std::vector<std::pair<uint32_t, uint32_t>> keys;
 
   bool operator==(const service_load&) const = default;
 };
--- a/include/foxtailspread/key_balance.h
+++ b/include/foxtailspread/key_balance.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "foxtailspread/key_map.h"
+#include "foxtailspread/time.h"
 
 namespace foxtailspread {
 
@@ -32,7 +33,6 @@
 
 /// How eager a plan is.
 struct balance_limits {
-  size_t max_moves = 6;
   /// Above this multiple of its fair share a target gives keys away; moving
   /// for less costs more requests than it spares.
   double overload = 1.25;
@@ -40,14 +40,18 @@
   double underload = 0.6;
   /// Requests a second below which a difference is chance.
   double least_load = 3.0;
+  /// Time constant of the mean that measured the loads, 0 for exact loads.
+  /// Differences that chance explains move nothing: among hundreds of targets
+  /// some always look overloaded or idle.
+  duration averaged{0};
 };
 
-/// Load of each of kKeyCells equal cells of the key space, requests a second.
-using cell_loads = std::span<const double>;
+/// Load of each key, requests a second; empty for none.
+using key_loads = std::span<const double>;
 
-/// Plans moves of settled ranges between `targets`. Ranges on their way stay
-/// as they are.
-std::vector<key_move> PlanMoves(const key_map& map, cell_loads loads,
+/// Plans moves of settled ranges between `targets`, as many as it takes: each
+/// target receives about once. Ranges on their way stay as they are.
+std::vector<key_move> PlanMoves(const key_map& map, key_loads loads,
                                 std::span<const balance_target> targets,
                                 const balance_limits& limits);
 
@@ -58,7 +62,7 @@
 
 /// Returns the target with the least load for its capacity; nullptr if there
 /// is none. `loads` may be empty.
-const balance_target* LeastLoaded(const key_map& map, cell_loads loads,
+const balance_target* LeastLoaded(const key_map& map, key_loads loads,
                                   std::span<const balance_target> targets);
 
 }  // namespace foxtailspread
--- a/include/foxtailspread/key_map.h
+++ b/include/foxtailspread/key_map.h
@@ -22,10 +22,8 @@
 
 inline constexpr key_point kLastKey = std::numeric_limits<key_point>::max();
 
-/// Load is counted by equal cells of the key space: small enough to cut a
-/// group of some dozen busy neighbours apart, few enough to send the counts.
-inline constexpr size_t kKeyCells = 4096;
-inline constexpr size_t kKeysPerCell = (size_t{kLastKey} + 1) / kKeyCells;
+/// Size of the key space.
+inline constexpr size_t kKeys = size_t{kLastKey} + 1;
 
 /// A fencing number: of two grants of a key the one with the higher number is
 /// the newer. No number is ever used for two different grants.
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -189,9 +190,10 @@
   /// time_point::max() when nothing is due.
   time_point NextDue() const;
 
-  /// Requests of each cell of keys since the last call, for a keyed service;
-  /// empty when there were none.
-  std::vector<uint32_t> TakeKeyLoad(const std::string& service);
+  /// Keys of a keyed service that were asked for since the last call, each
+  /// with its number of requests. Of more than a datagram carries, the busiest.
+  std::vector<std::pair<uint32_t, uint32_t>> TakeKeyLoad(
+      const std::string& service);
   /// What the targets of a service took since the last call; those that served
   /// nothing are left out.
   std::vector<target_latency> TakeLatencies(const std::string& service);
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -206,8 +206,8 @@
     if (found == services_.end()) {
       continue;
     }
-    for (const auto& [cell, count] : load.cells) {
-      found->second.load.Add(cell, count);
+    for (const auto& [key, count] : load.keys) {
+      found->second.load.Add(key, count);
     }
   }
 }
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -32,8 +32,8 @@
   json services = json::array();
   for (const service_load& each : report.services) {
     json flat = json::array();
-    for (const auto& [cell, count] : each.cells) {
-      flat.push_back(cell);
+    for (const auto& [key, count] : each.keys) {
+      flat.push_back(key);
       flat.push_back(count);
     }
     services.push_back({each.service, std::move(flat)});
@@ -106,7 +106,7 @@
     load.service = one.at(0).get<std::string>();
     const json& flat = one.at(1);
     for (size_t i = 0; i + 1 < flat.size(); i += 2) {
-      load.cells.emplace_back(flat.at(i).get<uint32_t>(),
+      load.keys.emplace_back(flat.at(i).get<uint32_t>(),
                               flat.at(i + 1).get<uint32_t>());
     }
   }
--- a/src/core/key_assigner_moves.cc
+++ b/src/core/key_assigner_moves.cc
@@ -14,7 +14,6 @@
 /// How uneven the recent load must be for moves at once.
 constexpr double kHotOverload = 1.7;
 constexpr double kHotUnderload = 0.25;
-constexpr size_t kHotMoves = 12;
 /// How uneven the steady load must be. Forty requests of a target, some four
 /// seconds' worth, differ by a sixth by chance alone.
 constexpr double kSteadyOverload = 1.4;
@@ -144,7 +143,7 @@
                                                 time_point now) {
   const std::vector<balance_target> candidates = Candidates(of.name, now);
   balance_limits hot;
-  hot.max_moves = kHotMoves;
+  hot.averaged = key_load::kRecentTime;
   hot.overload = kHotOverload;
   hot.underload = kHotUnderload;
   std::vector<key_move> moves =
@@ -155,6 +154,7 @@
   if (moves.empty() && !moving && now - of.refined_at >= kRefineEvery) {
     of.refined_at = now;
     balance_limits steady;
+    steady.averaged = key_load::kSteadyTime;
     steady.overload = kSteadyOverload;
     steady.underload = kSteadyUnderload;
     moves = PlanMoves(draft, of.load.steady(), candidates, steady);
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -27,6 +27,9 @@
 constexpr double kShedWeight = 0.05;
 constexpr double kShedShareMost = 0.5;
 
+/// Keys in one report of the load, some six bytes each.
+constexpr size_t kMostKeysReported = 4000;
+
 }  // namespace
 
 std::string_view ToString(refusal_reason reason) {
@@ -116,8 +119,7 @@
   made->at = &ServiceOf(by->services[part].service);
   made->at->budget.OnRequest(now);
   if (made->at->keyed && made->key) {
-    made->at->key_load.resize(kKeyCells, 0);
-    ++made->at->key_load[*made->key / kKeysPerCell];
+    made->at->keys_asked.push_back(*made->key);
   }
   request& admitted = *made;
   requests_.emplace(incoming.id, std::move(made));
@@ -383,13 +385,28 @@
   return gauges;
 }
 
-std::vector<uint32_t> request_router::TakeKeyLoad(
+std::vector<std::pair<uint32_t, uint32_t>> request_router::TakeKeyLoad(
     const std::string& service_name) {
+  std::vector<std::pair<uint32_t, uint32_t>> counts;
   const auto found = services_.find(service_name);
   if (found == services_.end()) {
-    return {};
+    return counts;
+  }
+  std::vector<key_point> asked = std::exchange(found->second->keys_asked, {});
+  std::sort(asked.begin(), asked.end());
+  for (const key_point key : asked) {
+    if (counts.empty() || counts.back().first != key) {
+      counts.emplace_back(key, 0);
+    }
+    ++counts.back().second;
+  }
+  if (counts.size() > kMostKeysReported) {
+    std::nth_element(
+        counts.begin(), counts.begin() + kMostKeysReported, counts.end(),
+        [](const auto& a, const auto& b) { return a.second > b.second; });
+    counts.resize(kMostKeysReported);
   }
-  return std::exchange(found->second->key_load, {});
+  return counts;
 }
 
 std::vector<target_latency> request_router::TakeLatencies(
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -121,7 +121,7 @@
   retry_budget budget;
   /// Running share of attempts that a target refused to run.
   double shed_share = 0.0;
-  std::vector<uint32_t> key_load;
+  std::vector<key_point> keys_asked;  ///< One for each request.
 };
 
 inline void request_router::waiting_line::Add(request& waiting) {
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -237,14 +237,9 @@
                      .targets = {},
                      .crashes = router_.crashes().TakeNews(Now())};
   for (const service_settings& each : router_.table()->config().services) {
-    const std::vector<uint32_t> counts = router_.TakeKeyLoad(each.name);
-    service_load load{.service = each.name, .cells = {}};
-    for (size_t cell = 0; cell < counts.size(); ++cell) {
-      if (counts[cell] > 0) {
-        load.cells.emplace_back(static_cast<uint32_t>(cell), counts[cell]);
-      }
-    }
-    if (!load.cells.empty()) {
+    service_load load{.service = each.name,
+                      .keys = router_.TakeKeyLoad(each.name)};
+    if (!load.keys.empty()) {
       report.services.push_back(std::move(load));
     }
     if (each.keyed) {
