Let the next process at an owner's address release what it may hold

A target ends and starts again under its id, cut off from the store. The holder knows nothing of it; its renewals for the ended process reach the new one, which takes them. When the new process is listed at last, the holder took its start as proof that the former owner holds nothing and granted the keys to another target: two owners for up to three seconds.

Keys of an ended process are released by the listed process that started later under the same id, or wait until whatever was granted has run out. Such a release has no handover.

Ruled out: counting the hold from the last renewal alone, which would leave keys of each restarted target without an owner for 3.2 s.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -318,6 +318,7 @@
     std::string target;
     bool grant = true;
     bool renews = false;
+    bool hands_over = false;  ///< A release by the former owner itself.
     time_point deadline{};
   };
 
@@ -325,6 +326,10 @@
   static std::string LifeKey(const target_life& life);
   target_state* StateOf(const target_life& life);
   bool IsUsable(const target_life& life, time_point now) const;
+  /// The listed process that started later under the same id, nullptr if there
+  /// is none: the one before has ended.
+  const target_state* LaterLife(const target_life& life) const;
+  /// Whether that process has certainly ended.
   bool IsKnownDead(const target_life& life) const;
   /// Whether another target has been listed at its address since it was last.
   bool IsAddressReused(const target_life& life) const;
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -211,10 +211,8 @@
   });
 }
 
-bool key_assigner::IsKnownDead(const target_life& life) const {
-  // Another life under the same id: this one has ended. A refused connection
-  // proves nothing: some partitions answer in the target's place, and a target
-  // behind one goes on serving those on its side.
+const key_assigner::target_state* key_assigner::LaterLife(
+    const target_life& life) const {
   // Lives of one id are next to each other; this is asked for each range in
   // each step.
   const std::string prefix = life.id + kLifeSeparator;
@@ -223,14 +221,19 @@
     const target_life& other = each->second.entry.life;
     if (each->second.listed && other.id == life.id &&
         other.started > life.started) {
-      return true;
+      return &each->second;
     }
   }
-  // Its address went to another target, which is given only to one that has
-  // ended. Without that a target that is lost together with the holder of the
-  // lease leaves its keys without an owner until the holder's time is over, up
-  // to nineteen seconds (LostTargetWhoseAddressIsReused...).
-  return IsAddressReused(life);
+  return nullptr;
+}
+
+bool key_assigner::IsKnownDead(const target_life& life) const {
+  // A refused connection proves nothing: some partitions answer in the target's
+  // place, and a target behind one goes on serving those on its side. Without
+  // the second proof a target that is lost together with the holder of the lease
+  // leaves its keys without an owner until the holder's time is over, up to
+  // nineteen seconds.
+  return LaterLife(life) != nullptr || IsAddressReused(life);
 }
 
 bool key_assigner::IsFailing(const target_state& state, time_point now) const {
--- a/src/core/key_assigner_orders.cc
+++ b/src/core/key_assigner_orders.cc
@@ -66,6 +66,7 @@
                  .target = LifeKey(to),
                  .grant = grant,
                  .renews = renews,
+                 .hands_over = range.former == to,
                  .deadline = now + timeout + kOrderRetry};
   state->orders += grant ? 1 : 0;
   const bool lapsed = !IsHolder(now);
@@ -110,8 +111,13 @@
   if (!range.former) {
     state.let_go = true;
   }
+  // Renewals that were meant for a process that has ended may have reached the
+  // next one at its address, which then holds the keys: that one has to let go.
+  const target_state* later =
+      range.former ? LaterLife(*range.former) : nullptr;
   if (!state.let_go &&
-      (IsKnownDead(*range.former) || now >= HeldUntil(*range.former))) {
+      ((later == nullptr && IsAddressReused(*range.former)) ||
+       now >= HeldUntil(*range.former))) {
     state.let_go = true;
   }
   if (state.confirmed || state.order != 0 || now < state.retry_at) {
@@ -119,7 +125,9 @@
   }
   state.retry_at = now + kOrderRetry;
   if (!state.let_go) {
-    state.order = Order(of, range, false, false, *range.former, {}, now, out);
+    const target_life& from =
+        later == nullptr ? *range.former : later->entry.life;
+    state.order = Order(of, range, false, false, from, {}, now, out);
   } else if (IsUsable(range.owner, now)) {
     state.offered = true;
     state.order =
@@ -194,7 +202,8 @@
       of.renewals[context.range].due = now + kRenewGrant;
     } else {
       state.let_go = true;
-      state.handover = report.handover;
+      // A later process has nothing of the former owner's to hand over.
+      state.handover = context.hands_over ? report.handover : "";
     }
     state.retry_at = now;
     StepService(of, now, out);
