Pass datagrams to all hosts through one host of each other zone

Load pattern: the holder of the lease tells 194 hosts of each change of keys, many times a second while keys move. Each copy crossed the zones and the holder's link.

One host of each other zone gets it with the addresses of the zone's others and passes it on. Three with the widest links take turns, so that a lost relay costs a third of a zone's datagrams until its reports are missed (0.8 s); successors are told directly, since one that hears nothing would take the lease. The proofs' world relays likewise, and loses what a host that is gone would have passed on.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -122,8 +122,16 @@
   bool operator==(const targets_record&) const = default;
 };
 
-using host_message =
-    std::variant<load_report, assigner_beat, owners_record, targets_record>;
+/// A datagram that its receiver takes and passes on to other hosts of its zone.
+struct relayed_message {
+  std::vector<std::string> forward_to;
+  std::string payload;  ///< A message as FormatHostMessage wrote it.
+
+  bool operator==(const relayed_message&) const = default;
+};
+
+using host_message = std::variant<load_report, assigner_beat, owners_record,
+                                  targets_record, relayed_message>;
 
 /// Writes a message as one datagram and reads it back.
 std::string FormatHostMessage(const host_message& message);
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -28,6 +28,7 @@
 #include "foxtailspread/routing_config.h"
 #include "foxtailspread/target_entry.h"
 #include "foxtailspread/time.h"
+#include "foxtailspread/zone_fanout.h"
 
 namespace foxtailspread {
 
@@ -154,16 +155,16 @@
   fence_number fence = 0;
 };
 
-/// Sends a sign of life to another host.
+/// Sends a sign of life to the other hosts.
 struct beat_action {
-  std::string address{};
   assigner_beat beat{};
+  std::vector<fanout_hop> hops{};
 };
 
 /// Tells all other hosts of a record that was written.
 struct share_action {
   owners_record record{};
-  std::vector<std::string> addresses{};
+  std::vector<fanout_hop> hops{};
 };
 
 using assigner_action = std::variant<store_write, key_order, order_cancel,
@@ -235,8 +236,8 @@
   bool IsHolder(time_point now) const { return now < held_until_; }
   /// How many hosts there are, as far as is known; at least 1.
   size_t HostCount() const;
-  /// Where the other hosts that report to this one take datagrams.
-  std::vector<std::string> OtherHosts() const;
+  /// How a datagram reaches the other hosts that report to this one.
+  std::vector<fanout_hop> OtherHosts(time_point now);
   const std::optional<assigner_lease>& lease() const { return lease_; }
   uint64_t lease_revision() const { return lease_revision_; }
   /// The recorded map of a service, nullptr if there is none.
@@ -424,6 +425,7 @@
   };
   std::map<std::string, host_state> hosts_seen_;
   std::vector<std::string> successors_;
+  uint64_t fanout_turn_ = 0;
   time_point beat_at_{};
   std::optional<assigner_beat> beat_heard_;
   time_point beat_heard_at_{};
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -60,6 +60,10 @@
 /// Only hosts heard of within this time are chosen as successors.
 constexpr duration kSuccessorSeenFor{std::chrono::milliseconds{2500}};
 
+/// Only hosts heard of within this time pass datagrams on: two of their reports
+/// may be lost.
+constexpr duration kRelaySeenFor{std::chrono::milliseconds{800}};
+
 }  // namespace
 
 std::string FormatLease(const assigner_lease& lease) {
@@ -276,11 +280,27 @@
                            .lease_revision = lease_revision_,
                            .successors = successors_,
                            .hosts = HostCount()};
+  out.emplace_back(beat_action{beat, OtherHosts(now)});
+}
+
+std::vector<fanout_hop> key_assigner::OtherHosts(time_point now) {
+  std::vector<fanout_host> hosts;
+  hosts.reserve(hosts_seen_.size());
   for (const auto& [name, host] : hosts_seen_) {
-    if (name != settings_.host) {
-      out.emplace_back(beat_action{host.address, beat});
+    if (name == settings_.host) {
+      continue;
     }
+    // A successor whose relay is lost would take the lease from a holder that
+    // lives.
+    const bool succeeds = std::find(successors_.begin(), successors_.end(),
+                                    name) != successors_.end();
+    hosts.push_back({.zone = host.zone,
+                     .address = host.address,
+                     .link_mbps = host.link_mbps,
+                     .may_relay = now - host.seen <= kRelaySeenFor,
+                     .direct = succeeds});
   }
+  return PlanFanout(hosts, settings_.zone, ++fanout_turn_);
 }
 
 /// Notes since when this host could act on the lease. All hosts learn of the
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -12,6 +12,7 @@
 constexpr std::string_view kBeatTag = "beat";
 constexpr std::string_view kOwnersTag = "keys";
 constexpr std::string_view kTargetsTag = "targets";
+constexpr std::string_view kRelayedTag = "relay";
 
 /// How long after a view was read it spares others their calls, as a part of
 /// the time that a leaving target goes on taking requests (2 s). Watches are
@@ -81,6 +82,13 @@
       {kTargetsTag, record.before, record.age_ms, std::move(changes)});
 }
 
+json ToJson(const relayed_message& message) {
+  const std::string& payload = message.payload;
+  return json::array(
+      {kRelayedTag, message.forward_to,
+       json::binary(std::vector<uint8_t>(payload.begin(), payload.end()))});
+}
+
 // The readers use the checked accessors of the JSON library, whose exceptions
 // ParseHostMessage turns into an error.
 
@@ -107,7 +115,7 @@
     const json& flat = one.at(1);
     for (size_t i = 0; i + 1 < flat.size(); i += 2) {
       load.keys.emplace_back(flat.at(i).get<uint32_t>(),
-                              flat.at(i + 1).get<uint32_t>());
+                             flat.at(i + 1).get<uint32_t>());
     }
   }
   for (const json& one : value.at(6)) {
@@ -174,6 +182,12 @@
   return record;
 }
 
+relayed_message ReadRelayed(const json& value) {
+  const auto& payload = value.at(2).get_binary();
+  return {.forward_to = value.at(1).get<std::vector<std::string>>(),
+          .payload = std::string(payload.begin(), payload.end())};
+}
+
 error Malformed() {
   return error{error_code::kMalformed, "", "is not a message of a host",
                "run one release on all hosts"};
@@ -205,6 +219,9 @@
     if (tag == kTargetsTag) {
       return host_message{ReadTargets(value)};
     }
+    if (tag == kRelayedTag) {
+      return host_message{ReadRelayed(value)};
+    }
   } catch (const json::exception&) {
     return Malformed();
   }
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -333,16 +333,6 @@
   }
 }
 
-std::vector<std::string> key_assigner::OtherHosts() const {
-  std::vector<std::string> addresses;
-  for (const auto& [name, host] : hosts_seen_) {
-    if (name != settings_.host) {
-      addresses.push_back(host.address);
-    }
-  }
-  return addresses;
-}
-
 void key_assigner::OnMapWritten(keyed_service& of, const write_report& report,
                                 time_point now, assigner_actions& out) {
   of.write->in_flight = false;
@@ -357,7 +347,7 @@
                                 .base = of.write->expected,
                                 .revision = of.revision,
                                 .content = FormatKeyMap(of.changes)},
-                     .addresses = OtherHosts()});
+                     .hops = OtherHosts(now)});
     of.write.reset();
     for (const key_range& range : of.map.ranges) {
       const bool added = !of.transfers.contains(IdOf(range));
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -7,11 +7,13 @@
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 
 #include "edge/edge_metrics.h"
 #include "foxtailspread/graceful_stop.h"
+#include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_assigner.h"
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/targets_sharing.h"
@@ -66,6 +68,8 @@
   void ReadStoreNow();
   void OnStoreState();
   void OnDatagram(std::string_view bytes);
+  void OnHostMessage(result<host_message> message);
+  void SendToHosts(std::span<const fanout_hop> hops, const std::string& bytes);
   std::optional<store_view> View(time_point now) const;
   void OnView(const store_view& view, time_point now);
   void ShareTargets(targets_record record, time_point now);
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -139,7 +139,20 @@
 
 void edge_daemon::OnDatagram(std::string_view bytes) {
   auto message = ParseHostMessage(bytes);
-  if (!message) {
+  const auto* relayed =
+      message ? std::get_if<relayed_message>(&message.value()) : nullptr;
+  if (relayed == nullptr) {
+    OnHostMessage(std::move(message));
+    return;
+  }
+  for (const std::string& address : relayed->forward_to) {
+    hosts_.Send(address, relayed->payload);
+  }
+  OnHostMessage(ParseHostMessage(relayed->payload));
+}
+
+void edge_daemon::OnHostMessage(result<host_message> message) {
+  if (!message || std::holds_alternative<relayed_message>(message.value())) {
     LogEvent(event_id::kDatagramRefused);
     return;
   }
@@ -180,9 +193,18 @@
       static_cast<uint32_t>(std::chrono::duration_cast<milliseconds>(
                                 now - targets_.copy().current_as_of())
                                 .count());
-  const std::string bytes = FormatHostMessage(record);
-  for (const std::string& address : assigner_.OtherHosts()) {
-    hosts_.Send(address, bytes);
+  SendToHosts(assigner_.OtherHosts(now), FormatHostMessage(record));
+}
+
+void edge_daemon::SendToHosts(std::span<const fanout_hop> hops,
+                              const std::string& bytes) {
+  for (const fanout_hop& hop : hops) {
+    if (hop.forward_to.empty()) {
+      hosts_.Send(hop.address, bytes);
+    } else {
+      hosts_.Send(hop.address,
+                  FormatHostMessage(relayed_message{hop.forward_to, bytes}));
+    }
   }
 }
 
@@ -335,17 +357,14 @@
 }
 
 void edge_daemon::CarryOne(const share_action& action) {
-  const std::string bytes = FormatHostMessage(action.record);
-  for (const std::string& address : action.addresses) {
-    hosts_.Send(address, bytes);
-  }
+  SendToHosts(action.hops, FormatHostMessage(action.record));
 }
 
 void edge_daemon::CarryOne(const beat_action& action) {
   assigner_beat beat = action.beat;
   beat.view = View(Now());
   beat.crashes = router_.crashes().Marks(kMarksInBeat, Now());
-  hosts_.Send(action.address, FormatHostMessage(beat));
+  SendToHosts(action.hops, FormatHostMessage(beat));
 }
 
 }  // namespace foxtailspread
--- a/tests/assigner_sharing_test.cc
+++ b/tests/assigner_sharing_test.cc
@@ -132,7 +132,9 @@
   for (const assigner_action& action : actions) {
     if (const auto* beat = std::get_if<beat_action>(&action)) {
       EXPECT_EQ(beat->beat.hosts, 12U);
-      ++beats;
+      for (const fanout_hop& hop : beat->hops) {
+        beats += 1 + hop.forward_to.size();
+      }
     }
   }
   EXPECT_EQ(beats, 12U);
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -171,14 +171,8 @@
                              .lease_revision = host.assigner->lease_revision(),
                              .services = {},
                              .targets = {}};
-    for (world_host& other : hosts_) {
-      const bool heard = other.alive &&
-                         other.name == host.assigner->lease()->address &&
-                         !host.unreachable_hosts.contains(other.name) &&
-                         !other.unreachable_hosts.contains(host.name);
-      if (heard) {
-        other.assigner->OnReport(report, now_);
-      }
+    if (world_host* holder = Reach(host, host.assigner->lease()->address)) {
+      holder->assigner->OnReport(report, now_);
     }
   }
   assigner_actions actions;
@@ -186,6 +180,18 @@
   Carry(index, actions);
 }
 
+world_host* assigner_world::Reach(const world_host& from,
+                                  const std::string& address) {
+  for (world_host& other : hosts_) {
+    if (other.alive && other.name == address &&
+        !from.unreachable_hosts.contains(other.name) &&
+        !other.unreachable_hosts.contains(from.name)) {
+      return &other;
+    }
+  }
+  return nullptr;
+}
+
 void assigner_world::Carry(size_t index, const assigner_actions& actions) {
   for (const assigner_action& action : actions) {
     if (const auto* write = std::get_if<store_write>(&action)) {
@@ -193,11 +199,16 @@
     } else if (const auto* order = std::get_if<key_order>(&action)) {
       CarryOrder(index, *order);
     } else if (const auto* beat = std::get_if<beat_action>(&action)) {
-      for (world_host& other : hosts_) {
-        if (other.alive && other.name == beat->address &&
-            !hosts_[index].unreachable_hosts.contains(other.name) &&
-            !other.unreachable_hosts.contains(hosts_[index].name)) {
-          other.assigner->OnBeat(beat->beat, now_);
+      for (const fanout_hop& hop : beat->hops) {
+        world_host* first = Reach(hosts_[index], hop.address);
+        if (first == nullptr) {
+          continue;
+        }
+        first->assigner->OnBeat(beat->beat, now_);
+        for (const std::string& address : hop.forward_to) {
+          if (world_host* next = Reach(*first, address)) {
+            next->assigner->OnBeat(beat->beat, now_);
+          }
         }
       }
     }
--- a/tests/support/assigner_world.h
+++ b/tests/support/assigner_world.h
@@ -135,6 +135,9 @@
   void Step();
   void StepHost(size_t index);
   void Carry(size_t index, const assigner_actions& actions);
+  /// The host that gets datagrams at `address`; nullptr if none of `from`
+  /// gets there.
+  world_host* Reach(const world_host& from, const std::string& address);
   void CarryWrite(size_t index, const store_write& write);
   void CarryOrder(size_t index, const key_order& order);
   write_report Apply(const store_write& write);
