Tell all hosts of the lease, the hosts and the declarations, and share out full targets

- A new holder of the lease knew no host: all others reported to the lost one until they read in the store who held the lease, 0.8 s after the takeover and all at once, some six calls each.
The holder now tells its successors once a second where the others are, and a new one tells all of them of its lease.
SuccessorBeatsToTheHostsThatTheHolderKnew.
- Each change of the declarations was read by every host; the holder sends it.
- Calls that fail pause up to 1.6 s in place of 0.8, and are made again at once when another kind is answered; copies older than the store's history are listed at once in place of a watch that is told so.
CallsGrowRareWhileTheStoreTurnsAHostAway, FailedCallIsMadeAgainWhenAnotherIsAnswered, CopyOlderThanTheHistoryIsListed.
A watch of targets from more than three seconds ago, thousands of changes in one answer, took 30 MB at each host: it is a list now.
- A host takes a target for full after three shed requests in a row, sends at twice its even part of what the target can do from then on, and refuses at once what finds no turn; the first served request ends that.

Ruled out: changes in one datagram each by other relays in turn: they overtook one another and were left aside, so that hosts read the record. All of a quarter second go by one relay.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -122,6 +122,42 @@
   bool operator==(const targets_record&) const = default;
 };
 
+/// What an object of the store says of.
+enum class shared_kind : uint8_t {
+  kDeclarations,  ///< The operator's desired configuration.
+  kOwn,           ///< An object of the system's own.
+};
+
+/// An object that its sender wrote to the store or read there a moment ago, to
+/// spare all others a call.
+struct shared_object {
+  shared_kind kind = shared_kind::kOwn;
+  std::string name;
+  uint64_t revision = 0;  ///< Of the object in the store.
+  std::string content;    ///< JSON, as the store has it.
+
+  bool operator==(const shared_object&) const = default;
+};
+
+/// One host, as others reach it.
+struct host_contact {
+  std::string name;
+  std::string zone;
+  std::string address;     ///< Where it takes datagrams.
+  double link_mbps = 0.0;  ///< What its link carries; 0 if not known.
+
+  bool operator==(const host_contact&) const = default;
+};
+
+/// The hosts that report to the holder of the lease. Its successors need them:
+/// one that knows no host is silent until all of them have read in the store
+/// who holds the lease now.
+struct hosts_record {
+  std::vector<host_contact> hosts;
+
+  bool operator==(const hosts_record&) const = default;
+};
+
 /// A datagram that its receiver takes and passes on to other hosts of its zone.
 struct relayed_message {
   std::vector<std::string> forward_to;
@@ -130,8 +166,9 @@
   bool operator==(const relayed_message&) const = default;
 };
 
-using host_message = std::variant<load_report, assigner_beat, owners_record,
-                                  targets_record, relayed_message>;
+using host_message =
+    std::variant<load_report, assigner_beat, owners_record, targets_record,
+                 shared_object, hosts_record, relayed_message>;
 
 /// Writes a message as one datagram and reads it back.
 std::string FormatHostMessage(const host_message& message);
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -167,8 +167,15 @@
   std::vector<fanout_hop> hops{};
 };
 
-using assigner_action = std::variant<store_write, key_order, order_cancel,
-                                     beat_action, share_action, assigner_note>;
+/// Tells a successor which hosts there are.
+struct hosts_action {
+  std::string address{};
+  hosts_record record{};
+};
+
+using assigner_action =
+    std::variant<store_write, key_order, order_cancel, beat_action,
+                 share_action, hosts_action, assigner_note>;
 using assigner_actions = std::vector<assigner_action>;
 
 /// What an assigner goes by.
@@ -209,6 +216,7 @@
   /// Take other hosts' messages in.
   void OnReport(const load_report& report, time_point now);
   void OnBeat(const assigner_beat& beat, time_point now);
+  void OnHosts(hosts_record record, time_point now);
   /// Fails if the record cannot be read or does not fit; one to another map
   /// than this host has is left aside.
   status OnOwners(const owners_record& record);
@@ -237,7 +245,7 @@
   /// How many hosts there are, as far as is known; at least 1.
   size_t HostCount() const;
   /// How a datagram reaches the other hosts that report to this one.
-  std::vector<fanout_hop> OtherHosts(time_point now);
+  std::vector<fanout_hop> OtherHosts(time_point now) const;
   const std::optional<assigner_lease>& lease() const { return lease_; }
   uint64_t lease_revision() const { return lease_revision_; }
   /// The recorded map of a service, nullptr if there is none.
@@ -356,6 +364,8 @@
   void LoseLease(assigner_actions& out);
   void Lapse(assigner_actions& out);
   void Beat(time_point now, assigner_actions& out);
+  void ShareHosts(time_point now, assigner_actions& out);
+  void TakeHosts(time_point now);
   void ChooseSuccessors(time_point now);
   std::vector<std::string> SuccessorCandidates(time_point now) const;
   duration TakeoverDelay() const;
@@ -424,8 +434,10 @@
     time_point seen{};
   };
   std::map<std::string, host_state> hosts_seen_;
+  hosts_record hosts_told_;  ///< By the holder, for the case that it is lost.
+  time_point hosts_told_at_{};
+  time_point share_hosts_at_{};
   std::vector<std::string> successors_;
-  uint64_t fanout_turn_ = 0;
   time_point beat_at_{};
   std::optional<assigner_beat> beat_heard_;
   time_point beat_heard_at_{};
--- a/include/foxtailspread/kind_follower.h
+++ b/include/foxtailspread/kind_follower.h
@@ -59,8 +59,10 @@
   /// Least time between two watches. Kinds that change all the time are
   /// fetched in batches, since each call is paid for.
   duration pace{0};
-  duration retry_first{std::chrono::milliseconds{100}};
-  duration retry_most{std::chrono::milliseconds{800}};
+  /// Pauses after failed calls. Each of them is paid for, also while the store
+  /// turns this host away; a leaving target must be known soon after that ends.
+  duration retry_first{std::chrono::milliseconds{200}};
+  duration retry_most{std::chrono::milliseconds{1600}};
   /// A copy that differs from another host's is read again no more often: the
   /// other's may be the older one, until its own next call (650 ms) and beat.
   /// With 200 ms, a hundred hosts listed the targets four times a second while
@@ -68,6 +70,9 @@
   duration refresh_pause{std::chrono::milliseconds{900}};
   /// Lists may be stale; each is made current by a watch before it is used.
   bool stale_lists = false;
+  /// A copy whose revision is older is listed: the store may have forgotten the
+  /// changes since.
+  duration history{std::chrono::seconds{10}};
 };
 
 /// The next call of a follower.
@@ -103,7 +108,8 @@
     if (catching_up_) {
       return follow_call{.since = listing_revision_};
     }
-    if (must_list_) {
+    if (must_list_ || now - revision_at_ > timing_.history) {
+      must_list_ = true;
       return follow_call{.list = true,
                          .stale = timing_.stale_lists && !stale_failed_,
                          .after = listing_after_};
@@ -160,6 +166,7 @@
       changed = Apply(change, objects_) || changed;
     }
     revision_ = std::max(revision_, page.revision);
+    revision_at_ = now;
     IsCurrentAsOf(now);
     return changed;
   }
@@ -180,6 +187,13 @@
     next_call_ = now + pause_.Fail();
   }
 
+  /// The store answered another call: one that failed may be made again.
+  void RetryNow(time_point now) {
+    if (IsFailing() && !calling_) {
+      next_call_ = std::min(next_call_, now);
+    }
+  }
+
   /// Another host vouches that the copy was current at `as_of`: no call before
   /// `until`.
   void Confirm(time_point as_of, time_point until) {
@@ -235,6 +249,8 @@
   bool is_listing() const { return must_list_; }
   /// True while the last call was answered.
   bool answers() const { return answers_; }
+  /// True while the last call failed.
+  bool IsFailing() const { return !answers_ && failed_at_; }
   /// When a call last failed.
   std::optional<time_point> failed_at() const { return failed_at_; }
   /// The copy holds all that the store had by then, unless it has stopped
@@ -274,6 +290,7 @@
   void UseListed(time_point as_of) {
     objects_ = std::exchange(listed_, {});
     revision_ = listing_revision_;
+    revision_at_ = as_of;
     DropListed();
     stale_failed_ = false;
     must_list_ = false;
@@ -302,6 +319,7 @@
   std::string listing_after_;
   uint64_t listing_revision_ = 0;
   uint64_t revision_ = 0;
+  time_point revision_at_{};  ///< When the store was at that revision.
   bool must_list_ = true;
   bool catching_up_ = false;   ///< All pages are there, stale.
   bool stale_failed_ = false;  ///< History was gone since a stale list.
--- a/include/foxtailspread/target_health.h
+++ b/include/foxtailspread/target_health.h
@@ -47,6 +47,9 @@
 
   /// Whether one more may be sent now.
   bool HasRoom(time_point now) const;
+  /// When the pause that keeps the next request back ends; in the past if there
+  /// is none.
+  time_point PausedUntil() const;
   /// False while no connection is tried after one that failed.
   bool IsReachable(time_point now) const { return now >= unreachable_until_; }
   /// False also while the target is left alone for failing its requests.
@@ -68,6 +71,7 @@
  private:
   void AddLatency(duration latency);
   void Shrink(double factor);
+  void NoteShed();
 
   int slots_;
   int in_flight_ = 0;
@@ -83,6 +87,7 @@
   double failure_share_ = 0.0;
   time_point failing_until_{};
   int not_owner_in_row_ = 0;
+  int sheds_in_row_ = 0;
   time_point unreachable_until_{};
   duration pause_{0};  ///< The last one after a failed connection.
   /// When the requests in flight were sent, oldest first.
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -64,6 +64,11 @@
 /// may be lost.
 constexpr duration kRelaySeenFor{std::chrono::milliseconds{800}};
 
+/// How often successors are told which hosts there are, and for how long they
+/// go by that.
+constexpr duration kShareHostsEvery{std::chrono::seconds{1}};
+constexpr duration kHostsToldFor{std::chrono::seconds{5}};
+
 }  // namespace
 
 std::string FormatLease(const assigner_lease& lease) {
@@ -281,9 +286,42 @@
                            .successors = successors_,
                            .hosts = HostCount()};
   out.emplace_back(beat_action{beat, OtherHosts(now)});
+  ShareHosts(now, out);
+}
+
+void key_assigner::ShareHosts(time_point now, assigner_actions& out) {
+  if (now < share_hosts_at_ || successors_.empty()) {
+    return;
+  }
+  share_hosts_at_ = now + kShareHostsEvery;
+  hosts_record record;
+  for (const auto& [name, host] : hosts_seen_) {
+    record.hosts.push_back({name, host.zone, host.address, host.link_mbps});
+  }
+  for (const std::string& name : successors_) {
+    out.emplace_back(hosts_action{hosts_seen_[name].address, record});
+  }
+}
+
+void key_assigner::OnHosts(hosts_record record, time_point now) {
+  hosts_told_ = std::move(record);
+  hosts_told_at_ = now;
+}
+
+/// Goes by the hosts that the former holder knew, until they report.
+void key_assigner::TakeHosts(time_point now) {
+  if (now - hosts_told_at_ > kHostsToldFor) {
+    return;
+  }
+  for (const host_contact& each : hosts_told_.hosts) {
+    hosts_seen_.try_emplace(each.name, host_state{.zone = each.zone,
+                                                  .address = each.address,
+                                                  .link_mbps = each.link_mbps,
+                                                  .seen = now});
+  }
 }
 
-std::vector<fanout_hop> key_assigner::OtherHosts(time_point now) {
+std::vector<fanout_hop> key_assigner::OtherHosts(time_point now) const {
   std::vector<fanout_host> hosts;
   hosts.reserve(hosts_seen_.size());
   for (const auto& [name, host] : hosts_seen_) {
@@ -300,7 +338,10 @@
                      .may_relay = now - host.seen <= kRelaySeenFor,
                      .direct = succeeds});
   }
-  return PlanFanout(hosts, settings_.zone, ++fanout_turn_);
+  // Changes that follow one another closely take the same way: one that comes
+  // before the one it builds on is left aside.
+  const auto turn = static_cast<uint64_t>(now.time_since_epoch() / kBeatEvery);
+  return PlanFanout(hosts, settings_.zone, turn);
 }
 
 /// Notes since when this host could act on the lease. All hosts learn of the
@@ -461,6 +502,7 @@
     acting_from_revision_ = report.revision;
     synced_since_taken_ = false;
     successors_.clear();
+    TakeHosts(now);
     predecessors_.clear();
     for (const former_holder& each : lease_->predecessors) {
       predecessors_.emplace(each.host, now + each.may_renew);
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -12,6 +12,8 @@
 constexpr std::string_view kBeatTag = "beat";
 constexpr std::string_view kOwnersTag = "keys";
 constexpr std::string_view kTargetsTag = "targets";
+constexpr std::string_view kObjectTag = "object";
+constexpr std::string_view kHostsTag = "hosts";
 constexpr std::string_view kRelayedTag = "relay";
 
 /// How long after a view was read it spares others their calls, as a part of
@@ -82,6 +84,20 @@
       {kTargetsTag, record.before, record.age_ms, std::move(changes)});
 }
 
+json ToJson(const shared_object& object) {
+  return json::array({kObjectTag, static_cast<int>(object.kind), object.name,
+                      object.revision,
+                      json::parse(object.content, nullptr, false)});
+}
+
+json ToJson(const hosts_record& record) {
+  json hosts = json::array();
+  for (const host_contact& each : record.hosts) {
+    hosts.push_back({each.name, each.zone, each.address, each.link_mbps});
+  }
+  return json::array({kHostsTag, std::move(hosts)});
+}
+
 json ToJson(const relayed_message& message) {
   const std::string& payload = message.payload;
   return json::array(
@@ -182,6 +198,26 @@
   return record;
 }
 
+shared_object ReadSharedObject(const json& value) {
+  const bool own =
+      value.at(1).get<int>() == static_cast<int>(shared_kind::kOwn);
+  return {.kind = own ? shared_kind::kOwn : shared_kind::kDeclarations,
+          .name = value.at(2).get<std::string>(),
+          .revision = value.at(3).get<uint64_t>(),
+          .content = value.at(4).dump()};
+}
+
+hosts_record ReadHosts(const json& value) {
+  hosts_record record;
+  for (const json& each : value.at(1)) {
+    record.hosts.push_back({.name = each.at(0).get<std::string>(),
+                            .zone = each.at(1).get<std::string>(),
+                            .address = each.at(2).get<std::string>(),
+                            .link_mbps = each.at(3).get<double>()});
+  }
+  return record;
+}
+
 relayed_message ReadRelayed(const json& value) {
   const auto& payload = value.at(2).get_binary();
   return {.forward_to = value.at(1).get<std::vector<std::string>>(),
@@ -219,6 +255,12 @@
     if (tag == kTargetsTag) {
       return host_message{ReadTargets(value)};
     }
+    if (tag == kObjectTag) {
+      return host_message{ReadSharedObject(value)};
+    }
+    if (tag == kHostsTag) {
+      return host_message{ReadHosts(value)};
+    }
     if (tag == kRelayedTag) {
       return host_message{ReadRelayed(value)};
     }
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -230,9 +230,9 @@
 bool key_assigner::IsKnownDead(const target_life& life) const {
   // A refused connection proves nothing: some partitions answer in the target's
   // place, and a target behind one goes on serving those on its side. Without
-  // the second proof a target that is lost together with the holder of the lease
-  // leaves its keys without an owner until the holder's time is over, up to
-  // nineteen seconds.
+  // the second proof a target that is lost together with the holder of the
+  // lease leaves its keys without an owner until the holder's time is over, up
+  // to nineteen seconds.
   return LaterLife(life) != nullptr || IsAddressReused(life);
 }
 
--- a/src/core/key_assigner_orders.cc
+++ b/src/core/key_assigner_orders.cc
@@ -113,11 +113,9 @@
   }
   // Renewals that were meant for a process that has ended may have reached the
   // next one at its address, which then holds the keys: that one has to let go.
-  const target_state* later =
-      range.former ? LaterLife(*range.former) : nullptr;
-  if (!state.let_go &&
-      ((later == nullptr && IsAddressReused(*range.former)) ||
-       now >= HeldUntil(*range.former))) {
+  const target_state* later = range.former ? LaterLife(*range.former) : nullptr;
+  if (!state.let_go && ((later == nullptr && IsAddressReused(*range.former)) ||
+                        now >= HeldUntil(*range.former))) {
     state.let_go = true;
   }
   if (state.confirmed || state.order != 0 || now < state.retry_at) {
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -168,6 +168,12 @@
     if (!owner->health.IsReachable(now + asked.by->objective / 2)) {
       return refusal_reason::kNoTarget;
     }
+    // Full of other hosts' requests, and no turn of this host's comes in time.
+    const duration most_wait =
+        MostWait(asked.by->objective, owner->health.LikelyLatency());
+    if (owner->health.PausedUntil() > now + most_wait) {
+      return refusal_reason::kQueueFull;
+    }
     const size_t ahead = owner->line.AheadOf(asked.by->rank);
     const duration latency = owner->health.latency();
     const auto wait = duration{static_cast<int64_t>(
--- a/src/core/target_health.cc
+++ b/src/core/target_health.cc
@@ -41,6 +41,14 @@
 constexpr double kGrow = 1.06;
 constexpr double kShrinkShed = 0.7;
 
+/// A target that shed so many requests of one host in a row is full of the
+/// other hosts': its slots are shared out by pauses from then on.
+constexpr int kShedsUntilPause = 3;
+constexpr double kShrinkFull = 0.5;
+/// The hosts together may ask for so many times what a full target can do, so
+/// that it is never idle.
+constexpr double kFullOversubscription = 2.0;
+
 /// How long a target is left alone after one failure to connect, and at most
 /// when it keeps failing.
 constexpr duration kPauseFirst{std::chrono::milliseconds{300}};
@@ -78,10 +86,26 @@
   if (limit_ >= 1.0) {
     return in_flight_ < static_cast<int>(limit_);
   }
+  return in_flight_ == 0 && now >= PausedUntil();
+}
+
+time_point target_health::PausedUntil() const {
+  if (limit_ >= 1.0) {
+    return last_sent_;
+  }
   // Less than one request at a time is one with a pause behind it.
-  const auto pause = duration{
-      static_cast<int64_t>(static_cast<double>(latency_.count()) / limit_)};
-  return in_flight_ == 0 && now >= last_sent_ + pause;
+  return last_sent_ + duration{static_cast<int64_t>(
+                          static_cast<double>(latency_.count()) / limit_)};
+}
+
+void target_health::NoteShed() {
+  if (limit_ > 1.0) {
+    limit_ = std::max({1.0, least_, limit_ * kShrinkShed});
+  }
+  if (++sheds_in_row_ >= kShedsUntilPause) {
+    const double least = std::min(1.0, kFullOversubscription * least_);
+    limit_ = std::max(least, std::min(limit_, 1.0) * kShrinkFull);
+  }
 }
 
 void target_health::OnSent(time_point now) {
@@ -117,6 +141,9 @@
       ++served_;
       pause_ = duration{0};
       not_owner_in_row_ = 0;
+      if (std::exchange(sheds_in_row_, 0) >= kShedsUntilPause) {
+        limit_ = std::max(limit_, 1.0);
+      }
       failure_share_ *= 1.0 - kFailureWeight;
       AddLatency(took);
       recent_sum_ += took;
@@ -128,14 +155,15 @@
       }
       return;
     case attempt_verdict::kShed:
-      // One that refuses a single request is not full of this host's.
-      if (limit_ > 1.0) {
-        limit_ = std::max({1.0, least_, limit_ * kShrinkShed});
-      }
+      NoteShed();
       AddLatency(std::max(latency_, objective / 2));
       return;
     case attempt_verdict::kFailed:
     case attempt_verdict::kBroken:
+      if (verdict == attempt_verdict::kBroken && sheds_in_row_ > 0) {
+        // A target that sheds resets further connections.
+        NoteShed();
+      }
       failure_share_ += kFailureWeight * (1.0 - failure_share_);
       if (failure_share_ > kFailureShareMost) {
         failing_until_ = now + kFailingFor;
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -66,16 +66,21 @@
   return timing;
 }
 
+/// Each target writes about once a second: a watch from an older revision
+/// brings more than a list does, and takes tens of megabytes to read.
+constexpr duration kTargetHistory{seconds{3}};
+
 follow_timing TargetTiming() {
   follow_timing timing;
+  timing.history = kTargetHistory;
   timing.pace = kTargetPace;
   timing.wait = kTargetWait;
   timing.stale_lists = true;
   return timing;
 }
 
-std::optional<route_table_ptr> ReadTable(std::string_view name,
-                                         const nlohmann::json& content) {
+std::optional<shared_config> ReadConfig(std::string_view name,
+                                        const nlohmann::json& content) {
   if (name != platform::kConfigName) {
     return std::nullopt;
   }
@@ -85,7 +90,9 @@
     LogEvent(event_id::kConfigRefused, {{"problem", problem}});
     return std::nullopt;
   }
-  return route_table_ptr{new route_table(std::move(config.value()))};
+  return shared_config{
+      .table = route_table_ptr{new route_table(std::move(config.value()))},
+      .content = content.dump()};
 }
 
 /// The most memory that the process has used, if the system tells.
@@ -126,7 +133,7 @@
       hosts_(events_, [this](std::string_view bytes) { OnDatagram(bytes); }),
       store_(events_, settings_.store),
       config_(
-          store_, platform::kConfigKind, ReadTable, ConfigTiming(),
+          store_, platform::kConfigKind, ReadConfig, ConfigTiming(),
           [this] { OnConfigChanged(); }, [this] { OnStoreState(); }),
       targets_(
           store_, platform::kTargetKind, platform::ReadTarget, TargetTiming(),
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -27,6 +27,12 @@
 
 namespace foxtailspread {
 
+/// Declarations in force, and what they were read from.
+struct shared_config {
+  route_table_ptr table;
+  std::string content;  ///< JSON, as the store has it.
+};
+
 /// The entry host's process.
 class edge_daemon {
  public:
@@ -66,6 +72,7 @@
   void OnOwnObjectsChanged();
   void TakeOwnObjects(time_point now);
   void ReadStoreNow();
+  void ShareLease();
   void OnStoreState();
   void OnDatagram(std::string_view bytes);
   void OnHostMessage(result<host_message> message);
@@ -73,6 +80,8 @@
   std::optional<store_view> View(time_point now) const;
   void OnView(const store_view& view, time_point now);
   void ShareTargets(targets_record record, time_point now);
+  void ShareObject(const shared_object& object, time_point now);
+  void OnSharedObject(shared_object object);
   void ReportLoad();
   void ShareKeyMaps(time_point now, router_actions& out);
 
@@ -87,6 +96,7 @@
   void CarryOne(const order_cancel& action);
   void CarryOne(const beat_action& action);
   void CarryOne(const share_action& action);
+  void CarryOne(const hosts_action& action);
   void CarryOne(const assigner_note& action);
 
   void LimitMemory();
@@ -107,7 +117,7 @@
   connection_pool orders_pool_;
   datagram_socket hosts_;
   platform::store_client store_;
-  platform::store_follower<route_table_ptr> config_;
+  platform::store_follower<shared_config> config_;
   platform::store_follower<target_entry> targets_;
   platform::store_follower<std::string> own_;
   request_router router_;
@@ -119,6 +129,7 @@
   targets_sharing shared_targets_;
   std::optional<time_point> store_failed_at_;
   bool store_answers_ = true;
+  int failing_followers_ = 0;
   graceful_stop stop_;
   edge_metrics metrics_;
   bool closing_ = false;
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -21,6 +21,10 @@
 /// Contents that crash targets named in one beat: some 300 bytes.
 constexpr size_t kMarksInBeat = 20;
 
+/// Bytes of an object that is sent to all hosts; with what relays add to it it
+/// still fits in a datagram.
+constexpr size_t kMostShared = 48000;
+
 }  // namespace
 
 bool edge_daemon::StoreWasAway(time_point now) const {
@@ -39,6 +43,14 @@
       store_failed_at_ = failed;
     }
   }
+  const int failing = (config_.copy().IsFailing() ? 1 : 0) +
+                      (targets_.copy().IsFailing() ? 1 : 0) +
+                      (own_.copy().IsFailing() ? 1 : 0);
+  if (std::exchange(failing_followers_, failing) > failing) {
+    config_.RetryNow(now);
+    targets_.RetryNow(now);
+    own_.RetryNow(now);
+  }
   if (answers != store_answers_) {
     store_answers_ = answers;
     LogEvent(answers ? event_id::kStoreBack : event_id::kStoreLost);
@@ -57,7 +69,7 @@
     return;
   }
   config_revision_ = found->second.revision;
-  const route_table_ptr table = *found->second.item;
+  const route_table_ptr table = found->second.item->table;
   const routing_config& config = table->config();
   callers_.SetLimits(
       {.sizes = {.max_header_bytes = config.bounds.max_header_bytes,
@@ -69,6 +81,13 @@
             {"revision", static_cast<int64_t>(config_revision_)},
             {"routes", static_cast<int64_t>(config.routes.size())}});
   assigner_.OnServices(config.services);
+  if (assigner_.IsHolder(Now())) {
+    ShareObject({.kind = shared_kind::kDeclarations,
+                 .name = found->first,
+                 .revision = config_revision_,
+                 .content = found->second.item->content},
+                Now());
+  }
   assigner_.BeatSoon();
   router_actions actions;
   const time_point now = Now();
@@ -178,6 +197,10 @@
     router_actions actions;
     ShareKeyMaps(now, actions);
     Carry(actions);
+  } else if (auto* object = std::get_if<shared_object>(&message.value())) {
+    OnSharedObject(std::move(*object));
+  } else if (auto* hosts = std::get_if<hosts_record>(&message.value())) {
+    assigner_.OnHosts(std::move(*hosts), now);
   } else if (auto* targets = std::get_if<targets_record>(&message.value())) {
     // Changes to another list than this host's would leave it wrong.
     if (targets->before == shared_targets_.digest()) {
@@ -196,6 +219,23 @@
   SendToHosts(assigner_.OtherHosts(now), FormatHostMessage(record));
 }
 
+void edge_daemon::ShareObject(const shared_object& object, time_point now) {
+  const std::string bytes = FormatHostMessage(object);
+  // A longer one is read from the store by each host.
+  if (bytes.size() <= kMostShared) {
+    SendToHosts(assigner_.OtherHosts(now), bytes);
+  }
+}
+
+void edge_daemon::OnSharedObject(shared_object object) {
+  const auto content = nlohmann::json::parse(object.content, nullptr, false);
+  if (object.kind == shared_kind::kDeclarations) {
+    config_.OnSharedObject(std::move(object.name), object.revision, content);
+  } else {
+    own_.OnSharedObject(std::move(object.name), object.revision, content);
+  }
+}
+
 void edge_daemon::SendToHosts(std::span<const fanout_hop> hops,
                               const std::string& bytes) {
   for (const fanout_hop& hop : hops) {
@@ -324,12 +364,29 @@
   own_.ReadNow(now);
 }
 
+/// Tells the other hosts who holds the lease now.
+void edge_daemon::ShareLease() {
+  const auto& lease = assigner_.lease();
+  if (lease) {
+    ShareObject({.kind = shared_kind::kOwn,
+                 .name = std::string{key_assigner::kLeaseName},
+                 .revision = assigner_.lease_revision(),
+                 .content = FormatLease(*lease)},
+                Now());
+  }
+}
+
+void edge_daemon::CarryOne(const hosts_action& action) {
+  hosts_.Send(action.address, FormatHostMessage(action.record));
+}
+
 void edge_daemon::CarryOne(const assigner_note& action) {
   using kind = assigner_note::kind;
   event_id event = event_id::kAssignerBegan;
   switch (action.what) {
     case kind::kLeaseTaken:
       event = event_id::kAssignerBegan;
+      ShareLease();
       ReadStoreNow();
       break;
     case kind::kLeaseLost:
--- a/tests/assigner_sharing_test.cc
+++ b/tests/assigner_sharing_test.cc
@@ -140,6 +140,64 @@
   EXPECT_EQ(beats, 12U);
 }
 
+// The holder is lost. Its successor knows no host but itself: all others report
+// to the lost one until they read in the store who holds the lease now, all at
+// the same moment.
+TEST_F(AssignerSharingTest, SuccessorBeatsToTheHostsThatTheHolderKnew) {
+  UntilRecordIsWritten();
+  for (int i = 0; i < 12; ++i) {
+    assigner_.OnReport({.host = "other-" + std::to_string(i),
+                        .zone = "z",
+                        .address = "1:" + std::to_string(i),
+                        .services = {},
+                        .targets = {}},
+                       now_);
+  }
+  now_ += seconds{2};
+  assigner_actions actions;
+  assigner_.OnTime(now_, actions);
+  const hosts_action* told = nullptr;
+  const beat_action* beat = nullptr;
+  for (const assigner_action& action : actions) {
+    const auto* hosts = std::get_if<hosts_action>(&action);
+    const auto* beats = std::get_if<beat_action>(&action);
+    told = hosts != nullptr ? hosts : told;
+    beat = beats != nullptr ? beats : beat;
+  }
+  ASSERT_NE(told, nullptr);
+  ASSERT_NE(beat, nullptr);
+  const auto read = ParseHostMessage(FormatHostMessage(told->record));
+  EXPECT_EQ(std::get<hosts_record>(read.value()), told->record);
+
+  // The successor takes the lease from the silent holder.
+  key_assigner next(
+      {.host = beat->beat.successors.front(), .zone = "z", .address = "1:0"});
+  next.OnServices({testing::KeyedService("s")});
+  ASSERT_TRUE(next.OnObjects(objects_, now_));
+  next.OnStoreAnswers(true, now_);
+  next.OnBeat(beat->beat, now_);
+  next.OnHosts(told->record, now_);
+  size_t reached = 0;
+  for (int i = 0; i < 200 && reached == 0; ++i) {
+    now_ += milliseconds{10};
+    assigner_actions taken;
+    next.OnTime(now_, taken);
+    for (size_t each = 0; each < taken.size(); ++each) {
+      const assigner_action action = taken[each];
+      if (const auto* write = std::get_if<store_write>(&action)) {
+        next.OnWriteEnded({.id = write->id,
+                           .end = write_end::kWritten,
+                           .revision = ++revision_,
+                           .content = {}},
+                          now_, taken);
+      } else if (const auto* first = std::get_if<beat_action>(&action)) {
+        reached = first->hops.size();
+      }
+    }
+  }
+  EXPECT_EQ(reached, 11U) << "all but itself";
+}
+
 TEST_F(AssignerSharingTest, NumberOfHostsInABeatGoesBeforeTheLeases) {
   key_assigner other({.host = "o", .zone = "z", .address = "1:4"});
   ASSERT_TRUE(other.OnObjects(
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/kind_follower.h"
@@ -119,6 +121,21 @@
             host_message{owners});
 }
 
+TEST_F(HostMessagesTest, ObjectsAndRelayedMessagesReadBack) {
+  const shared_object object{.kind = shared_kind::kDeclarations,
+                             .name = "main",
+                             .revision = 7,
+                             .content = R"({"a":[1,2]})"};
+  const auto read = ParseHostMessage(FormatHostMessage(object));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(std::get<shared_object>(read.value()), object);
+  const relayed_message relayed{.forward_to = {"1:1", "1:2"},
+                                .payload = FormatHostMessage(object)};
+  const auto passed = ParseHostMessage(FormatHostMessage(relayed));
+  ASSERT_TRUE(passed);
+  EXPECT_EQ(std::get<relayed_message>(passed.value()), relayed);
+}
+
 // Anybody can send a datagram. What cannot be read is refused, never half
 // taken.
 TEST_F(HostMessagesTest, OtherBytesAreRefused) {
@@ -271,6 +288,50 @@
   EXPECT_FALSE(follower_.objects().contains("a"));
 }
 
+// Another host vouched for the copy for half a minute. The store has dropped
+// the changes since this host's own call; a watch would only be told so.
+TEST_F(KindFollowerTest, CopyOlderThanTheHistoryIsListed) {
+  List();
+  follower_.Confirm(now_ + seconds{30}, now_ + seconds{31});
+  const auto call = follower_.NextCall(now_ + seconds{31});
+  ASSERT_TRUE(call);
+  EXPECT_TRUE(call->list);
+}
+
+// The store turns a host away for many seconds, and each refused call is paid
+// for. A leaving target must still be known within its time of grace after
+// that.
+TEST_F(KindFollowerTest, CallsGrowRareWhileTheStoreTurnsAHostAway) {
+  List();
+  const time_point until = now_ + seconds{8};
+  int calls = 0;
+  duration longest{0};
+  while (now_ < until) {
+    if (follower_.NextCall(now_)) {
+      ++calls;
+      follower_.OnFailed(now_);
+    }
+    longest = std::max(longest, follower_.NextDue() - now_);
+    now_ = follower_.NextDue();
+  }
+  EXPECT_LE(calls, 8) << "one a second";
+  EXPECT_LE(longest, milliseconds{1600}) << "0.8 of the least time of grace";
+}
+
+// The store is back for one kind. Waiting out the pause of each other kind
+// would leave this host with old owners of keys meanwhile.
+TEST_F(KindFollowerTest, FailedCallIsMadeAgainWhenAnotherIsAnswered) {
+  List();
+  for (int i = 0; i < 6; ++i) {
+    now_ = follower_.NextDue();
+    ASSERT_TRUE(follower_.NextCall(now_));
+    follower_.OnFailed(now_);
+  }
+  EXPECT_FALSE(follower_.NextCall(now_));
+  follower_.RetryNow(now_);
+  EXPECT_TRUE(follower_.NextCall(now_));
+}
+
 // Another host reads the store for this one. While it vouches for the copy no
 // call is made; when it falls silent, calls go on by themselves.
 TEST_F(KindFollowerTest, VouchedCopyMakesNoCalls) {
