Call heartbeats, queues and overload by these names, and read targets once they are declared

No behaviour changes with the names. Comments that told how a value was chosen go.

A host lists the targets once it knows declarations: before that they only cost calls, two for each host of a system that starts for the first time.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -73,23 +73,23 @@
 /// The assigner's sign of life. It reads the store for all hosts: those whose
 /// copies are the same need not ask. Each call of the store is paid for, and a
 /// thousand hosts that watch it would be its main load.
-struct assigner_beat {
+struct assigner_heartbeat {
   std::string host;
   uint64_t lease_revision = 0;
   std::vector<std::string> successors;  ///< The first in line first.
   std::optional<store_view> view{};     ///< Absent if it is not up to date.
   std::vector<poison_mark> crashes{};   ///< Contents that crash targets.
   /// Hosts that share what all of them may use together: the lease names their
-  /// number too, but is not read again while beats come.
+  /// number too, but is not read again while heartbeats come.
   size_t hosts = 1;
 
-  bool operator==(const assigner_beat&) const = default;
+  bool operator==(const assigner_heartbeat&) const = default;
 };
 
 /// What changed in a record of keys, sent by the host that wrote it to the
-/// store, to spare the others a call. One that is lost shows in the next beat.
-/// Whole records would fill the links of small hosts: 20 KB each to a hundred
-/// hosts with each change.
+/// store, to spare the others a call. One that is lost shows in the next
+/// heartbeat. Whole records would fill the links of small hosts: 20 KB each to
+/// a hundred hosts with each change.
 struct owners_record {
   std::string service;
   uint64_t base = 0;      ///< The revision that the changes are to; 0 for none.
@@ -113,7 +113,7 @@
 /// What changed in the list of targets, sent by the host that reads the store
 /// for all: each host listing them again would cost a call a host and, at a
 /// thousand targets, a megabyte. A host whose copy is another one than `before`
-/// leaves it aside and finds out by the next beat.
+/// leaves it aside and finds out by the next heartbeat.
 struct targets_record {
   uint64_t before = 0;  ///< Digest of the list that the changes are to.
   uint32_t age_ms = 0;  ///< Of the copy with the changes.
@@ -167,7 +167,7 @@
 };
 
 using host_message =
-    std::variant<load_report, assigner_beat, owners_record, targets_record,
+    std::variant<load_report, assigner_heartbeat, owners_record, targets_record,
                  shared_object, hosts_record, relayed_message>;
 
 /// Writes a message as one datagram and reads it back.
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -156,8 +156,8 @@
 };
 
 /// Sends a sign of life to the other hosts.
-struct beat_action {
-  assigner_beat beat{};
+struct heartbeat_action {
+  assigner_heartbeat heartbeat{};
   std::vector<fanout_hop> hops{};
 };
 
@@ -174,7 +174,7 @@
 };
 
 using assigner_action =
-    std::variant<store_write, key_order, order_cancel, beat_action,
+    std::variant<store_write, key_order, order_cancel, heartbeat_action,
                  share_action, hosts_action, assigner_note>;
 using assigner_actions = std::vector<assigner_action>;
 
@@ -215,13 +215,13 @@
 
   /// Take other hosts' messages in.
   void OnReport(const load_report& report, time_point now);
-  void OnBeat(const assigner_beat& beat, time_point now);
+  void OnHeartbeat(const assigner_heartbeat& heartbeat, time_point now);
   void OnHosts(hosts_record record, time_point now);
   /// Fails if the record cannot be read or does not fit; one to another map
   /// than this host has is left aside.
   status OnOwners(const owners_record& record);
-  /// Lets the next beat go out at once: there is news to tell.
-  void BeatSoon() { beat_at_ = {}; }
+  /// Lets the next heartbeat go out at once: there is news to tell.
+  void HeartbeatSoon() { heartbeat_at_ = {}; }
 
   void OnWriteEnded(const write_report& report, time_point now,
                     assigner_actions& out);
@@ -363,7 +363,7 @@
                     time_point now, assigner_actions& out);
   void LoseLease(assigner_actions& out);
   void Lapse(assigner_actions& out);
-  void Beat(time_point now, assigner_actions& out);
+  void SendHeartbeat(time_point now, assigner_actions& out);
   void ShareHosts(time_point now, assigner_actions& out);
   void TakeHosts(time_point now);
   void ChooseSuccessors(time_point now);
@@ -408,8 +408,9 @@
   bool store_answers_ = false;
   std::optional<assigner_lease> lease_;
   uint64_t lease_revision_ = 0;
-  time_point lease_seen_at_{};   ///< Its last write.
-  time_point lease_read_at_{};   ///< When `lease_` was read; beats tell less.
+  time_point lease_seen_at_{};  ///< Its last write.
+  time_point
+      lease_read_at_{};  ///< When `lease_` was read; heartbeats tell less.
   time_point lease_taken_at_{};  ///< Its last change of holder.
   bool objects_read_ = false;
   std::optional<time_point> able_since_;
@@ -438,9 +439,9 @@
   time_point hosts_told_at_{};
   time_point share_hosts_at_{};
   std::vector<std::string> successors_;
-  time_point beat_at_{};
-  std::optional<assigner_beat> beat_heard_;
-  time_point beat_heard_at_{};
+  time_point heartbeat_at_{};
+  std::optional<assigner_heartbeat> heartbeat_heard_;
+  time_point heartbeat_heard_at_{};
   /// Hosts that held the lease before and may still renew what they granted,
   /// with the time at which each stops or is known to have stopped.
   std::map<std::string, time_point> predecessors_;
--- a/include/foxtailspread/kind_follower.h
+++ b/include/foxtailspread/kind_follower.h
@@ -64,9 +64,8 @@
   duration retry_first{std::chrono::milliseconds{200}};
   duration retry_most{std::chrono::milliseconds{1600}};
   /// A copy that differs from another host's is read again no more often: the
-  /// other's may be the older one, until its own next call (650 ms) and beat.
-  /// With 200 ms, a hundred hosts listed the targets four times a second while
-  /// these started.
+  /// other's may be the older one, until its own next call (650 ms) and
+  /// heartbeat.
   duration refresh_pause{std::chrono::milliseconds{900}};
   /// Lists may be stale; each is made current by a watch before it is used.
   bool stale_lists = false;
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -213,7 +213,7 @@
   struct target;
   struct request;
   struct service;
-  class waiting_line;
+  class waiting_queue;
   using target_ptr = boost::intrusive_ptr<target>;
   struct due {
     time_point at;
@@ -229,13 +229,13 @@
   void LimitConnections();
   void Finish(request& finished);
   void Wait(request& waiting, time_point now);
-  /// Puts a request into the line of its keys' owner, or else of its service.
-  void JoinLine(request& waiting);
-  void LeaveLine(request& waiting);
-  /// Puts waiting requests into the lines of their keys' present owners.
-  void RedealLines(service& of);
-  /// The line of `owner`, or of the service if there is none.
-  static waiting_line& LineOf(service& at, target* owner);
+  /// Puts a request into the queue of its keys' owner, or else of its service.
+  void JoinQueue(request& waiting);
+  void LeaveQueue(request& waiting);
+  /// Puts waiting requests into the queues of their keys' present owners.
+  void RedistributeQueues(service& of);
+  /// The queue of `owner`, or of the service if there is none.
+  static waiting_queue& QueueOf(service& at, target* owner);
   /// How long an answer takes, most likely, once a request is sent; 0 if
   /// nothing is known. `owner` is that of its keys, if it has any.
   static duration LikelyLatency(const service& at, const target* owner,
@@ -251,8 +251,8 @@
   void Repeat(request& repeated, refusal_reason otherwise, time_point now,
               router_actions& out);
   void Pump(service& pumped, time_point now, router_actions& out);
-  void PumpLine(waiting_line& line, time_point now, router_actions& out);
-  /// Pumps the line that room at `freed` is for; it may be none.
+  void PumpQueue(waiting_queue& queue, time_point now, router_actions& out);
+  /// Pumps the queue that room at `freed` is for; it may be none.
   void PumpAfter(service& at, const target_ptr& freed, time_point now,
                  router_actions& out);
   void Expire(request& expired, time_point now, router_actions& out);
--- a/include/foxtailspread/waiting_policy.h
+++ b/include/foxtailspread/waiting_policy.h
@@ -19,14 +19,15 @@
 /// and take the room of one that would not be.
 duration MostWait(duration objective, duration likely_latency);
 
-/// How long a line counts as overrun after it refused requests one after the
-/// other. Requests that meet it are not kept waiting: refused soon, a caller
-/// can still come again, at another host, and be answered within the objective.
-duration OverrunTime(duration objective);
+/// How long a queue counts as overloaded after it refused requests one after
+/// the other. Requests that meet it are not kept waiting: refused soon, a
+/// caller can still come again, at another host, and be answered within the
+/// objective.
+duration OverloadTime(duration objective);
 
-/// After what time, about, a caller should come again that an overrun line
+/// After what time, about, a caller should come again that an overloaded queue
 /// refused.
-duration RetryAfterOverrun(duration objective);
+duration RetryAfterOverload(duration objective);
 
 /// Whether the newest request goes first. `oldest_wait` is how long the oldest
 /// one has waited: a queue that stands so long does not drain, and only new
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -24,10 +24,10 @@
 
 /// How often the holder tells its successors that it lives, how many there
 /// are, and how long the first waits in silence before it takes the lease; each
-/// further one waits so much longer. Three beats may be lost. Grants last
+/// further one waits so much longer. Three heartbeats may be lost. Grants last
 /// three seconds and are renewed each 0.8, so that a successor that starts
 /// within a second and a half finds them all in force.
-constexpr duration kBeatEvery{std::chrono::milliseconds{250}};
+constexpr duration kHeartbeatEvery{std::chrono::milliseconds{250}};
 constexpr size_t kSuccessors = 3;
 constexpr duration kSilence{std::chrono::milliseconds{850}};
 constexpr duration kSilenceStep{std::chrono::milliseconds{250}};
@@ -37,10 +37,9 @@
 constexpr duration kTakeoverSpread{std::chrono::milliseconds{400}};
 
 /// A host with a smaller link than this leaves a free lease to the others for
-/// so much longer. The holder tells all hosts of each change: with a hundred of
-/// them a change of 2 KB fills a link of 10 Mbit/s for 160 ms, and what is lost
-/// there is made up for by a hundred reads of the store and by requests to
-/// owners that no longer are (3,000 to 17,000 of 100,000 in a played day).
+/// so much longer. The holder tells all hosts of each change; what is lost on a
+/// full link is made up for by reads of the store and by requests to owners
+/// that no longer are.
 constexpr double kWideLinkMbps = 50.0;
 constexpr duration kNarrowLinkDelay{std::chrono::milliseconds{800}};
 
@@ -139,33 +138,35 @@
 }
 
 bool key_assigner::MayFollow(time_point now) const {
-  if (!beat_heard_ || beat_heard_->host != lease_->host) {
+  if (!heartbeat_heard_ || heartbeat_heard_->host != lease_->host) {
     return false;
   }
-  const auto& line = beat_heard_->successors;
-  const auto place = std::find(line.begin(), line.end(), settings_.host);
-  // A holder that has just taken the lease is given time for its first beats;
-  // otherwise hosts that each remember old beats of the others take it from
-  // one another again and again.
-  const time_point silent_since = std::max(beat_heard_at_, lease_taken_at_);
-  return place != line.end() &&
+  const auto& order = heartbeat_heard_->successors;
+  const auto place = std::find(order.begin(), order.end(), settings_.host);
+  // A holder that has just taken the lease is given time for its first
+  // heartbeats; otherwise hosts that each remember old heartbeats of the others
+  // take it from one another again and again.
+  const time_point silent_since =
+      std::max(heartbeat_heard_at_, lease_taken_at_);
+  return place != order.end() &&
          now >= silent_since + kSilence +
-                    kSilenceStep * std::distance(line.begin(), place);
+                    kSilenceStep * std::distance(order.begin(), place);
 }
 
-void key_assigner::OnBeat(const assigner_beat& beat, time_point now) {
-  // A host that has been replaced may still beat until it learns of it.
-  if (beat.lease_revision < lease_revision_ && lease_ &&
-      lease_->host != beat.host) {
+void key_assigner::OnHeartbeat(const assigner_heartbeat& heartbeat,
+                               time_point now) {
+  // A host that has been replaced may still heartbeat until it learns of it.
+  if (heartbeat.lease_revision < lease_revision_ && lease_ &&
+      lease_->host != heartbeat.host) {
     return;
   }
-  beat_heard_ = beat;
-  beat_heard_at_ = now;
-  if (lease_ && lease_->host == beat.host) {
-    // The holder's renewals are not read while its beats come; without its
+  heartbeat_heard_ = heartbeat;
+  heartbeat_heard_at_ = now;
+  if (lease_ && lease_->host == heartbeat.host) {
+    // The holder's renewals are not read while its heartbeats come; without its
     // revision a takeover would fail at the first try.
     lease_seen_at_ = now;
-    lease_revision_ = std::max(lease_revision_, beat.lease_revision);
+    lease_revision_ = std::max(lease_revision_, heartbeat.lease_revision);
   }
 }
 
@@ -174,7 +175,8 @@
   if (was_holder_) {
     return std::max(recorded, hosts_seen_.size());
   }
-  return beat_heard_ ? std::max<size_t>(beat_heard_->hosts, 1) : recorded;
+  return heartbeat_heard_ ? std::max<size_t>(heartbeat_heard_->hosts, 1)
+                          : recorded;
 }
 
 /// Mixes what one host saw into the running mean, by its number of requests.
@@ -273,19 +275,19 @@
   }
 }
 
-void key_assigner::Beat(time_point now, assigner_actions& out) {
+void key_assigner::SendHeartbeat(time_point now, assigner_actions& out) {
   // Without the store nothing can be moved; a successor that reaches it does
   // better, so the silence is meant.
-  if (now < beat_at_ || !store_answers_) {
+  if (now < heartbeat_at_ || !store_answers_) {
     return;
   }
-  beat_at_ = now + kBeatEvery;
+  heartbeat_at_ = now + kHeartbeatEvery;
   ChooseSuccessors(now);
-  const assigner_beat beat{.host = settings_.host,
-                           .lease_revision = lease_revision_,
-                           .successors = successors_,
-                           .hosts = HostCount()};
-  out.emplace_back(beat_action{beat, OtherHosts(now)});
+  const assigner_heartbeat heartbeat{.host = settings_.host,
+                                     .lease_revision = lease_revision_,
+                                     .successors = successors_,
+                                     .hosts = HostCount()};
+  out.emplace_back(heartbeat_action{heartbeat, OtherHosts(now)});
   ShareHosts(now, out);
 }
 
@@ -340,7 +342,8 @@
   }
   // Changes that follow one another closely take the same way: one that comes
   // before the one it builds on is left aside.
-  const auto turn = static_cast<uint64_t>(now.time_since_epoch() / kBeatEvery);
+  const auto turn =
+      static_cast<uint64_t>(now.time_since_epoch() / kHeartbeatEvery);
   return PlanFanout(hosts, settings_.zone, turn);
 }
 
@@ -361,7 +364,7 @@
   }
   RetryWrite(lease_write_, now, out);
   if (was_holder_ && !leaving_) {
-    Beat(now, out);
+    SendHeartbeat(now, out);
   }
   if (lease_write_ || leaving_) {
     return;
@@ -400,11 +403,10 @@
   if (!lease_) {
     return {};
   }
-  // Renewals of the lease are not read while its holder beats, so that what
+  // Renewals of the lease are not read while heartbeats come, so that what
   // stands here is as old as the last change of hands. Passed on as it stood
-  // then, the wait for a lost holder began anew with each takeover, and keys of
-  // targets lost with it had no owner (seven of eight played days with such
-  // a loss).
+  // then, the wait for a lost holder would begin anew with each takeover, and
+  // keys of targets lost with it would have no owner.
   const duration passed = now - lease_read_at_;
   std::vector<former_holder> former = lease_->predecessors;
   for (former_holder& each : former) {
@@ -485,7 +487,7 @@
   }
   if (!done) {
     // Somebody has written it meanwhile and so is there.
-    beat_heard_at_ = std::max(beat_heard_at_, now);
+    heartbeat_heard_at_ = std::max(heartbeat_heard_at_, now);
     LoseLease(out);
     return;
   }
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -9,7 +9,7 @@
 
 /// The first element of each message.
 constexpr std::string_view kReportTag = "load";
-constexpr std::string_view kBeatTag = "beat";
+constexpr std::string_view kHeartbeatTag = "heartbeat";
 constexpr std::string_view kOwnersTag = "keys";
 constexpr std::string_view kTargetsTag = "targets";
 constexpr std::string_view kObjectTag = "object";
@@ -18,8 +18,8 @@
 
 /// How long after a view was read it spares others their calls, as a part of
 /// the time that a leaving target goes on taking requests (2 s). Watches are
-/// renewed within a second, so two beats may be lost; what changed right after
-/// the view was read is still known everywhere in time.
+/// renewed within a second, so two heartbeats may be lost; what changed right
+/// after the view was read is still known everywhere in time.
 constexpr double kVouchedPart = 0.8;
 
 /// Contents that crash targets, as hash, crashes and age in milliseconds.
@@ -51,14 +51,16 @@
                       report.link_mbps});
 }
 
-json ToJson(const assigner_beat& beat) {
+json ToJson(const assigner_heartbeat& heartbeat) {
   json view;
-  if (beat.view) {
-    view = json::array({beat.view->config_revision, beat.view->targets,
-                        beat.view->owners, beat.view->age_ms});
+  if (heartbeat.view) {
+    view =
+        json::array({heartbeat.view->config_revision, heartbeat.view->targets,
+                     heartbeat.view->owners, heartbeat.view->age_ms});
   }
-  return json::array({kBeatTag, beat.host, beat.lease_revision, beat.successors,
-                      std::move(view), ToJson(beat.crashes), beat.hosts});
+  return json::array({kHeartbeatTag, heartbeat.host, heartbeat.lease_revision,
+                      heartbeat.successors, std::move(view),
+                      ToJson(heartbeat.crashes), heartbeat.hosts});
 }
 
 json ToJson(const owners_record& record) {
@@ -144,21 +146,21 @@
   return report;
 }
 
-assigner_beat ReadBeat(const json& value) {
-  assigner_beat beat;
-  beat.host = value.at(1).get<std::string>();
-  beat.lease_revision = value.at(2).get<uint64_t>();
-  beat.successors = value.at(3).get<std::vector<std::string>>();
+assigner_heartbeat ReadHeartbeat(const json& value) {
+  assigner_heartbeat heartbeat;
+  heartbeat.host = value.at(1).get<std::string>();
+  heartbeat.lease_revision = value.at(2).get<uint64_t>();
+  heartbeat.successors = value.at(3).get<std::vector<std::string>>();
   const json& view = value.at(4);
   if (!view.is_null()) {
-    beat.view = store_view{.config_revision = view.at(0).get<uint64_t>(),
-                           .targets = view.at(1).get<uint64_t>(),
-                           .owners = view.at(2).get<uint64_t>(),
-                           .age_ms = view.at(3).get<uint32_t>()};
+    heartbeat.view = store_view{.config_revision = view.at(0).get<uint64_t>(),
+                                .targets = view.at(1).get<uint64_t>(),
+                                .owners = view.at(2).get<uint64_t>(),
+                                .age_ms = view.at(3).get<uint32_t>()};
   }
-  beat.crashes = ReadMarks(value.at(5));
-  beat.hosts = value.at(6).get<size_t>();
-  return beat;
+  heartbeat.crashes = ReadMarks(value.at(5));
+  heartbeat.hosts = value.at(6).get<size_t>();
+  return heartbeat;
 }
 
 owners_record ReadOwners(const json& value) {
@@ -246,8 +248,8 @@
     if (tag == kReportTag) {
       return host_message{ReadReport(value)};
     }
-    if (tag == kBeatTag) {
-      return host_message{ReadBeat(value)};
+    if (tag == kHeartbeatTag) {
+      return host_message{ReadHeartbeat(value)};
     }
     if (tag == kOwnersTag) {
       return host_message{ReadOwners(value)};
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -68,7 +68,8 @@
   }
   keyed_service& of = found->second;
   if (record.base != 0 && record.base != of.revision) {
-    return OkStatus();  // The next beat shows that the record must be read.
+    return OkStatus();  // The next heartbeat shows that the record must be
+                        // read.
   }
   auto changes = ParseKeyChanges(record.content);
   if (!changes) {
@@ -86,9 +87,9 @@
 uint64_t key_assigner::OwnersDigest() const {
   uint64_t digest = HashParts({lease_ ? lease_->host : std::string{}}, 0);
   for (const auto& [name, each] : services_) {
-    // The watch may bring this host's own write before its answer comes. A beat
-    // that told of the record before its changes are sent would make all other
-    // hosts read it whole.
+    // The watch may bring this host's own write before its answer comes. A
+    // heartbeat that told of the record before its changes are sent would make
+    // all other hosts read it whole.
     digest +=
         HashParts({name}, each.write ? each.write->expected : each.revision);
   }
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -70,11 +70,11 @@
 
 request_router::~request_router() {
   for (auto& [name, each] : services_) {
-    each->line.Clear();
+    each->queue.Clear();
   }
   for (auto& [id, each] : requests_) {
     if (each->waits_for) {
-      each->waits_for->line.Clear();
+      each->waits_for->queue.Clear();
     }
   }
 }
@@ -135,14 +135,14 @@
   service& at = *admitted.at;
   target* owner = FindOwner(at, admitted);
   const duration most =
-      LineOf(at, owner).IsOverrun(now)
+      QueueOf(at, owner).IsOverloaded(now)
           ? duration{0}
           : MostWait(admitted.by->objective, LikelyLatency(at, owner, now));
   admitted.wait_until =
       std::min(now + most, admitted.expires - kLeastTimeToSend);
   Wait(admitted, now);
   Schedule(admitted.expires, admitted.id);
-  PumpLine(*admitted.line, now, out);
+  PumpQueue(*admitted.queue, now, out);
 }
 
 void request_router::Schedule(time_point at, request_id id) {
@@ -155,7 +155,7 @@
   if (to == nullptr) {
     return false;
   }
-  LeaveLine(sent);
+  LeaveQueue(sent);
   sent.current = to;
   sent.sent = now;
   if (!sent.first_sent) {
@@ -312,7 +312,7 @@
 }
 
 void request_router::Finish(request& finished) {
-  LeaveLine(finished);
+  LeaveQueue(finished);
   requests_.erase(finished.id);
 }
 
@@ -353,7 +353,7 @@
       // Keys on their way have their owner soon, whatever was refused before.
       const bool for_move = looked_at.at->keyed && !looked_at.waits_for;
       if (!for_move) {
-        looked_at.line->NoteRefused(looked_at, now);
+        looked_at.queue->NoteRefused(looked_at, now);
       }
       Refuse(looked_at, refusal_reason::kWaitedTooLong, now, out);
     } else if (looked_at.is_waiting()) {
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -15,7 +15,7 @@
 
 /// Part of the objective that a target in another zone costs when targets are
 /// compared: its bytes are paid for and it is a cut away. Larger, the own
-/// zone's targets would be overrun before any work goes elsewhere.
+/// zone's targets would be overloaded before any work goes elsewhere.
 constexpr double kOtherZoneShare = 0.2;
 
 /// Targets compared for one request. Two choices keep hosts that do not see
@@ -130,7 +130,7 @@
     speed += each->health.limit() /
              std::max(1.0, static_cast<double>(each->health.latency().count()));
   }
-  const size_t ahead = at.line.AheadOf(by.by->rank);
+  const size_t ahead = at.queue.AheadOf(by.by->rank);
   const double beyond = static_cast<double>(ahead) - std::floor(room) + 1.0;
   if (beyond <= 0.0 || speed <= 0.0) {
     return duration{0};
@@ -174,7 +174,7 @@
     if (owner->health.PausedUntil() > now + most_wait) {
       return refusal_reason::kQueueFull;
     }
-    const size_t ahead = owner->line.AheadOf(asked.by->rank);
+    const size_t ahead = owner->queue.AheadOf(asked.by->rank);
     const duration latency = owner->health.latency();
     const auto wait = duration{static_cast<int64_t>(
         static_cast<double>(latency.count() * static_cast<int64_t>(ahead)) /
@@ -215,8 +215,8 @@
 duration request_router::RetryAfter(const request& refused, time_point now) {
   service& at = *refused.at;
   duration base = at.keyed ? kRetryAfterOwner : ExpectedWait(at, refused, now);
-  if (LineOf(at, FindOwner(at, refused)).IsOverrun(now)) {
-    base = RetryAfterOverrun(refused.by->objective);
+  if (QueueOf(at, FindOwner(at, refused)).IsOverloaded(now)) {
+    base = RetryAfterOverload(refused.by->objective);
   }
   base = std::max(base, kRetryAfterLeast);
   // Spread over half to one and a half of the time, so that callers refused
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -18,7 +18,7 @@
 namespace foxtailspread {
 
 /// Requests that wait for the same room.
-class request_router::waiting_line {
+class request_router::waiting_queue {
  public:
   using list =
       boost::intrusive::list<request,
@@ -34,11 +34,11 @@
 
   /// Notes that a request was refused for want of room.
   void NoteRefused(const request& refused, time_point now);
-  bool IsOverrun(time_point now) const { return now < overrun_until_; }
+  bool IsOverloaded(time_point now) const { return now < overloaded_until_; }
 
  private:
   time_point refused_at_{};
-  time_point overrun_until_{};
+  time_point overloaded_until_{};
   std::map<int, list> ranks_;
 };
 
@@ -55,7 +55,7 @@
   /// When it was first missing from the list.
   std::optional<time_point> missing_since;
   /// Requests that wait for it, since only it has their key.
-  waiting_line line;
+  waiting_queue queue;
 };
 
 /// One request from its arrival to its answer.
@@ -77,8 +77,8 @@
   bool may_have_run = false;
   bool has_answer = false;  ///< A target's failure is held to be passed on.
   target_ptr current;       ///< Set while an attempt is under way.
-  waiting_line* line = nullptr;  ///< Where it waits.
-  target_ptr waits_for;          ///< Whose line that is, if a target's.
+  waiting_queue* queue = nullptr;  ///< Where it waits.
+  target_ptr waits_for;            ///< Whose queue that is, if a target's.
   time_point sent{};
   std::optional<time_point> first_sent{};
   std::vector<target_ptr> tried;
@@ -116,39 +116,39 @@
   /// When each range that is changing hands was first seen doing so, by fence.
   std::map<fence_number, time_point> moving_since;
   /// Those that wait for any target, or for their keys to get an owner.
-  waiting_line line;
-  size_t waiting_count = 0;  ///< In all lines of the service.
+  waiting_queue queue;
+  size_t waiting_count = 0;  ///< In all queues of the service.
   retry_budget budget;
   /// Running share of attempts that a target refused to run.
   double shed_share = 0.0;
   std::vector<key_point> keys_asked;  ///< One for each request.
 };
 
-inline void request_router::waiting_line::Add(request& waiting) {
+inline void request_router::waiting_queue::Add(request& waiting) {
   ranks_[waiting.by->rank].push_back(waiting);
 }
 
-inline void request_router::waiting_line::Remove(request& waiting) {
+inline void request_router::waiting_queue::Remove(request& waiting) {
   ranks_[waiting.by->rank].erase(list::s_iterator_to(waiting));
 }
 
-inline void request_router::waiting_line::NoteRefused(const request& refused,
-                                                      time_point now) {
-  const duration memory = OverrunTime(refused.by->objective);
+inline void request_router::waiting_queue::NoteRefused(const request& refused,
+                                                       time_point now) {
+  const duration memory = OverloadTime(refused.by->objective);
   // One refusal alone may come by chance.
   if (now - refused_at_ < memory) {
-    overrun_until_ = now + memory;
+    overloaded_until_ = now + memory;
   }
   refused_at_ = now;
 }
 
-inline void request_router::waiting_line::Clear() {
+inline void request_router::waiting_queue::Clear() {
   for (auto& [rank, each] : ranks_) {
     each.clear();
   }
 }
 
-inline size_t request_router::waiting_line::AheadOf(int rank) const {
+inline size_t request_router::waiting_queue::AheadOf(int rank) const {
   size_t ahead = 0;
   for (const auto& [each, members] : ranks_) {
     ahead += each <= rank ? members.size() : 0;
--- a/src/core/request_router_targets.cc
+++ b/src/core/request_router_targets.cc
@@ -117,7 +117,7 @@
       }
       return !doubtful || IsRetired(*each, now);
     });
-    RedealLines(*at);
+    RedistributeQueues(*at);
     Pump(*at, now, out);
   }
 }
@@ -145,7 +145,7 @@
   }
   at.moving_since = std::move(moving);
   at.owners = map;
-  RedealLines(at);
+  RedistributeQueues(at);
   Pump(at, now, out);
 }
 
--- a/src/core/request_router_waiting.cc
+++ b/src/core/request_router_waiting.cc
@@ -11,36 +11,36 @@
 
 namespace foxtailspread {
 
-request_router::waiting_line& request_router::LineOf(service& at,
-                                                     target* owner) {
-  return owner == nullptr ? at.line : owner->line;
+request_router::waiting_queue& request_router::QueueOf(service& at,
+                                                       target* owner) {
+  return owner == nullptr ? at.queue : owner->queue;
 }
 
-void request_router::JoinLine(request& waiting) {
+void request_router::JoinQueue(request& waiting) {
   service& at = *waiting.at;
   waiting.waits_for = FindOwner(at, waiting);
-  waiting.line = &LineOf(at, waiting.waits_for.get());
-  waiting.line->Add(waiting);
+  waiting.queue = &QueueOf(at, waiting.waits_for.get());
+  waiting.queue->Add(waiting);
   ++at.waiting_count;
 }
 
-void request_router::LeaveLine(request& waiting) {
+void request_router::LeaveQueue(request& waiting) {
   if (!waiting.is_waiting()) {
     return;
   }
-  waiting.line->Remove(waiting);
-  waiting.line = nullptr;
+  waiting.queue->Remove(waiting);
+  waiting.queue = nullptr;
   waiting.waits_for.reset();
   --waiting.at->waiting_count;
 }
 
 void request_router::Wait(request& waiting, time_point now) {
   waiting.waits_since = now;
-  JoinLine(waiting);
+  JoinQueue(waiting);
   Schedule(std::min(waiting.wait_until, now + kRecheck), waiting.id);
 }
 
-void request_router::RedealLines(service& of) {
+void request_router::RedistributeQueues(service& of) {
   if (!of.keyed || of.waiting_count == 0) {
     return;
   }
@@ -56,31 +56,31 @@
                      (a->waits_since == b->waits_since && a->id < b->id);
             });
   for (request* each : waiting) {
-    LeaveLine(*each);
-    JoinLine(*each);
+    LeaveQueue(*each);
+    JoinQueue(*each);
   }
 }
 
 void request_router::Pump(service& pumped, time_point now,
                           router_actions& out) {
-  PumpLine(pumped.line, now, out);
+  PumpQueue(pumped.queue, now, out);
   if (!pumped.keyed || pumped.waiting_count == 0) {
     return;
   }
   for (const auto& each : pumped.targets) {
-    PumpLine(each->line, now, out);
+    PumpQueue(each->queue, now, out);
   }
 }
 
 void request_router::PumpAfter(service& at, const target_ptr& freed,
                                time_point now, router_actions& out) {
-  PumpLine(at.keyed && freed ? freed->line : at.line, now, out);
+  PumpQueue(at.keyed && freed ? freed->queue : at.queue, now, out);
 }
 
-void request_router::PumpLine(waiting_line& line, time_point now,
-                              router_actions& out) {
+void request_router::PumpQueue(waiting_queue& queue, time_point now,
+                               router_actions& out) {
   std::vector<request*> turn;
-  for (auto& [rank, members] : line.ranks()) {
+  for (auto& [rank, members] : queue.ranks()) {
     if (members.empty()) {
       continue;
     }
@@ -99,7 +99,7 @@
         continue;
       }
       const bool sent = TrySend(*next, now, out);
-      // What one that may go to any of the line's targets does not find, none
+      // What one that may go to any of the queue's targets does not find, none
       // of the others finds.
       const bool same_for_all = next->waits_for || !next->at->keyed;
       if (!sent && same_for_all && next->tried.empty()) {
--- a/src/core/target_health.cc
+++ b/src/core/target_health.cc
@@ -31,9 +31,7 @@
 
 /// An answer later than this part of the objective tells of a queue at the
 /// target; work is better kept here, where it can still go elsewhere or be
-/// refused in time. At 1.3 times what targets can do, answers in time rise from
-/// 55 % to 88 % of that with keys and from 2 % to 88 % without (nine hosts,
-/// twelve targets of six slots, OverloadTest).
+/// refused in time.
 constexpr double kLateShare = 0.8;
 /// The limit stands where one answer in four is late, whatever its size and
 /// the rate of answers: then log(1 / kShrinkLate) / log(kGrow) is three.
@@ -56,10 +54,9 @@
 /// The same for a target that fails part of its requests.
 constexpr duration kFailingFor{std::chrono::seconds{2}};
 
-/// An owner of keys without one of them is otherwise well: leaving it alone
-/// kept requests for all its other keys waiting (refused 12.9 % to 11.8 %, mean
-/// of six days with moves, eight plays each). So many in a row without one
-/// served mean that another target has its address.
+/// An owner of keys without one of them is otherwise well: left alone,
+/// it would keep requests for all its other keys waiting. So many in a row
+/// without one served mean that another target has its address.
 constexpr int kNotOwnerMost = 4;
 
 }  // namespace
--- a/src/core/waiting_policy.cc
+++ b/src/core/waiting_policy.cc
@@ -12,23 +12,21 @@
 /// A queue in which a request waited for this part stands.
 constexpr double kStandingPart = 0.125;
 
-/// A line in which nobody was refused for so many objectives is not overrun.
-constexpr double kOverrunPart = 2.0;
-/// A request that meets an overrun line is sent at once or refused at once: at
-/// 2.5 times the traffic of a played day the worth of all requests rose from
-/// 0.62 to 0.66, with waits of an eighth of the objective to 0.64 (two seeds).
-/// When its caller should come again matters little: 0.65 to 0.67 for 0.05 to 2
-/// objectives.
-constexpr double kOverrunRetryPart = 0.25;
+/// A queue in which nobody was refused for so many objectives is not
+/// overloaded.
+constexpr double kOverloadPart = 2.0;
+/// When a caller should come again that met an overloaded queue, as a part of
+/// its objective.
+constexpr double kOverloadRetryPart = 0.25;
 
 }  // namespace
 
-duration OverrunTime(duration objective) {
-  return Part(objective, kOverrunPart);
+duration OverloadTime(duration objective) {
+  return Part(objective, kOverloadPart);
 }
 
-duration RetryAfterOverrun(duration objective) {
-  return Part(objective, kOverrunRetryPart);
+duration RetryAfterOverload(duration objective) {
+  return Part(objective, kOverloadRetryPart);
 }
 
 duration MostWait(duration objective, duration likely_latency) {
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -38,7 +38,7 @@
 
 /// One part in so many of the memory is for bytes of callers' requests and
 /// answers: each is kept up to twice on its way, and the process itself needs
-/// some 4 MB (mean peak of a busy played day).
+/// some megabytes.
 constexpr size_t kCallersMemoryPart = 4;
 
 /// Longest sleep of the loop while something may be due.
@@ -329,7 +329,9 @@
   }
   armed_for_ = time_point::max();
   config_.Step(now);
-  targets_.Step(now);
+  if (ReadsTargets()) {
+    targets_.Step(now);
+  }
   own_.Step(now);
   router_actions actions;
   router_.OnTime(now, actions);
@@ -342,9 +344,11 @@
 
 void edge_daemon::Arm() {
   const time_point now = Now();
+  const time_point targets_due =
+      ReadsTargets() ? targets_.NextDue() : time_point::max();
   const time_point due =
       std::min({router_.NextDue(), assigner_.NextDue(now), config_.NextDue(),
-                targets_.NextDue(), own_.NextDue(), now + kLongestSleep});
+                targets_due, own_.NextDue(), now + kLongestSleep});
   // An earlier wake-up than needed finds nothing due and arms again; arming
   // anew for each event would cost more.
   if (due < armed_for_) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -94,7 +94,7 @@
   void CarryOne(const store_write& action);
   void CarryOne(const key_order& action);
   void CarryOne(const order_cancel& action);
-  void CarryOne(const beat_action& action);
+  void CarryOne(const heartbeat_action& action);
   void CarryOne(const share_action& action);
   void CarryOne(const hosts_action& action);
   void CarryOne(const assigner_note& action);
@@ -105,6 +105,9 @@
   void LeaveStep();
   stop_phase StopPhase(time_point now) const;
   bool IsReady() const;
+  /// Targets of services that nobody declared yet are of no use; until then
+  /// they only cost calls.
+  bool ReadsTargets() const { return router_.table() != nullptr; }
   bool StoreWasAway(time_point now) const;
   std::string MetricsText();
 
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -18,8 +18,8 @@
 /// their entries lapse while nobody can write them.
 constexpr duration kAwayEcho{milliseconds{2500}};
 
-/// Contents that crash targets named in one beat: some 300 bytes.
-constexpr size_t kMarksInBeat = 20;
+/// Contents that crash targets named in one heartbeat: some 300 bytes.
+constexpr size_t kMarksInHeartbeat = 20;
 
 /// Bytes of an object that is sent to all hosts; with what relays add to it it
 /// still fits in a datagram.
@@ -88,13 +88,14 @@
                  .content = found->second.item->content},
                 Now());
   }
-  assigner_.BeatSoon();
+  assigner_.HeartbeatSoon();
   router_actions actions;
   const time_point now = Now();
   router_.OnConfig(table, now, actions);
   TakeOwnObjects(now);
   ShareKeyMaps(now, actions);
   Carry(actions);
+  Arm();
 }
 
 void edge_daemon::OnTargetsChanged() {
@@ -109,7 +110,7 @@
     }
   }
   if (shared_targets_.digest() != before) {
-    assigner_.BeatSoon();
+    assigner_.HeartbeatSoon();
   }
   const bool doubtful = StoreWasAway(now);
   assigner_.OnTargets(listed, doubtful, now);
@@ -128,7 +129,7 @@
 
 void edge_daemon::OnOwnObjectsChanged() {
   const time_point now = Now();
-  assigner_.BeatSoon();
+  assigner_.HeartbeatSoon();
   TakeOwnObjects(now);
   router_.OnHostCount(assigner_.HostCount());
   router_actions actions;
@@ -179,13 +180,14 @@
   if (const auto* report = std::get_if<load_report>(&message.value())) {
     assigner_.OnReport(*report, now);
     router_.crashes().Import(report->crashes, now);
-  } else if (const auto* beat = std::get_if<assigner_beat>(&message.value())) {
-    assigner_.OnBeat(*beat, now);
+  } else if (const auto* heartbeat =
+                 std::get_if<assigner_heartbeat>(&message.value())) {
+    assigner_.OnHeartbeat(*heartbeat, now);
     router_.OnHostCount(assigner_.HostCount());
-    if (beat->host != settings_.name) {
-      router_.crashes().Import(beat->crashes, now);
-      if (beat->view) {
-        OnView(*beat->view, now);
+    if (heartbeat->host != settings_.name) {
+      router_.crashes().Import(heartbeat->crashes, now);
+      if (heartbeat->view) {
+        OnView(*heartbeat->view, now);
       }
     }
   } else if (const auto* owners =
@@ -327,7 +329,7 @@
     const time_point now = Now();
     assigner_actions actions;
     assigner_.OnWriteEnded(report, now, actions);
-    assigner_.BeatSoon();
+    assigner_.HeartbeatSoon();
     router_actions routed;
     ShareKeyMaps(now, routed);
     Carry(routed);
@@ -355,8 +357,8 @@
   }
 }
 
-/// What this host vouches for in its first beats must be fresh, or all other
-/// hosts make their own calls meanwhile.
+/// What this host vouches for in its first heartbeats must be fresh, or all
+/// other hosts make their own calls meanwhile.
 void edge_daemon::ReadStoreNow() {
   const time_point now = Now();
   config_.ReadNow(now);
@@ -417,11 +419,11 @@
   SendToHosts(action.hops, FormatHostMessage(action.record));
 }
 
-void edge_daemon::CarryOne(const beat_action& action) {
-  assigner_beat beat = action.beat;
-  beat.view = View(Now());
-  beat.crashes = router_.crashes().Marks(kMarksInBeat, Now());
-  SendToHosts(action.hops, FormatHostMessage(beat));
+void edge_daemon::CarryOne(const heartbeat_action& action) {
+  assigner_heartbeat heartbeat = action.heartbeat;
+  heartbeat.view = View(Now());
+  heartbeat.crashes = router_.crashes().Marks(kMarksInHeartbeat, Now());
+  SendToHosts(action.hops, FormatHostMessage(heartbeat));
 }
 
 }  // namespace foxtailspread
--- a/tests/assigner_sharing_test.cc
+++ b/tests/assigner_sharing_test.cc
@@ -96,8 +96,8 @@
   EXPECT_FALSE(changes.value().ranges.empty());
 }
 
-// The same order. A beat that told of the new record before its changes were
-// sent made a hundred hosts at once read the record from the store.
+// The same order. A heartbeat that told of the new record before its changes
+// were sent made a hundred hosts at once read the record from the store.
 TEST_F(AssignerSharingTest, RecordIsNotAnnouncedBeforeItsChangesAreTold) {
   const store_write write = UntilRecordIsWritten();
   const uint64_t announced = assigner_.OwnersDigest();
@@ -114,7 +114,7 @@
 // The lease names their number as it was when it was first written: one. Hosts
 // that go by it each use the whole budget, and callers' repeats keep a service
 // overloaded.
-TEST_F(AssignerSharingTest, BeatsCarryTheNumberOfHosts) {
+TEST_F(AssignerSharingTest, HeartbeatsCarryTheNumberOfHosts) {
   UntilRecordIsWritten();
   for (int i = 0; i < 12; ++i) {
     const std::string name = "other-" + std::to_string(i);
@@ -128,22 +128,22 @@
   now_ += seconds{1};
   assigner_actions actions;
   assigner_.OnTime(now_, actions);
-  size_t beats = 0;
+  size_t heartbeats = 0;
   for (const assigner_action& action : actions) {
-    if (const auto* beat = std::get_if<beat_action>(&action)) {
-      EXPECT_EQ(beat->beat.hosts, 12U);
-      for (const fanout_hop& hop : beat->hops) {
-        beats += 1 + hop.forward_to.size();
+    if (const auto* heartbeat = std::get_if<heartbeat_action>(&action)) {
+      EXPECT_EQ(heartbeat->heartbeat.hosts, 12U);
+      for (const fanout_hop& hop : heartbeat->hops) {
+        heartbeats += 1 + hop.forward_to.size();
       }
     }
   }
-  EXPECT_EQ(beats, 12U);
+  EXPECT_EQ(heartbeats, 12U);
 }
 
 // The holder is lost. Its successor knows no host but itself: all others report
 // to the lost one until they read in the store who holds the lease now, all at
 // the same moment.
-TEST_F(AssignerSharingTest, SuccessorBeatsToTheHostsThatTheHolderKnew) {
+TEST_F(AssignerSharingTest, SuccessorHeartbeatsToTheHostsThatTheHolderKnew) {
   UntilRecordIsWritten();
   for (int i = 0; i < 12; ++i) {
     assigner_.OnReport({.host = "other-" + std::to_string(i),
@@ -157,25 +157,26 @@
   assigner_actions actions;
   assigner_.OnTime(now_, actions);
   const hosts_action* told = nullptr;
-  const beat_action* beat = nullptr;
+  const heartbeat_action* heartbeat = nullptr;
   for (const assigner_action& action : actions) {
     const auto* hosts = std::get_if<hosts_action>(&action);
-    const auto* beats = std::get_if<beat_action>(&action);
+    const auto* heartbeats = std::get_if<heartbeat_action>(&action);
     told = hosts != nullptr ? hosts : told;
-    beat = beats != nullptr ? beats : beat;
+    heartbeat = heartbeats != nullptr ? heartbeats : heartbeat;
   }
   ASSERT_NE(told, nullptr);
-  ASSERT_NE(beat, nullptr);
+  ASSERT_NE(heartbeat, nullptr);
   const auto read = ParseHostMessage(FormatHostMessage(told->record));
   EXPECT_EQ(std::get<hosts_record>(read.value()), told->record);
 
   // The successor takes the lease from the silent holder.
-  key_assigner next(
-      {.host = beat->beat.successors.front(), .zone = "z", .address = "1:0"});
+  key_assigner next({.host = heartbeat->heartbeat.successors.front(),
+                     .zone = "z",
+                     .address = "1:0"});
   next.OnServices({testing::KeyedService("s")});
   ASSERT_TRUE(next.OnObjects(objects_, now_));
   next.OnStoreAnswers(true, now_);
-  next.OnBeat(beat->beat, now_);
+  next.OnHeartbeat(heartbeat->heartbeat, now_);
   next.OnHosts(told->record, now_);
   size_t reached = 0;
   for (int i = 0; i < 200 && reached == 0; ++i) {
@@ -190,7 +191,7 @@
                            .revision = ++revision_,
                            .content = {}},
                           now_, taken);
-      } else if (const auto* first = std::get_if<beat_action>(&action)) {
+      } else if (const auto* first = std::get_if<heartbeat_action>(&action)) {
         reached = first->hops.size();
       }
     }
@@ -198,7 +199,7 @@
   EXPECT_EQ(reached, 11U) << "all but itself";
 }
 
-TEST_F(AssignerSharingTest, NumberOfHostsInABeatGoesBeforeTheLeases) {
+TEST_F(AssignerSharingTest, NumberOfHostsInAHeartbeatGoesBeforeTheLeases) {
   key_assigner other({.host = "o", .zone = "z", .address = "1:4"});
   ASSERT_TRUE(other.OnObjects(
       {{"assigner",
@@ -207,7 +208,7 @@
          .item = FormatLease({.host = "h", .address = "1:2", .hosts = 1})}}},
       now_));
   EXPECT_EQ(other.HostCount(), 1U);
-  other.OnBeat(
+  other.OnHeartbeat(
       {.host = "h", .lease_revision = 11, .successors = {}, .hosts = 12}, now_);
   EXPECT_EQ(other.HostCount(), 12U);
 }
@@ -230,11 +231,11 @@
     assigner_actions actions;
     assigner_.OnTime(now_, actions);
     for (const assigner_action& action : actions) {
-      if (const auto* beat = std::get_if<beat_action>(&action)) {
-        return beat->beat.successors;
+      if (const auto* heartbeat = std::get_if<heartbeat_action>(&action)) {
+        return heartbeat->heartbeat.successors;
       }
     }
-    ADD_FAILURE() << "no beat";
+    ADD_FAILURE() << "no heartbeat";
     return std::vector<std::string>{};
   };
   report("a-narrow", 10);
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -102,7 +102,7 @@
                            .services = {{"keyed", {{3, 1}, {4095, 200}}}},
                            .targets = {{"t", 90000, 12}},
                            .crashes = {{81, 2, seconds{3}}}};
-  const assigner_beat beat{
+  const assigner_heartbeat heartbeat{
       .host = "a",
       .lease_revision = 78,
       .successors = {"b", "c"},
@@ -111,8 +111,8 @@
       .hosts = 12};
   EXPECT_EQ(ParseHostMessage(FormatHostMessage(report)).value(),
             host_message{report});
-  EXPECT_EQ(ParseHostMessage(FormatHostMessage(beat)).value(),
-            host_message{beat});
+  EXPECT_EQ(ParseHostMessage(FormatHostMessage(heartbeat)).value(),
+            host_message{heartbeat});
   const owners_record owners{.service = "keyed",
                              .base = 11,
                              .revision = 12,
@@ -140,7 +140,7 @@
 // taken.
 TEST_F(HostMessagesTest, OtherBytesAreRefused) {
   const std::string good =
-      FormatHostMessage(assigner_beat{.host = "a", .successors = {"b"}});
+      FormatHostMessage(assigner_heartbeat{.host = "a", .successors = {"b"}});
   EXPECT_FALSE(ParseHostMessage(""));
   EXPECT_FALSE(ParseHostMessage("hello"));
   EXPECT_FALSE(ParseHostMessage(good + "x"));
@@ -368,10 +368,10 @@
   EXPECT_FALSE(follower_.NextCall(now_ + milliseconds{500}));
 }
 
-// The host that reads the store for all is cut off from it, but its beats still
-// arrive, and vouch for a copy that grows older. A target that begins to leave
-// right after that copy was read must be known to the others before its time of
-// grace, two seconds, is over; else callers' requests still go to it.
+// The host that reads the store for all is cut off from it, but its heartbeats
+// still arrive, and vouch for a copy that grows older. A target that begins to
+// leave right after that copy was read must be known to the others before its
+// time of grace, two seconds, is over; else callers' requests still go to it.
 TEST_F(KindFollowerTest, CopyOfAHostThatLostTheStoreIsNotTrustedForLong) {
   List();
   const time_point read = now_;
@@ -384,7 +384,7 @@
   }
   EXPECT_LE(follower_.NextDue(), read + milliseconds{1700});
   EXPECT_GE(follower_.NextDue(), read + milliseconds{1200})
-      << "a single lost beat should cost no call";
+      << "a single lost heartbeat should cost no call";
 }
 
 TEST_F(KindFollowerTest, CopyThatGoesOnDifferingIsNotReadWithoutAPause) {
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -56,8 +56,9 @@
   EXPECT_NE(world_.holder().value(), holder);
 }
 
-// Hosts remember beats of holders before. A takeover made some of them take
-// the lease from one another every ten milliseconds, and no key ever moved.
+// Hosts remember heartbeats of holders before. A takeover made some of them
+// take the lease from one another every ten milliseconds, and no key ever
+// moved.
 TEST_F(KeyAssignerTest, TakeoversInARowEndWithOneHolder) {
   world_.Run(kSettled);
   for (int i = 0; i < 3; ++i) {
@@ -75,9 +76,9 @@
 }
 
 // The lease goes from one host to another and back, and a third one has heard
-// no beat since the first time. An old beat must not count as silence of the
-// present holder: hosts that went by it took the lease from one another every
-// ten milliseconds.
+// no heartbeat since the first time. An old heartbeat must not count as silence
+// of the present holder: hosts that went by it took the lease from one another
+// every ten milliseconds.
 TEST_F(KeyAssignerTest, LeaseThatCameBackIsNotTakenForAnOldBeat) {
   key_assigner third({.host = "third", .zone = "z", .address = "third"});
   third.OnServices({});
@@ -94,8 +95,8 @@
                         now));
   };
   read("first", 1);
-  third.OnBeat({.host = "first", .lease_revision = 1, .successors = {"third"}},
-               now);
+  third.OnHeartbeat(
+      {.host = "first", .lease_revision = 1, .successors = {"third"}}, now);
   now += milliseconds{200};
   read("second", 2);
   now += seconds{3};
@@ -110,10 +111,10 @@
 }
 
 // The first holder is gone for good. The second renews the lease for fourteen
-// seconds, of which a third host hears by beats alone, and is lost as well. The
-// third must go on with the wait for the first: begun anew, keys of targets
-// that were lost with it are refused for fifteen seconds more.
-TEST_F(KeyAssignerTest, WaitForALostHolderGoesOnWhereOnlyBeatsWereHeard) {
+// seconds, of which a third host hears by heartbeats alone, and is lost as
+// well. The third must go on with the wait for the first: begun anew, keys of
+// targets that were lost with it are refused for fifteen seconds more.
+TEST_F(KeyAssignerTest, WaitForALostHolderGoesOnWhereOnlyHeartbeatsWereHeard) {
   key_assigner third({.host = "third", .zone = "z", .address = "third"});
   third.OnServices({});
   third.OnStoreAnswers(true, world_.now());
@@ -129,7 +130,7 @@
                               now));
   assigner_actions actions;
   for (uint64_t revision = 3; revision < 59; ++revision) {
-    third.OnBeat(
+    third.OnHeartbeat(
         {.host = "second", .lease_revision = revision, .successors = {"third"}},
         now);
     now += milliseconds{250};
@@ -148,7 +149,7 @@
 }
 
 // A host restarts and is chosen as successor in the place of another, which
-// hears no more beats. It must not take the silence for a lost holder.
+// hears no more heartbeats. It must not take the silence for a lost holder.
 TEST_F(KeyAssignerTest, SuccessorThatIsReplacedDoesNotTakeOver) {
   world_.Run(kSettled);
   const size_t holder = world_.holder().value();
--- a/tests/key_load_test.cc
+++ b/tests/key_load_test.cc
@@ -50,7 +50,7 @@
 
 // Some neighbouring keys get a third of all requests from one moment to the
 // next. A mean that takes seconds to follow moves a part of them at a time,
-// and callers wait for an owner that is overrun meanwhile.
+// and callers wait for an owner that is overloaded meanwhile.
 TEST_F(KeyLoadTest, KeysThatJumpAreSeenWithTheFirstCount) {
   for (int i = 0; i < 40; ++i) {
     Step(300.0, 0.0);
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -198,16 +198,16 @@
       CarryWrite(index, *write);
     } else if (const auto* order = std::get_if<key_order>(&action)) {
       CarryOrder(index, *order);
-    } else if (const auto* beat = std::get_if<beat_action>(&action)) {
-      for (const fanout_hop& hop : beat->hops) {
+    } else if (const auto* heartbeat = std::get_if<heartbeat_action>(&action)) {
+      for (const fanout_hop& hop : heartbeat->hops) {
         world_host* first = Reach(hosts_[index], hop.address);
         if (first == nullptr) {
           continue;
         }
-        first->assigner->OnBeat(beat->beat, now_);
+        first->assigner->OnHeartbeat(heartbeat->heartbeat, now_);
         for (const std::string& address : hop.forward_to) {
           if (world_host* next = Reach(*first, address)) {
-            next->assigner->OnBeat(beat->beat, now_);
+            next->assigner->OnHeartbeat(heartbeat->heartbeat, now_);
           }
         }
       }
