--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -81,7 +81,7 @@
   void OnView(const store_view& view, time_point now);
   void ShareTargets(targets_record record, time_point now);
   void ShareObject(const shared_object& object, time_point now);
-  void OnSharedObject(shared_object object);
+  void OnSharedObject(const shared_object& object);
   void ReportLoad();
   void ShareKeyMaps(time_point now, router_actions& out);
 
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -199,8 +199,9 @@
     router_actions actions;
     ShareKeyMaps(now, actions);
     Carry(actions);
-  } else if (auto* object = std::get_if<shared_object>(&message.value())) {
-    OnSharedObject(std::move(*object));
+  } else if (const auto* object =
+                 std::get_if<shared_object>(&message.value())) {
+    OnSharedObject(*object);
   } else if (auto* hosts = std::get_if<hosts_record>(&message.value())) {
     assigner_.OnHosts(std::move(*hosts), now);
   } else if (auto* targets = std::get_if<targets_record>(&message.value())) {
@@ -229,12 +230,12 @@
   }
 }
 
-void edge_daemon::OnSharedObject(shared_object object) {
+void edge_daemon::OnSharedObject(const shared_object& object) {
   const auto content = nlohmann::json::parse(object.content, nullptr, false);
   if (object.kind == shared_kind::kDeclarations) {
-    config_.OnSharedObject(std::move(object.name), object.revision, content);
+    config_.OnSharedObject(object.name, object.revision, content);
   } else {
-    own_.OnSharedObject(std::move(object.name), object.revision, content);
+    own_.OnSharedObject(object.name, object.revision, content);
   }
 }
 
