Follow evacuations, and send nothing to cold targets

Targets of an evacuated zone get nothing new, keys leave them at once, and an owner is used for one more second. Targets are cold for the time that their entry tells, and for the service's cold time after an evacuation. Cold targets get no requests and no keys while there are others.

Ruled out for now: a rate for cold targets shared among hosts. Sending none keeps the rule for hosts that are cut off, late or new, and costs a returning zone 3 s.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "foxtailspread/error.h"
+#include "foxtailspread/evacuations.h"
 #include "foxtailspread/poison_guard.h"
 #include "foxtailspread/target_entry.h"
 #include "foxtailspread/time.h"
@@ -82,6 +83,8 @@
   /// Hosts that share what all of them may use together: the lease names their
   /// number too, but is not read again while heartbeats come.
   size_t hosts = 1;
+  /// Absent if the holder has not read them.
+  std::optional<evacuation_view> evacuated{};
 
   bool operator==(const assigner_heartbeat&) const = default;
 };
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -26,6 +26,7 @@
 #include "foxtailspread/key_map.h"
 #include "foxtailspread/kind_follower.h"
 #include "foxtailspread/routing_config.h"
+#include "foxtailspread/target_availability.h"
 #include "foxtailspread/target_entry.h"
 #include "foxtailspread/time.h"
 #include "foxtailspread/zone_fanout.h"
@@ -213,6 +214,9 @@
   void OnTargets(const std::vector<target_entry>& targets, bool doubtful,
                  time_point now);
 
+  /// Takes the availability zones that are evacuated: keys leave their targets.
+  void OnEvacuations(const std::set<std::string>& zones, time_point now);
+
   /// Take other hosts' messages in.
   void OnReport(const load_report& report, time_point now);
   void OnHeartbeat(const assigner_heartbeat& heartbeat, time_point now);
@@ -313,6 +317,7 @@
     key_load load;
     time_point balanced_at{};
     time_point refined_at{};
+    cold_policy cold;
   };
 
   struct target_state {
@@ -327,6 +332,7 @@
     double latency_us = 0.0;       ///< Running mean over all hosts' requests.
     /// It may hold keys until then, by the grants of this host that ended.
     time_point held_until{};
+    target_availability availability;
     time_point answered_at{};  ///< An order of this host, as holder.
   };
 
@@ -340,6 +346,7 @@
     time_point deadline{};
   };
 
+  cold_policy ColdPolicyFor(const target_entry& entry) const;
   static void AddLatency(target_state& target, const target_latency& seen);
   static std::string LifeKey(const target_life& life);
   target_state* StateOf(const target_life& life);
@@ -443,7 +450,8 @@
   bool was_holder_ = false;
   bool leaving_ = false;
   std::map<std::string, keyed_service> services_;
-  std::set<std::string> service_names_;          ///< Keyed and others.
+  std::set<std::string> service_names_;  ///< Keyed and others.
+  std::set<std::string> evacuated_zones_;
   std::map<std::string, target_state> targets_;  ///< By life.
   struct host_state {
     std::string zone;
--- a/include/foxtailspread/kind_follower.h
+++ b/include/foxtailspread/kind_follower.h
@@ -72,6 +72,9 @@
   /// A copy whose revision is older is listed: the store may have forgotten the
   /// changes since.
   duration history{std::chrono::seconds{10}};
+  /// Another host tells the content itself: while it vouches for that, no copy
+  /// is needed here.
+  bool told_by_others = false;
 };
 
 /// The next call of a follower.
@@ -200,6 +203,9 @@
     current_as_of_ = std::max(current_as_of_, as_of);
   }
 
+  /// Another host tells the content itself: no call before `until`.
+  void Spare(time_point until) { vouched_until_ = until; }
+
   /// Another host's copy differs: read the kind again now, unless that was
   /// just done. It will have been compared again by `until`.
   void Refresh(time_point now, time_point until) {
@@ -261,7 +267,7 @@
 
  private:
   time_point DueAt() const {
-    const bool vouched = complete_ && !must_list_;
+    const bool vouched = timing_.told_by_others || (complete_ && !must_list_);
     return vouched ? std::max(next_call_, vouched_until_) : next_call_;
   }
 
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -69,6 +70,7 @@
   kNoConfig,
   kNoRoute,
   kNoTarget,
+  kNoWarmTarget,
   kNoOwner,
   kQueueFull,
   kWaitedTooLong,
@@ -171,6 +173,10 @@
   void OnTargets(const std::vector<target_entry>& targets, bool doubtful,
                  time_point same_until, time_point now, router_actions& out);
 
+  /// Takes the availability zones that are evacuated.
+  void OnEvacuations(std::set<std::string> zones, time_point now,
+                     router_actions& out);
+
   /// Takes the owners of a keyed service's keys.
   void OnKeyMap(const std::string& service, const key_map& map, time_point now,
                 router_actions& out);
@@ -260,8 +266,15 @@
                                             time_point now);
   duration ExpectedWait(const service& at, const request& by,
                         time_point now) const;
-  duration RetryAfter(const request& refused, time_point now);
+  duration RetryAfter(const request& refused, refusal_reason reason,
+                      time_point now);
   void Schedule(time_point at, request_id id);
+  /// Whether `of` may get requests of new work now, if it has room.
+  static bool IsOpen(const target& of, time_point now);
+  /// Whether an owner's zone was evacuated so long ago that it gets nothing.
+  static bool IsEvacuationOver(const target& owner, time_point now);
+  /// When the first of a service's cold targets is warm; empty if none is cold.
+  static std::optional<time_point> WarmAt(const service& at, time_point now);
   /// Whether it has been missing from the list for too long to be used.
   static bool IsRetired(const target& of, time_point now);
   void DropRetired(service& from, time_point now);
@@ -269,6 +282,7 @@
   router_settings settings_;
   std::minstd_rand random_;
   route_table_ptr table_;
+  std::set<std::string> evacuated_zones_;
   std::unordered_map<std::string, std::unique_ptr<service>> services_;
   std::unordered_map<std::string, split_dealer> splits_;
   std::unordered_map<request_id, std::unique_ptr<request>> requests_;
--- a/include/foxtailspread/routing_config.h
+++ b/include/foxtailspread/routing_config.h
@@ -51,6 +51,10 @@
   int max_connections = 0;  ///< A target's, from all hosts; 0 if not limited.
   bool keyed = false;       ///< Only a key's owner may run its requests.
   duration warm_up{};       ///< How long a target is slow on keys new to it.
+  duration cold_time{};     ///< How long a target is cold after its start.
+  /// Requests a second that a cold target bears, from all hosts; 0 if it bears
+  /// any number.
+  double cold_rate = 0.0;
 };
 
 /// What callers may send.
--- /dev/null
+++ b/src/core/evacuations.cc
@@ -0,0 +1,17 @@
+#include "foxtailspread/evacuations.h"
+
+#include <utility>
+
+namespace foxtailspread {
+
+bool evacuations::Take(std::set<std::string> zones, time_point as_of) {
+  if (as_of < as_of_) {
+    return false;
+  }
+  as_of_ = as_of;
+  const bool changed = zones != zones_;
+  zones_ = std::move(zones);
+  return changed;
+}
+
+}  // namespace foxtailspread
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -58,9 +58,15 @@
         json::array({heartbeat.view->config_revision, heartbeat.view->targets,
                      heartbeat.view->owners, heartbeat.view->age_ms});
   }
+  json evacuated;
+  if (heartbeat.evacuated) {
+    evacuated =
+        json::array({heartbeat.evacuated->zones, heartbeat.evacuated->age_ms});
+  }
   return json::array({kHeartbeatTag, heartbeat.host, heartbeat.lease_revision,
                       heartbeat.successors, std::move(view),
-                      ToJson(heartbeat.crashes), heartbeat.hosts});
+                      ToJson(heartbeat.crashes), heartbeat.hosts,
+                      std::move(evacuated)});
 }
 
 json ToJson(const owners_record& record) {
@@ -160,6 +166,12 @@
   }
   heartbeat.crashes = ReadMarks(value.at(5));
   heartbeat.hosts = value.at(6).get<size_t>();
+  const json& evacuated = value.at(7);
+  if (!evacuated.is_null()) {
+    heartbeat.evacuated =
+        evacuation_view{.zones = evacuated.at(0).get<std::set<std::string>>(),
+                        .age_ms = evacuated.at(1).get<uint32_t>()};
+  }
   return heartbeat;
 }
 
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -164,7 +164,9 @@
     service_names_.insert(each.name);
     if (each.keyed) {
       keyed.insert(each.name);
-      services_[each.name].name = each.name;
+      keyed_service& of = services_[each.name];
+      of.name = each.name;
+      of.cold = ColdPolicyOf(each);
     }
   }
   std::erase_if(services_,
@@ -183,7 +185,13 @@
     if (added) {
       state.first_listed = now;
     }
+    const cold_policy cold = ColdPolicyFor(entry);
+    if (added || !(state.entry == entry)) {
+      state.availability.OnEntry(entry, cold, now);
+    }
     state.entry = entry;
+    state.availability.OnEvacuated(evacuated_zones_.contains(entry.zone), cold,
+                                   now);
     state.listed = true;
     state.missing_since.reset();
   }
@@ -194,6 +202,20 @@
   }
 }
 
+cold_policy key_assigner::ColdPolicyFor(const target_entry& entry) const {
+  const auto found = services_.find(entry.service);
+  return found == services_.end() ? cold_policy{} : found->second.cold;
+}
+
+void key_assigner::OnEvacuations(const std::set<std::string>& zones,
+                                 time_point now) {
+  evacuated_zones_ = zones;
+  for (auto& [life, state] : targets_) {
+    state.availability.OnEvacuated(zones.contains(state.entry.zone),
+                                   ColdPolicyFor(state.entry), now);
+  }
+}
+
 bool key_assigner::IsAddressReused(const target_life& life) const {
   const auto found = targets_.find(LifeKey(life));
   if (found == targets_.end() || found->second.listed) {
@@ -252,7 +274,8 @@
     return doubtful_ && now - taken_at_ < kMissingGrace;
   }
   const target_state& state = found->second;
-  if (state.entry.draining || IsFailing(state, now) || IsKnownDead(life)) {
+  if (state.entry.draining || state.availability.IsEvacuated() ||
+      IsFailing(state, now) || IsKnownDead(life)) {
     return false;
   }
   return state.listed ||
--- a/src/core/key_assigner_moves.cc
+++ b/src/core/key_assigner_moves.cc
@@ -202,22 +202,35 @@
 
 std::vector<balance_target> key_assigner::Candidates(const std::string& service,
                                                      time_point now) const {
-  std::vector<balance_target> found;
-  std::vector<double> latencies;
-  double sum = 0.0;
-  size_t known = 0;
+  std::vector<const target_state*> usable;
   const std::set<std::string> silent = SilentOwners(service);
   for (const auto& [life, state] : targets_) {
     if (state.listed && state.entry.service == service &&
         state.failed_orders == 0 && !silent.contains(life) &&
         IsUsable(state.entry.life, now)) {
-      found.push_back({.life = state.entry.life,
-                       .capacity = static_cast<double>(state.entry.slots)});
-      latencies.push_back(state.latency_us);
-      sum += state.latency_us;
-      known += state.latency_us > 0.0 ? 1 : 0;
+      usable.push_back(&state);
     }
   }
+  // Keys that would overload a cold target are better served elsewhere; but any
+  // owner is better than none.
+  const auto warm = std::partition(usable.begin(), usable.end(),
+                                   [&](const target_state* each) {
+                                     return !each->availability.IsCold(now);
+                                   });
+  if (warm != usable.begin()) {
+    usable.erase(warm, usable.end());
+  }
+  std::vector<balance_target> found;
+  std::vector<double> latencies;
+  double sum = 0.0;
+  size_t known = 0;
+  for (const target_state* each : usable) {
+    found.push_back({.life = each->entry.life,
+                     .capacity = static_cast<double>(each->entry.slots)});
+    latencies.push_back(each->latency_us);
+    sum += each->latency_us;
+    known += each->latency_us > 0.0 ? 1 : 0;
+  }
   for (size_t i = 0; i < found.size(); ++i) {
     if (latencies[i] > 0.0) {
       const double mean = sum / static_cast<double>(known);
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -42,6 +42,8 @@
       return "no-route";
     case refusal_reason::kNoTarget:
       return "no-target";
+    case refusal_reason::kNoWarmTarget:
+      return "no-warm-target";
     case refusal_reason::kNoOwner:
       return "no-owner";
     case refusal_reason::kQueueFull:
@@ -301,7 +303,7 @@
                             .config_version = refused.table->config().version};
   if (!refused.may_have_run) {
     refusal.answer = own_answer::kNotRun;
-    refusal.retry_after = RetryAfter(refused, now);
+    refusal.retry_after = RetryAfter(refused, reason, now);
   } else if (reason == refusal_reason::kDeadline) {
     refusal.answer = own_answer::kTimedOut;
   } else {
@@ -328,7 +330,8 @@
     expired.may_have_run = true;
     out.emplace_back(cancel_action{expired.id});
   }
-  const duration retry_after = RetryAfter(expired, now);
+  const duration retry_after =
+      RetryAfter(expired, refusal_reason::kDeadline, now);
   Refuse(expired, refusal_reason::kDeadline, now, out);
   if (auto* said = std::get_if<own_answer_action>(&out.back());
       said != nullptr && only_current) {
@@ -377,7 +380,7 @@
     added.waiting = each->waiting_count;
     added.repeats_left = each->budget.Left(now);
     for (const auto& one : each->targets) {
-      const bool usable = !one->entry.draining && !one->missing_since &&
+      const bool usable = IsOpen(*one, now) && !one->missing_since &&
                           one->health.IsReachable(now);
       added.usable_targets += usable ? 1 : 0;
     }
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -28,6 +28,10 @@
 /// later, and a target must not be asked after its time.
 constexpr double kDrainPart = 0.8;
 
+/// How long requests still go to a keyed target whose zone is evacuated, while
+/// its keys find a new owner.
+constexpr duration kEvacuationGrace{std::chrono::seconds{1}};
+
 /// Keys change hands in tens of milliseconds plus the work that runs on them.
 /// Those that take longer wait for a lost owner's grant to end, and requests
 /// for them are refused instead of waiting along.
@@ -59,6 +63,11 @@
                                             : nullptr;
 }
 
+bool request_router::IsEvacuationOver(const target& owner, time_point now) {
+  const auto since = owner.availability.evacuated_since();
+  return since && now - *since > kEvacuationGrace;
+}
+
 request_router::target* request_router::OwnerOf(service& from,
                                                 const request& by,
                                                 time_point now) {
@@ -67,10 +76,12 @@
     return nullptr;
   }
   const bool left =
-      owner->draining_since &&
-      now - *owner->draining_since > Part(settings_.drain, kDrainPart);
-  const bool usable =
-      !left && owner->health.IsReachable(now) && owner->health.HasRoom(now);
+      (owner->draining_since &&
+       now - *owner->draining_since > Part(settings_.drain, kDrainPart)) ||
+      IsEvacuationOver(*owner, now);
+  const bool usable = !left && !owner->availability.IsCold(now) &&
+                      owner->health.IsReachable(now) &&
+                      owner->health.HasRoom(now);
   return usable ? owner : nullptr;
 }
 
@@ -82,7 +93,7 @@
   // requests, and those that are missing from the list.
   target* last_resort = nullptr;
   for (const auto& each : from.targets) {
-    const bool open = !each->entry.draining && each->health.IsReachable(now) &&
+    const bool open = IsOpen(*each, now) && each->health.IsReachable(now) &&
                       each->health.HasRoom(now) && !by.WasTried(each.get());
     if (!open) {
       continue;
@@ -123,7 +134,7 @@
   double room = 0.0;
   double speed = 0.0;  // Requests a microsecond.
   for (const auto& each : at.targets) {
-    if (each->entry.draining || !each->health.IsReachable(now)) {
+    if (!IsOpen(*each, now) || !each->health.IsReachable(now)) {
       continue;
     }
     room += std::max(0.0, each->health.limit() - each->health.in_flight());
@@ -165,7 +176,11 @@
     if (owner == nullptr) {
       return refusal_reason::kNoOwner;
     }
-    if (!owner->health.IsReachable(now + asked.by->objective / 2)) {
+    if (owner->availability.IsCold(now)) {
+      return refusal_reason::kNoWarmTarget;
+    }
+    if (IsEvacuationOver(*owner, now) ||
+        !owner->health.IsReachable(now + asked.by->objective / 2)) {
       return refusal_reason::kNoTarget;
     }
     // Full of other hosts' requests, and no turn of this host's comes in time.
@@ -186,11 +201,12 @@
   }
   bool any = false;
   for (const auto& each : by.targets) {
-    any = any || (!each->entry.draining &&
+    any = any || (IsOpen(*each, now) &&
                   each->health.IsReachable(now + asked.by->objective / 2));
   }
   if (!any) {
-    return refusal_reason::kNoTarget;
+    return WarmAt(by, now) ? refusal_reason::kNoWarmTarget
+                           : refusal_reason::kNoTarget;
   }
   if (by.waiting_count > 0 && hopeless(ExpectedWait(by, asked, now))) {
     return refusal_reason::kQueueFull;
@@ -205,16 +221,32 @@
   }
   duration least = duration::max();
   for (const auto& each : at.targets) {
-    if (!each->entry.draining && each->health.IsTrusted(now)) {
+    if (IsOpen(*each, now) && each->health.IsTrusted(now)) {
       least = std::min(least, each->health.LikelyLatency());
     }
   }
   return least == duration::max() ? duration{0} : least;
 }
 
-duration request_router::RetryAfter(const request& refused, time_point now) {
+std::optional<time_point> request_router::WarmAt(const service& at,
+                                                 time_point now) {
+  std::optional<time_point> first;
+  for (const auto& each : at.targets) {
+    const target_availability& of = each->availability;
+    if (of.IsCold(now) && !of.IsEvacuated() && !each->entry.draining) {
+      first = std::min(first.value_or(of.cold_until()), of.cold_until());
+    }
+  }
+  return first;
+}
+
+duration request_router::RetryAfter(const request& refused,
+                                    refusal_reason reason, time_point now) {
   service& at = *refused.at;
   duration base = at.keyed ? kRetryAfterOwner : ExpectedWait(at, refused, now);
+  if (reason == refusal_reason::kNoWarmTarget) {
+    base = WarmAt(at, now).value_or(now) - now;
+  }
   if (QueueOf(at, FindOwner(at, refused)).IsOverloaded(now)) {
     base = RetryAfterOverload(refused.by->objective);
   }
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "foxtailspread/request_router.h"
+#include "foxtailspread/target_availability.h"
 #include "foxtailspread/waiting_policy.h"
 
 namespace foxtailspread {
@@ -50,6 +51,7 @@
 
   target_entry entry;
   target_health health;
+  target_availability availability;
   /// It began to drain after this.
   std::optional<time_point> draining_since;
   /// When it was first missing from the list.
@@ -111,6 +113,7 @@
 
   std::string name;
   bool keyed = false;
+  cold_policy cold;
   std::vector<boost::intrusive_ptr<target>> targets;
   key_map owners;
   /// When each range that is changing hands was first seen doing so, by fence.
--- a/src/core/request_router_targets.cc
+++ b/src/core/request_router_targets.cc
@@ -31,7 +31,9 @@
                               router_actions& out) {
   table_ = std::move(table);
   for (const service_settings& each : table_->config().services) {
-    ServiceOf(each.name).keyed = each.keyed;
+    service& at = ServiceOf(each.name);
+    at.keyed = each.keyed;
+    at.cold = ColdPolicyOf(each);
   }
   LimitConnections();
   for (auto& [name, each] : services_) {
@@ -80,7 +82,9 @@
   for (const target_entry& entry : targets) {
     service& at = ServiceOf(entry.service);
     target* known = at.FindLife(entry.life);
-    if (known == nullptr || known->entry.address != entry.address) {
+    const bool is_new =
+        known == nullptr || known->entry.address != entry.address;
+    if (is_new) {
       duration latency = kFirstLatency;
       for (const auto& other : at.targets) {
         latency = std::max(latency, other->health.latency());
@@ -89,7 +93,12 @@
       known = at.targets.back().get();
       known->health.SetShare(ConnectionsAllowed(entry.service), hosts_);
     }
+    if (is_new || !(known->entry == entry)) {
+      known->availability.OnEntry(entry, at.cold, now);
+    }
     known->entry = entry;
+    known->availability.OnEvacuated(evacuated_zones_.contains(entry.zone),
+                                    at.cold, now);
     known->missing_since.reset();
     if (!entry.draining) {
       known->draining_since.reset();
@@ -122,6 +131,22 @@
   }
 }
 
+void request_router::OnEvacuations(std::set<std::string> zones, time_point now,
+                                   router_actions& out) {
+  evacuated_zones_ = std::move(zones);
+  for (auto& [name, at] : services_) {
+    for (const auto& each : at->targets) {
+      each->availability.OnEvacuated(
+          evacuated_zones_.contains(each->entry.zone), at->cold, now);
+    }
+    Pump(*at, now, out);
+  }
+}
+
+bool request_router::IsOpen(const target& of, time_point now) {
+  return !of.entry.draining && of.availability.IsOpen(now);
+}
+
 bool request_router::IsRetired(const target& of, time_point now) {
   return of.missing_since && now - *of.missing_since >= kMissingGrace;
 }
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -60,6 +60,18 @@
   return timing;
 }
 
+/// The same for evacuations, which must be in force within five seconds.
+constexpr duration kEvacuationWait{milliseconds{1500}};
+/// Heartbeats, which tell of evacuations, reach a new host by then.
+constexpr duration kToldWithin{milliseconds{1500}};
+
+follow_timing EvacuationTiming() {
+  follow_timing timing;
+  timing.wait = kEvacuationWait;
+  timing.told_by_others = true;
+  return timing;
+}
+
 follow_timing ConfigTiming() {
   follow_timing timing;
   timing.wait = kConfigWait;
@@ -110,6 +122,11 @@
   return content.dump();
 }
 
+std::optional<evacuation_request> ReadEvacuation(
+    std::string_view /*name*/, const nlohmann::json& /*content*/) {
+  return evacuation_request{};
+}
+
 }  // namespace
 
 edge_daemon::edge_daemon(platform::edge_settings settings,
@@ -141,6 +158,9 @@
       own_(
           store_, platform::kOwnKind, ReadText, OwnTiming(),
           [this] { OnOwnObjectsChanged(); }, [this] { OnStoreState(); }),
+      evacuation_requests_(
+          store_, platform::kEvacuationKind, ReadEvacuation, EvacuationTiming(),
+          [] {}, [this] { OnEvacuationsRead(); }),
       router_({.zone = settings_.zone,
                .retries = settings_.retries,
                .drain = settings_.drain,
@@ -333,6 +353,9 @@
     targets_.Step(now);
   }
   own_.Step(now);
+  if (ReadsEvacuations(now)) {
+    evacuation_requests_.Step(now);
+  }
   router_actions actions;
   router_.OnTime(now, actions);
   Carry(actions);
@@ -346,9 +369,12 @@
   const time_point now = Now();
   const time_point targets_due =
       ReadsTargets() ? targets_.NextDue() : time_point::max();
-  const time_point due =
-      std::min({router_.NextDue(), assigner_.NextDue(now), config_.NextDue(),
-                targets_due, own_.NextDue(), now + kLongestSleep});
+  const time_point evacuations_due = ReadsEvacuations(now)
+                                         ? evacuation_requests_.NextDue()
+                                         : time_point::max();
+  const time_point due = std::min(
+      {router_.NextDue(), assigner_.NextDue(now), config_.NextDue(),
+       targets_due, own_.NextDue(), evacuations_due, now + kLongestSleep});
   // An earlier wake-up than needed finds nothing due and arms again; arming
   // anew for each event would cost more.
   if (due < armed_for_) {
@@ -357,6 +383,11 @@
   }
 }
 
+bool edge_daemon::ReadsEvacuations(time_point now) const {
+  return router_.table() != nullptr &&
+         (assigner_.IsHolder(now) || now >= configured_at_ + kToldWithin);
+}
+
 void edge_daemon::Leave() {
   if (stop_.has_begun()) {
     return;
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "edge/edge_metrics.h"
+#include "foxtailspread/evacuations.h"
 #include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_assigner.h"
@@ -33,6 +34,9 @@
   std::string content;  ///< JSON, as the store has it.
 };
 
+/// An object that asks for the evacuation of the zone it is named after.
+struct evacuation_request {};
+
 /// The entry host's process.
 class edge_daemon {
  public:
@@ -70,6 +74,10 @@
   void OnConfigChanged();
   void OnTargetsChanged();
   void OnOwnObjectsChanged();
+  void OnEvacuationsRead();
+  void TakeEvacuations(std::set<std::string> zones, time_point as_of,
+                       time_point now);
+  std::optional<evacuation_view> Evacuated(time_point now) const;
   void TakeOwnObjects(time_point now);
   void ReadStoreNow();
   void ShareLease();
@@ -79,6 +87,7 @@
   void SendToHosts(std::span<const fanout_hop> hops, const std::string& bytes);
   std::optional<store_view> View(time_point now) const;
   void OnView(const store_view& view, time_point now);
+  void OnEvacuationView(const evacuation_view& view, time_point now);
   void ShareTargets(targets_record record, time_point now);
   void ShareObject(const shared_object& object, time_point now);
   void OnSharedObject(const shared_object& object);
@@ -109,6 +118,9 @@
   /// they only cost calls.
   bool ReadsTargets() const { return router_.table() != nullptr; }
   bool StoreWasAway(time_point now) const;
+  /// Evacuations are read by the holder of the lease, which tells the others;
+  /// a host waits for that a while before it reads them itself.
+  bool ReadsEvacuations(time_point now) const;
   std::string MetricsText();
 
   platform::edge_settings settings_;
@@ -123,12 +135,15 @@
   platform::store_follower<shared_config> config_;
   platform::store_follower<target_entry> targets_;
   platform::store_follower<std::string> own_;
+  platform::store_follower<evacuation_request> evacuation_requests_;
+  evacuations evacuations_;
   request_router router_;
   key_assigner assigner_;
   std::unordered_map<exchange_id, flight> flights_;
   std::unordered_map<uint64_t, call_id> orders_;
   std::map<std::string, uint64_t> maps_shared_;
   uint64_t config_revision_ = 0;
+  time_point configured_at_{};  ///< When the first declarations came.
   targets_sharing shared_targets_;
   std::optional<time_point> store_failed_at_;
   bool store_answers_ = true;
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -18,6 +18,10 @@
 /// their entries lapse while nobody can write them.
 constexpr duration kAwayEcho{milliseconds{2500}};
 
+/// How long after evacuations were read others need not read them: half of the
+/// time within which an evacuation must be in force.
+constexpr duration kEvacuationsVouched{milliseconds{2500}};
+
 /// Contents that crash targets named in one heartbeat: some 300 bytes.
 constexpr size_t kMarksInHeartbeat = 20;
 
@@ -68,6 +72,9 @@
       found->second.revision <= config_revision_) {
     return;
   }
+  if (config_revision_ == 0) {
+    configured_at_ = Now();
+  }
   config_revision_ = found->second.revision;
   const route_table_ptr table = found->second.item->table;
   const routing_config& config = table->config();
@@ -137,6 +144,53 @@
   Carry(actions);
 }
 
+void edge_daemon::OnEvacuationsRead() {
+  const auto& copy = evacuation_requests_.copy();
+  if (copy.complete()) {
+    std::set<std::string> zones;
+    for (const auto& [zone, object] : copy.objects()) {
+      zones.insert(zone);
+    }
+    TakeEvacuations(std::move(zones), copy.current_as_of(), Now());
+  }
+  Arm();
+}
+
+void edge_daemon::TakeEvacuations(std::set<std::string> zones, time_point as_of,
+                                  time_point now) {
+  const std::set<std::string> before = evacuations_.zones();
+  if (!evacuations_.Take(std::move(zones), as_of)) {
+    return;
+  }
+  for (const std::string& zone : evacuations_.zones()) {
+    if (!before.contains(zone)) {
+      LogEvent(event_id::kZoneEvacuated, {{"zone", zone}});
+    }
+  }
+  for (const std::string& zone : before) {
+    if (!evacuations_.zones().contains(zone)) {
+      LogEvent(event_id::kZoneReturned, {{"zone", zone}});
+    }
+  }
+  assigner_.OnEvacuations(evacuations_.zones(), now);
+  assigner_.HeartbeatSoon();
+  router_actions actions;
+  router_.OnEvacuations(evacuations_.zones(), now, actions);
+  Carry(actions);
+}
+
+/// What this host vouches for of evacuations; empty if it has not read them.
+std::optional<evacuation_view> edge_daemon::Evacuated(time_point now) const {
+  const auto& copy = evacuation_requests_.copy();
+  if (!copy.complete()) {
+    return std::nullopt;
+  }
+  const auto age =
+      std::chrono::duration_cast<milliseconds>(now - copy.current_as_of());
+  return evacuation_view{.zones = evacuations_.zones(),
+                         .age_ms = static_cast<uint32_t>(age.count())};
+}
+
 /// Tells the router of the maps that changed, whether this host wrote them or
 /// another did.
 void edge_daemon::ShareKeyMaps(time_point now, router_actions& out) {
@@ -189,6 +243,9 @@
       if (heartbeat->view) {
         OnView(*heartbeat->view, now);
       }
+      if (heartbeat->evacuated) {
+        OnEvacuationView(*heartbeat->evacuated, now);
+      }
     }
   } else if (const auto* owners =
                  std::get_if<owners_record>(&message.value())) {
@@ -288,6 +345,14 @@
   Arm();
 }
 
+/// Takes the evacuations that the assigner vouches for.
+void edge_daemon::OnEvacuationView(const evacuation_view& view,
+                                   time_point now) {
+  const time_point as_of = now - milliseconds{view.age_ms};
+  evacuation_requests_.Spare(as_of + kEvacuationsVouched);
+  TakeEvacuations(view.zones, as_of, now);
+}
+
 void edge_daemon::ReportLoad() {
   router_.OnHostCount(assigner_.HostCount());
   if (router_.table() == nullptr) {
@@ -365,6 +430,7 @@
   config_.ReadNow(now);
   targets_.ReadNow(now);
   own_.ReadNow(now);
+  evacuation_requests_.ReadNow(now);
 }
 
 /// Tells the other hosts who holds the lease now.
@@ -423,6 +489,7 @@
 void edge_daemon::CarryOne(const heartbeat_action& action) {
   assigner_heartbeat heartbeat = action.heartbeat;
   heartbeat.view = View(Now());
+  heartbeat.evacuated = Evacuated(Now());
   heartbeat.crashes = router_.crashes().Marks(kMarksInHeartbeat, Now());
   SendToHosts(action.hops, FormatHostMessage(heartbeat));
 }
--- /dev/null
+++ b/tests/evacuation_test.cc
@@ -0,0 +1,194 @@
+// Requests while an availability zone is evacuated, and while its targets are
+// cold afterwards.
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "foxtailspread/evacuations.h"
+#include "foxtailspread/request_router.h"
+
+namespace foxtailspread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration kColdTime{seconds{3}};
+
+/// Two targets a service in each of two zones.
+class EvacuationTest : public ::testing::Test {
+ protected:
+  EvacuationTest() : router_({.zone = "here", .retries = {}, .seed = 3}) {
+    for (const bool keyed : {false, true}) {
+      service_settings service;
+      service.name = keyed ? "keyed" : "pooled";
+      service.keyed = keyed;
+      service.cold_time = kColdTime;
+      service.cold_rate = 5.0;
+      config_.services.push_back(service);
+      route added;
+      added.name = service.name;
+      added.host = "shop.example";
+      added.prefix = "/" + service.name + "/";
+      added.objective = milliseconds{400};
+      added.timeout = seconds{2};
+      added.services = {{.service = service.name}};
+      config_.routes.push_back(added);
+      for (const std::string zone : {"here", "there"}) {
+        AddTarget(service.name, zone, "1");
+        AddTarget(service.name, zone, "2");
+      }
+    }
+    router_actions ignored;
+    router_.OnConfig(route_table_ptr{new route_table(config_)}, now_, ignored);
+    List();
+    Own("keyed-there-1");
+  }
+
+  void AddTarget(const std::string& service, const std::string& zone,
+                 const std::string& number) {
+    target_entry entry;
+    entry.life = {.id = service + "-" + zone + "-" + number, .started = 1};
+    entry.service = service;
+    entry.address = "10.0.0.1:" + std::to_string(1000 + targets_.size());
+    entry.zone = zone;
+    entry.slots = 6;
+    targets_.push_back(entry);
+  }
+
+  void List() {
+    router_actions ignored;
+    router_.OnTargets(targets_, false, now_, now_, ignored);
+  }
+
+  void Own(const std::string& id) {
+    key_map map{.last_fence = 1, .ranges = {}};
+    map.ranges = {
+        {.owner = {.id = id, .started = 1}, .fence = 1, .granted = true}};
+    router_actions ignored;
+    router_.OnKeyMap("keyed", map, now_, ignored);
+  }
+
+  void Evacuate(const std::set<std::string>& zones) {
+    router_actions ignored;
+    router_.OnEvacuations(zones, now_, ignored);
+  }
+
+  /// Sends a request in and returns what the router did at once.
+  router_actions Ask(const std::string& service) {
+    router_actions actions;
+    const std::string path = "/" + service + "/7";
+    router_.OnRequest({.id = ++last_id_,
+                       .host = "shop.example",
+                       .path = path,
+                       .key = key_point{77},
+                       .patience = seconds{30}},
+                      now_, actions);
+    return actions;
+  }
+
+  own_answer_action Refusal(const std::string& service) {
+    return std::get<own_answer_action>(Ask(service).at(0));
+  }
+
+  /// The targets that get requests while any has room.
+  std::set<std::string> TargetsAsked(const std::string& service) {
+    std::set<std::string> asked;
+    const request_id first = last_id_ + 1;
+    while (true) {
+      const router_actions actions = Ask(service);
+      if (actions.empty() || !std::holds_alternative<send_action>(actions[0])) {
+        break;
+      }
+      asked.insert(std::get<send_action>(actions[0]).target.id);
+    }
+    router_actions ignored;
+    for (request_id id = last_id_; id >= first; --id) {
+      router_.OnCallerGone(id, now_, ignored);
+    }
+    return asked;
+  }
+
+  request_router router_;
+  routing_config config_;
+  std::vector<target_entry> targets_;
+  request_id last_id_ = 0;
+  time_point now_{seconds{100}};
+};
+
+// Guards against work that goes on reaching a zone that is to be switched off.
+TEST_F(EvacuationTest, EvacuatedZoneGetsNoPooledRequests) {
+  Evacuate({"here"});
+  const std::set<std::string> others{"pooled-there-1", "pooled-there-2"};
+  EXPECT_EQ(TargetsAsked("pooled"), others);
+}
+
+// Guards against keyed requests that stop before their keys have moved, and
+// against those that go on for too long.
+TEST_F(EvacuationTest, OwnerInEvacuatedZoneIsUsedForAMoment) {
+  Evacuate({"there"});
+  now_ += milliseconds{900};
+  EXPECT_EQ(TargetsAsked("keyed").size(), 1U);
+  now_ += milliseconds{200};
+  EXPECT_TRUE(TargetsAsked("keyed").empty());
+}
+
+// Guards against full load on targets that were started anew while their zone
+// was evacuated.
+TEST_F(EvacuationTest, ReturnedZoneGetsRequestsWhenItsTargetsAreWarm) {
+  Evacuate({"here"});
+  now_ += seconds{8};
+  Evacuate({});
+  EXPECT_EQ(TargetsAsked("pooled").size(), 2U);
+  now_ += kColdTime;
+  EXPECT_EQ(TargetsAsked("pooled").size(), 4U);
+}
+
+// Guards against full load on a target that has just started.
+TEST_F(EvacuationTest, AddedTargetGetsRequestsWhenItIsWarm) {
+  AddTarget("pooled", "here", "3");
+  targets_.back().warm_up = kColdTime;
+  List();
+  EXPECT_FALSE(TargetsAsked("pooled").contains("pooled-here-3"));
+  now_ += kColdTime;
+  EXPECT_TRUE(TargetsAsked("pooled").contains("pooled-here-3"));
+}
+
+// Guards against a target that turns cold without a new start.
+TEST_F(EvacuationTest, TargetThatTurnsColdGetsNoRequests) {
+  targets_[0].warm_up = kColdTime;
+  List();
+  EXPECT_FALSE(TargetsAsked("pooled").contains(targets_[0].life.id));
+}
+
+// Guards against callers that are held, or told to come back too early, while
+// no target is warm.
+TEST_F(EvacuationTest, OnlyColdTargetsRefuseUntilTheFirstIsWarm) {
+  Evacuate({"here", "there"});
+  EXPECT_EQ(Refusal("pooled").reason, refusal_reason::kNoTarget);
+  now_ += seconds{8};
+  Evacuate({});
+  const own_answer_action refused = Refusal("pooled");
+  EXPECT_EQ(refused.reason, refusal_reason::kNoWarmTarget);
+  EXPECT_EQ(refused.answer, own_answer::kNotRun);
+  ASSERT_TRUE(refused.retry_after);
+  EXPECT_GE(*refused.retry_after, kColdTime / 2);
+  EXPECT_EQ(Refusal("keyed").reason, refusal_reason::kNoWarmTarget);
+}
+
+// Guards against an older reading that takes the place of a newer one.
+TEST(EvacuationsTest, OlderReadingIsLeftAside) {
+  evacuations known;
+  const time_point now{seconds{100}};
+  EXPECT_TRUE(known.Take({"here"}, now));
+  EXPECT_FALSE(known.Take({}, now - milliseconds{1}));
+  EXPECT_EQ(known.zones(), std::set<std::string>{"here"});
+  EXPECT_FALSE(known.Take({"here"}, now + milliseconds{1}));
+  EXPECT_TRUE(known.Take({}, now + milliseconds{2}));
+}
+
+}  // namespace
+}  // namespace foxtailspread
--- a/tests/key_assigner_proof_test.cc
+++ b/tests/key_assigner_proof_test.cc
@@ -33,10 +33,13 @@
   fault_player(assigner_world& world, uint64_t seed)
       : world_(world), random_(seed) {}
 
-  void Play() {
+  void Play(bool with_evacuations = false) {
     world_.Run(seconds{4});
     for (int i = 0; i < 25; ++i) {
       Strike();
+      if (with_evacuations) {
+        ChangeEvacuations();
+      }
       world_.Run(milliseconds{Pick(2500)});
     }
   }
@@ -44,6 +47,7 @@
   /// Ends every fault and gives the system time to settle.
   void Heal() {
     world_.store_down = false;
+    world_.evacuated_zones.clear();
     world_.lost_writes = 0.0;
     world_.late_writes = 0.0;
     world_.late_orders = 0.0;
@@ -70,6 +74,13 @@
  private:
   size_t Pick(size_t below) { return random_() % below; }
 
+  void ChangeEvacuations() {
+    const std::string zone = "zone-" + std::to_string(Pick(3));
+    if (!world_.evacuated_zones.erase(zone)) {
+      world_.evacuated_zones.insert(zone);
+    }
+  }
+
   void Strike() {
     auto& host = world_.host(Pick(world_.host_count()));
     auto& target = world_.target(Pick(world_.target_count()));
@@ -137,6 +148,7 @@
 /// What a schedule plays beside its faults.
 struct schedule_options {
   bool targets_forget_releases = false;
+  bool evacuations = false;
 };
 
 /// Plays one schedule of faults and checks what must hold.
@@ -145,9 +157,10 @@
       {.hosts = 5,
        .targets = 6,
        .seed = seed,
-       .targets_forget_releases = options.targets_forget_releases});
+       .targets_forget_releases = options.targets_forget_releases,
+       .cold_time = options.evacuations ? seconds{3} : seconds{0}});
   fault_player player(world, seed);
-  player.Play();
+  player.Play(options.evacuations);
   player.Heal();
   EXPECT_EQ(world.problem(), "") << "seed " << seed << '\n' << world.History();
   EXPECT_EQ(world.UnownedKeys(), 0U) << "seed " << seed;
@@ -175,6 +188,11 @@
   PlaySchedules(kFewerSeeds, {.targets_forget_releases = true});
 }
 
+// Guards against keys with two owners while zones are evacuated and taken back.
+TEST(KeyAssignerProofTest, EvacuationsNeverGiveAKeyTwoOwners) {
+  PlaySchedules(kFewerSeeds, {.evacuations = true});
+}
+
 // Faults that random schedules found: a grant that was offered while the record
 // that replaces it was on its way to the store; a holder two before the present
 // one that went on renewing; and a holder that left its own new record aside
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -374,5 +374,53 @@
   EXPECT_EQ(world_.UnownedKeys(), 0U);
 }
 
+// Guards against keys that stay with the targets of an evacuated zone.
+TEST_F(KeyAssignerTest, EvacuatedZoneLosesItsKeysAtOnce) {
+  world_.Run(kSettled);
+  world_.evacuated_zones = {"zone-1"};
+  world_.Run(milliseconds{500});
+  EXPECT_EQ(world_.KeysOf(1) + world_.KeysOf(4), 0U);
+  EXPECT_EQ(world_.UnownedKeys(), 0U);
+}
+
+// Guards against keys taken from all targets when there is nowhere to go.
+TEST_F(KeyAssignerTest, EvacuationOfAllZonesMovesNoKey) {
+  world_.Run(kSettled);
+  const auto before = world_.Recorded();
+  world_.evacuated_zones = {"zone-0", "zone-1", "zone-2"};
+  world_.Run(seconds{2});
+  EXPECT_EQ(world_.Recorded(), before);
+}
+
+// Guards against a returned zone whose cold targets get keys.
+TEST(KeyAssignerColdTest, ReturnedZoneGetsKeysWhenItsTargetsAreWarm) {
+  assigner_world world(
+      {.hosts = 5, .targets = 6, .seed = 7, .cold_time = seconds{3}});
+  world.Run(kSettled);
+  world.evacuated_zones = {"zone-1"};
+  world.Run(seconds{2});
+  world.evacuated_zones.clear();
+  world.Run(milliseconds{2900});
+  EXPECT_EQ(world.KeysOf(1) + world.KeysOf(4), 0U);
+  world.Run(seconds{5});
+  EXPECT_GT(world.KeysOf(1), 0U);
+  EXPECT_EQ(world.problem(), "");
+}
+
+// Guards against a target that starts again and gets its former keys while it
+// is cold.
+TEST(KeyAssignerColdTest, RestartedTargetGetsKeysWhenItIsWarm) {
+  assigner_world world(
+      {.hosts = 5, .targets = 6, .seed = 7, .cold_time = seconds{3}});
+  world.Run(kSettled);
+  world.RestartTarget(2);
+  world.Run(milliseconds{2500});
+  EXPECT_EQ(world.KeysOf(2), 0U);
+  EXPECT_EQ(world.UnownedKeys(), 0U);
+  world.Run(seconds{6});
+  EXPECT_GT(world.KeysOf(2), 0U);
+  EXPECT_EQ(world.problem(), "");
+}
+
 }  // namespace
 }  // namespace foxtailspread
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -49,6 +49,7 @@
   ++target.entry.life.started;
   target.seen = {};
   target.holds = {};
+  target.entry.warm_up = options_.cold_time;
 }
 
 void assigner_world::ReuseAddress(size_t index) {
@@ -78,6 +79,8 @@
   service_settings service;
   service.name = kService;
   service.keyed = true;
+  service.cold_time = options_.cold_time;
+  service.cold_rate = options_.cold_time > duration{0} ? 1.0 : 0.0;
   service_settings other;
   other.name = kOtherService;
   host.assigner->OnServices({service, other});
@@ -130,6 +133,8 @@
     if (reports) {
       target.silent_since.reset();
       ++target.entry.sequence;
+      target.entry.warm_up =
+          std::max(target.entry.warm_up - kStep, duration{0});
     } else if (!target.silent_since) {
       target.silent_since = now_;
     }
@@ -149,6 +154,7 @@
   const std::vector<target_entry> listed = Listed();
   if (answers && host.lists_targets) {
     host.assigner->OnTargets(listed, false, now_);
+    host.assigner->OnEvacuations(evacuated_zones, now_);
   }
   if (answers) {
     if (host.seen_revision < revision_) {
--- a/tests/support/assigner_world.h
+++ b/tests/support/assigner_world.h
@@ -83,6 +83,8 @@
     bool targets_ignore_fences = false;
     /// Targets that remember the fence of a release only for keys they held.
     bool targets_forget_releases = false;
+    /// How long targets are cold after their start; they bear any load if 0.
+    duration cold_time{};
   };
 
   explicit assigner_world(options chosen);
@@ -105,6 +107,8 @@
   void StartHost(size_t index);
 
   bool store_down = false;
+  /// Zones that are evacuated, as hosts that reach the store learn of them.
+  std::set<std::string> evacuated_zones{};
   /// Part of the writes whose answer is lost, and of those that are carried
   /// out seconds later; likewise of orders to targets.
   double lost_writes = 0.0;
