Go by the load that targets tell, shared among hosts, and limit requests by service

Cause: 67 hosts share 64 targets of six slots, and each heard of a target every few seconds, while other tenants slow a fifth of the targets threefold, anew each 0.4 s. A target that joined was taken for the slowest.

Change: answers carry the told load (decoded in platform/). Hosts pass what they hear to the holder of the lease each 100 ms (each 1.5 ms times the hosts, if that is more), it tells all merged. A target is chosen by its expected latency: mean over all hosts, queue, slowness weighted by age. Where loads are told three choices are compared, and a host's requests of a service are limited by additive increase and multiplicative decrease on the mean told load. New targets start at the others' mean latency. Where nothing is told nothing is sent and nothing changes but the last.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -18,6 +18,7 @@
 #include "foxtailspread/poison_guard.h"
 #include "foxtailspread/target_entry.h"
 #include "foxtailspread/time.h"
+#include "foxtailspread/told_load.h"
 
 namespace foxtailspread {
 
@@ -161,6 +162,14 @@
   bool operator==(const hosts_record&) const = default;
 };
 
+/// Loads that targets told: to the holder of the lease what one host heard,
+/// from it what all hosts did.
+struct loads_record {
+  std::vector<load_sample> loads;
+
+  bool operator==(const loads_record&) const = default;
+};
+
 /// A datagram that its receiver takes and passes on to other hosts of its zone.
 struct relayed_message {
   std::vector<std::string> forward_to;
@@ -171,7 +180,7 @@
 
 using host_message =
     std::variant<load_report, assigner_heartbeat, owners_record, targets_record,
-                 shared_object, hosts_record, relayed_message>;
+                 shared_object, hosts_record, loads_record, relayed_message>;
 
 /// Writes a message as one datagram and reads it back.
 std::string FormatHostMessage(const host_message& message);
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -16,6 +16,7 @@
 #include <queue>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -127,6 +128,7 @@
 struct attempt_report {
   request_id id = 0;
   attempt_verdict verdict = attempt_verdict::kBroken;
+  std::optional<told_load> load{};  ///< What the target told, if it did.
 };
 
 /// How one service stands now.
@@ -134,6 +136,8 @@
   std::string service;
   size_t waiting = 0;         ///< Requests not sent yet.
   size_t usable_targets = 0;  ///< Listed, not leaving and reachable.
+  size_t cold_targets = 0;
+  int in_flight = 0;          ///< This host's requests at the targets.
   double repeats_left = 0.0;  ///< This host's part of the budget.
 };
 
@@ -200,6 +204,11 @@
   /// with its number of requests. Of more than a datagram carries, the busiest.
   std::vector<std::pair<uint32_t, uint32_t>> TakeKeyLoad(
       const std::string& service);
+  /// Loads that the targets of a service told since the last call.
+  std::vector<load_sample> TakeLoads(const std::string& service,
+                                     time_point now);
+  /// Takes what other hosts heard of targets' loads.
+  void OnLoads(std::span<const load_sample> loads, time_point now);
   /// What the targets of a service took since the last call; those that served
   /// nothing are left out.
   std::vector<target_latency> TakeLatencies(const std::string& service);
@@ -232,7 +241,12 @@
   void Refuse(request& refused, refusal_reason reason, time_point now,
               router_actions& out);
   int ConnectionsAllowed(const std::string& service) const;
+  /// The latency assumed of a target that is new to this host: the others'
+  /// mean, so that it gets its part of the requests at once.
+  static duration FirstLatency(const service& of);
   void LimitConnections();
+  /// Takes this host's share of the slots of a service's targets.
+  void ShareSlots(service& of) const;
   void Finish(request& finished);
   void Wait(request& waiting, time_point now);
   /// Puts a request into the queue of its keys' owner, or else of its service.
--- a/include/foxtailspread/target_health.h
+++ b/include/foxtailspread/target_health.h
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "foxtailspread/time.h"
+#include "foxtailspread/told_load.h"
 
 namespace foxtailspread {
 
@@ -45,6 +46,13 @@
   void OnEnded(attempt_verdict verdict, time_point sent, duration objective,
                time_point now);
 
+  /// Takes the load that the target told at `told_at`, with the mean latency
+  /// that all hosts saw, 0 if that is not known.
+  void OnTold(const told_load& load, time_point told_at, duration latency);
+  /// The load told last, if it is not too old to go by.
+  const told_load* Told(time_point now) const;
+  time_point told_at() const { return told_at_; }
+
   /// Whether one more may be sent now.
   bool HasRoom(time_point now) const;
   /// When the pause that keeps the next request back ends; in the past if there
@@ -70,6 +78,7 @@
 
  private:
   void AddLatency(duration latency);
+  duration ExpectedByTold(time_point now) const;
   void Shrink(double factor);
   void NoteShed();
 
@@ -89,6 +98,10 @@
   int not_owner_in_row_ = 0;
   int sheds_in_row_ = 0;
   time_point unreachable_until_{};
+  told_load told_{};
+  time_point told_at_{};
+  duration shared_latency_{0};  ///< Over all hosts' answers; 0 if not known.
+  double usual_slowness_ = 1.0;
   duration pause_{0};  ///< The last one after a failed connection.
   /// When the requests in flight were sent, oldest first.
   std::deque<time_point> sent_;
--- a/include/foxtailspread/told_load.h
+++ b/include/foxtailspread/told_load.h
@@ -8,6 +8,7 @@
 /// every few seconds only, while its load changes several times a second. All
 /// hosts together hear of each target some ten times a second.
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -43,6 +44,10 @@
 /// loads is a hint.
 uint32_t ShortIdOf(std::string_view target);
 
+/// How often each host passes on what it heard. A load is known best while it
+/// is younger than a request's work; but one host hears all others.
+duration ShareLoadsEvery(size_t hosts);
+
 /// Merges what all hosts heard, at the host that tells the others.
 ///
 /// @code
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -1,5 +1,6 @@
 #include "foxtailspread/host_messages.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace foxtailspread {
@@ -14,8 +15,13 @@
 constexpr std::string_view kTargetsTag = "targets";
 constexpr std::string_view kObjectTag = "object";
 constexpr std::string_view kHostsTag = "hosts";
+constexpr std::string_view kLoadsTag = "loads";
 constexpr std::string_view kRelayedTag = "relay";
 
+constexpr double kPercent = 100.0;
+/// Figures of one load_sample.
+constexpr size_t kSampleFigures = 7;
+
 /// How long after a view was read it spares others their calls, as a part of
 /// the time that a leaving target goes on taking requests (2 s). Watches are
 /// renewed within a second, so two heartbeats may be lost; what changed right
@@ -31,6 +37,25 @@
   return list;
 }
 
+/// The figures of each sample, one after the other; the slowness in percent.
+json ToJson(const std::vector<load_sample>& loads) {
+  json flat = json::array();
+  for (const load_sample& each : loads) {
+    flat.push_back(each.target);
+    flat.push_back(each.load.running);
+    flat.push_back(each.load.waiting);
+    flat.push_back(std::lround(each.load.slowness * kPercent));
+    flat.push_back(each.age_ms);
+    flat.push_back(each.latency_us);
+    flat.push_back(each.served);
+  }
+  return flat;
+}
+
+json ToJson(const loads_record& record) {
+  return json::array({kLoadsTag, ToJson(record.loads)});
+}
+
 json ToJson(const load_report& report) {
   json services = json::array();
   for (const service_load& each : report.services) {
@@ -127,6 +152,20 @@
   return marks;
 }
 
+std::vector<load_sample> ReadLoads(const json& flat) {
+  std::vector<load_sample> loads;
+  for (size_t i = 0; i + kSampleFigures <= flat.size(); i += kSampleFigures) {
+    loads.push_back({.target = flat.at(i).get<uint32_t>(),
+                     .load = {.running = flat.at(i + 1).get<int>(),
+                              .waiting = flat.at(i + 2).get<int>(),
+                              .slowness = flat.at(i + 3).get<int>() / kPercent},
+                     .age_ms = flat.at(i + 4).get<uint32_t>(),
+                     .latency_us = flat.at(i + 5).get<uint32_t>(),
+                     .served = flat.at(i + 6).get<uint32_t>()});
+  }
+  return loads;
+}
+
 load_report ReadReport(const json& value) {
   load_report report;
   report.host = value.at(1).get<std::string>();
@@ -275,6 +314,9 @@
     if (tag == kHostsTag) {
       return host_message{ReadHosts(value)};
     }
+    if (tag == kLoadsTag) {
+      return host_message{loads_record{ReadLoads(value.at(1))}};
+    }
     if (tag == kRelayedTag) {
       return host_message{ReadRelayed(value)};
     }
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -153,6 +153,9 @@
 
 bool request_router::TrySend(request& sent, time_point now,
                              router_actions& out) {
+  if (!sent.at->keyed && !sent.at->limit.HasRoom(sent.at->in_flight)) {
+    return false;
+  }
   target* to = Pick(*sent.at, sent, now);
   if (to == nullptr) {
     return false;
@@ -164,6 +167,7 @@
     sent.first_sent = now;
   }
   to->health.OnSent(now);
+  ++sent.at->in_flight;
   if (!sent.WasTried(to)) {
     sent.tried.emplace_back(to);
   }
@@ -217,6 +221,14 @@
       at.keyed && report.verdict == attempt_verdict::kMisdirected;
   was->health.OnEnded(not_owner ? attempt_verdict::kNotOwner : report.verdict,
                       ended.sent, ended.by->objective, now);
+  --at.in_flight;
+  if (report.load) {
+    was->health.OnTold(*report.load, now, duration{0});
+    was->has_told = true;
+    at.limit.OnAnswer(
+        static_cast<double>(report.load->occupied()) / was->entry.slots,
+        at.in_flight);
+  }
   const bool shed = report.verdict == attempt_verdict::kShed;
   at.shed_share += kShedWeight * ((shed ? 1.0 : 0.0) - at.shed_share);
   const bool idempotent = ended.by->repeat == repeat_rule::kIdempotent;
@@ -282,6 +294,7 @@
   if (gone.current) {
     gone.current->health.OnEnded(attempt_verdict::kAbandoned, gone.sent,
                                  gone.by->objective, now);
+    --at.in_flight;
     out.emplace_back(cancel_action{id});
   }
   Finish(gone);
@@ -326,6 +339,7 @@
   if (expired.current) {
     expired.current->health.OnEnded(attempt_verdict::kTimedOut, expired.sent,
                                     expired.by->objective, now);
+    --at.in_flight;
     expired.current.reset();
     expired.may_have_run = true;
     out.emplace_back(cancel_action{expired.id});
@@ -378,11 +392,13 @@
     service_gauges& added = gauges.emplace_back();
     added.service = name;
     added.waiting = each->waiting_count;
+    added.in_flight = each->in_flight;
     added.repeats_left = each->budget.Left(now);
     for (const auto& one : each->targets) {
       const bool usable = IsOpen(*one, now) && !one->missing_since &&
                           one->health.IsReachable(now);
       added.usable_targets += usable ? 1 : 0;
+      added.cold_targets += one->availability.IsCold(now) ? 1 : 0;
     }
   }
   return gauges;
@@ -412,6 +428,49 @@
   return counts;
 }
 
+std::vector<load_sample> request_router::TakeLoads(
+    const std::string& service_name, time_point now) {
+  std::vector<load_sample> taken;
+  const auto found = services_.find(service_name);
+  if (found == services_.end() || found->second->keyed) {
+    return taken;
+  }
+  for (const auto& each : found->second->targets) {
+    const told_load* load = each->health.Told(now);
+    if (!std::exchange(each->has_told, false) || load == nullptr) {
+      continue;
+    }
+    const auto [mean, count] = each->health.TakeRecent();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - each->health.told_at());
+    taken.push_back({.target = each->short_id,
+                     .load = *load,
+                     .age_ms = static_cast<uint32_t>(age.count()),
+                     .latency_us = static_cast<uint32_t>(mean.count()),
+                     .served = count});
+  }
+  return taken;
+}
+
+void request_router::OnLoads(std::span<const load_sample> loads,
+                             time_point now) {
+  std::unordered_map<uint32_t, const load_sample*> by_target;
+  for (const load_sample& each : loads) {
+    by_target.emplace(each.target, &each);
+  }
+  for (auto& [name, at] : services_) {
+    for (const auto& each : at->targets) {
+      const auto found = by_target.find(each->short_id);
+      if (found != by_target.end()) {
+        const load_sample& told = *found->second;
+        each->health.OnTold(told.load,
+                            now - std::chrono::milliseconds{told.age_ms},
+                            duration{static_cast<int64_t>(told.latency_us)});
+      }
+    }
+  }
+}
+
 std::vector<target_latency> request_router::TakeLatencies(
     const std::string& service_name) {
   std::vector<target_latency> taken;
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -21,6 +21,8 @@
 /// Targets compared for one request. Two choices keep hosts that do not see
 /// each other's requests from all taking the one that looks best.
 constexpr int kChoices = 2;
+/// The same where targets tell their load, which is then known better.
+constexpr int kToldChoices = 3;
 
 /// Part of its time of grace in which requests still go to a keyed target that
 /// is leaving, while its keys find a new owner. It counts from when the target
@@ -109,11 +111,12 @@
   }
   const duration far = duration{static_cast<int64_t>(
       static_cast<double>(by.by->objective.count()) * kOtherZoneShare)};
+  const int choices = from.limit.is_told() ? kToldChoices : kChoices;
   target* best = nullptr;
   duration best_cost{};
   for (size_t group = 0; group < usable.size(); ++group) {
     auto& members = usable[group];
-    for (int choice = 0; choice < kChoices && !members.empty(); ++choice) {
+    for (int choice = 0; choice < choices && !members.empty(); ++choice) {
       const size_t at = random_() % members.size();
       target* candidate = members[at];
       members[at] = members.back();
@@ -141,6 +144,11 @@
     speed += each->health.limit() /
              std::max(1.0, static_cast<double>(each->health.latency().count()));
   }
+  const double limit = at.limit.limit();
+  if (limit < room + at.in_flight) {
+    speed *= limit / std::max(1.0, room + at.in_flight);
+    room = std::max(0.0, limit - at.in_flight);
+  }
   const size_t ahead = at.queue.AheadOf(by.by->rank);
   const double beyond = static_cast<double>(ahead) - std::floor(room) + 1.0;
   if (beyond <= 0.0 || speed <= 0.0) {
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "foxtailspread/request_router.h"
+#include "foxtailspread/service_limit.h"
 #include "foxtailspread/target_availability.h"
 #include "foxtailspread/waiting_policy.h"
 
@@ -47,10 +48,14 @@
 struct request_router::target
     : boost::intrusive_ref_counter<target, boost::thread_unsafe_counter> {
   target(target_entry listed, duration first_latency)
-      : entry(std::move(listed)), health(entry.slots, first_latency) {}
+      : entry(std::move(listed)),
+        short_id(ShortIdOf(entry.life.id)),
+        health(entry.slots, first_latency) {}
 
   target_entry entry;
+  uint32_t short_id;
   target_health health;
+  bool has_told = false;  ///< Its load, since it was last passed on.
   target_availability availability;
   /// It began to drain after this.
   std::optional<time_point> draining_since;
@@ -114,6 +119,8 @@
   std::string name;
   bool keyed = false;
   cold_policy cold;
+  int in_flight = 0;    ///< Requests at its targets.
+  service_limit limit;  ///< Of `in_flight`, where targets tell their load.
   std::vector<boost::intrusive_ptr<target>> targets;
   key_map owners;
   /// When each range that is changing hands was first seen doing so, by fence.
--- a/src/core/request_router_targets.cc
+++ b/src/core/request_router_targets.cc
@@ -61,6 +61,17 @@
     for (const auto& one : each->targets) {
       one->health.SetShare(allowed, hosts_);
     }
+    ShareSlots(*each);
+  }
+}
+
+void request_router::ShareSlots(service& of) const {
+  double slots = 0.0;
+  for (const auto& each : of.targets) {
+    slots += each->entry.draining ? 0.0 : each->entry.slots;
+  }
+  if (slots > 0.0) {
+    of.limit.SetShare(slots, hosts_);
   }
 }
 
@@ -75,6 +86,15 @@
   }
 }
 
+duration request_router::FirstLatency(const service& of) {
+  duration sum{0};
+  for (const auto& each : of.targets) {
+    sum += each->health.latency();
+  }
+  const auto count = static_cast<int64_t>(of.targets.size());
+  return count == 0 ? kFirstLatency : std::max(kFirstLatency, sum / count);
+}
+
 void request_router::OnTargets(const std::vector<target_entry>& targets,
                                bool doubtful, time_point same_until,
                                time_point now, router_actions& out) {
@@ -85,11 +105,7 @@
     const bool is_new =
         known == nullptr || known->entry.address != entry.address;
     if (is_new) {
-      duration latency = kFirstLatency;
-      for (const auto& other : at.targets) {
-        latency = std::max(latency, other->health.latency());
-      }
-      at.targets.push_back(new target(entry, latency));
+      at.targets.push_back(new target(entry, FirstLatency(at)));
       known = at.targets.back().get();
       known->health.SetShare(ConnectionsAllowed(entry.service), hosts_);
     }
@@ -126,6 +142,7 @@
       }
       return !doubtful || IsRetired(*each, now);
     });
+    ShareSlots(*at);
     RedistributeQueues(*at);
     Pump(*at, now, out);
   }
--- a/src/core/target_health.cc
+++ b/src/core/target_health.cc
@@ -54,6 +54,13 @@
 /// The same for a target that fails part of its requests.
 constexpr duration kFailingFor{std::chrono::seconds{2}};
 
+/// A load told longer ago says nothing of now.
+constexpr duration kToldFor{std::chrono::seconds{1}};
+/// Time in which a told slowness loses most of what it says.
+constexpr duration kSlownessMemory{std::chrono::milliseconds{400}};
+/// Weight of a told slowness in the usual one.
+constexpr double kSlownessWeight = 0.02;
+
 /// An owner of keys without one of them is otherwise well: left alone,
 /// it would keep requests for all its other keys waiting. So many in a row
 /// without one served mean that another target has its address.
@@ -192,7 +199,45 @@
   return {count == 0 ? duration{0} : sum / count, count};
 }
 
+void target_health::OnTold(const told_load& load, time_point told_at,
+                           duration latency) {
+  if (latency > duration{0}) {
+    shared_latency_ = latency;
+  }
+  if (told_at <= told_at_) {
+    return;
+  }
+  told_ = load;
+  told_at_ = told_at;
+  usual_slowness_ += kSlownessWeight * (load.slowness - usual_slowness_);
+}
+
+const told_load* target_health::Told(time_point now) const {
+  const bool fresh = told_at_ != time_point{} && now - told_at_ < kToldFor;
+  return fresh ? &told_ : nullptr;
+}
+
+duration target_health::ExpectedByTold(time_point now) const {
+  const auto later = std::upper_bound(sent_.begin(), sent_.end(), told_at_);
+  const auto sent_since = sent_.end() - later;
+  const double ahead = static_cast<double>(told_.occupied() + sent_since + 1);
+  const double queue = std::max(1.0, ahead / slots_);
+  const double age = std::chrono::duration<double>(now - told_at_) /
+                     std::chrono::duration<double>(kSlownessMemory);
+  const double weight = std::max(0.0, 1.0 - age);
+  const double slow =
+      1.0 + (told_.slowness - usual_slowness_) * weight / usual_slowness_;
+  const duration base =
+      shared_latency_ > duration{0} ? shared_latency_ : latency_;
+  return Part(base, queue * slow);
+}
+
 duration target_health::ExpectedLatency(time_point now) const {
+  if (Told(now) != nullptr) {
+    const duration oldest =
+        sent_.empty() ? duration{0} : duration{now - sent_.front()};
+    return std::max(ExpectedByTold(now), oldest);
+  }
   // A frozen target answers nothing that could raise its mean: the age of the
   // oldest request in flight shows it.
   duration seen = latency_;
--- a/src/core/told_load.cc
+++ b/src/core/told_load.cc
@@ -13,6 +13,10 @@
 /// Answers that a mean latency covers: some seconds of a busy target.
 constexpr double kLatencySpan = 40.0;
 
+/// The holder of the lease gets at most some 700 datagrams a second.
+constexpr duration kShareEvery{milliseconds{100}};
+constexpr duration kShareEachHost{std::chrono::microseconds{1500}};
+
 /// A target of which nobody heard for so long is forgotten.
 constexpr duration kForgetAfter{std::chrono::seconds{10}};
 
@@ -22,6 +26,11 @@
   return static_cast<uint32_t>(HashText(target));
 }
 
+duration ShareLoadsEvery(size_t hosts) {
+  return std::max<duration>(kShareEvery,
+                            kShareEachHost * static_cast<int64_t>(hosts));
+}
+
 void load_board::Add(std::span<const load_sample> samples, time_point now) {
   for (const load_sample& each : samples) {
     entry& known = entries_[each.target];
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -263,12 +263,19 @@
   ended.call.reset();
   const time_point now = Now();
   const attempt_verdict verdict = platform::Judge(result);
+  const std::optional<told_load> load = result.end == call_end::kAnswered
+                                            ? platform::ReadLoad(result.answer)
+                                            : std::nullopt;
   if (verdict == attempt_verdict::kServed ||
       verdict == attempt_verdict::kFailed) {
     ended.answer = std::move(result.answer);
   }
+  if (load) {
+    ShareLoadsSoon();
+  }
   router_actions actions;
-  router_.OnAttemptEnded({.id = id, .verdict = verdict}, now, actions);
+  router_.OnAttemptEnded({.id = id, .verdict = verdict, .load = load}, now,
+                         actions);
   Carry(actions);
 }
 
@@ -442,8 +449,13 @@
                  static_cast<double>(each.waiting));
     AppendMetric(text, "targets_usable", labels,
                  static_cast<double>(each.usable_targets));
+    AppendMetric(text, "targets_cold", labels,
+                 static_cast<double>(each.cold_targets));
+    AppendMetric(text, "requests_in_flight", labels,
+                 static_cast<double>(each.in_flight));
     AppendMetric(text, "repeats_left", labels, each.repeats_left);
   }
+  line("zones_evacuated", static_cast<double>(evacuations_.zones().size()));
   line("store_calls_total", static_cast<double>(store_.calls()));
   line("target_connections_total",
        static_cast<double>(targets_pool_.connections_made()));
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -92,6 +92,9 @@
   void ShareObject(const shared_object& object, time_point now);
   void OnSharedObject(const shared_object& object);
   void ReportLoad();
+  void ShareLoadsSoon();
+  void ShareLoads();
+  void OnLoads(const loads_record& record, time_point now);
   void ShareKeyMaps(time_point now, router_actions& out);
 
   void Carry(router_actions& actions);
@@ -137,6 +140,7 @@
   platform::store_follower<std::string> own_;
   platform::store_follower<evacuation_request> evacuation_requests_;
   evacuations evacuations_;
+  load_board loads_;  ///< While this host holds the lease.
   request_router router_;
   key_assigner assigner_;
   std::unordered_map<exchange_id, flight> flights_;
@@ -154,6 +158,8 @@
   time_point armed_for_ = time_point::max();
   timer step_;
   timer report_;
+  timer share_loads_;
+  bool loads_due_ = false;  ///< `share_loads_` is armed.
   timer leave_;
 };
 
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -108,7 +108,8 @@
       .successors = {"b", "c"},
       .view = store_view{.config_revision = 5, .targets = 1, .owners = 2},
       .crashes = {{81, 2, seconds{3}}},
-      .hosts = 12};
+      .hosts = 12,
+      .evacuated = evacuation_view{.zones = {"east", "west"}, .age_ms = 40}};
   EXPECT_EQ(ParseHostMessage(FormatHostMessage(report)).value(),
             host_message{report});
   EXPECT_EQ(ParseHostMessage(FormatHostMessage(heartbeat)).value(),
@@ -121,6 +122,17 @@
             host_message{owners});
 }
 
+TEST_F(HostMessagesTest, LoadsReadBack) {
+  const loads_record record{{{.target = 4'000'000'000,
+                              .load = {.running = 6, .waiting = 2},
+                              .age_ms = 70,
+                              .latency_us = 310'000,
+                              .served = 4},
+                             {.target = 1, .load = {.slowness = 3.0}}}};
+  EXPECT_EQ(ParseHostMessage(FormatHostMessage(record)).value(),
+            host_message{record});
+}
+
 TEST_F(HostMessagesTest, ObjectsAndRelayedMessagesReadBack) {
   const shared_object object{.kind = shared_kind::kDeclarations,
                              .name = "main",
--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -14,6 +14,15 @@
 
 constexpr const char* kService = "lookups";
 
+/// How often hosts share the loads that targets told them.
+constexpr duration kShareLoadsEvery{std::chrono::milliseconds{100}};
+/// The time that a shared load takes to the other hosts.
+constexpr duration kShareDelay{std::chrono::milliseconds{55}};
+
+/// How often other tenants come and go, and how much slower work is there.
+constexpr duration kNoiseEvery{std::chrono::milliseconds{400}};
+constexpr double kNoisySlowness = 3.0;
+
 }  // namespace
 
 double caller_tally::InTimeShare() const {
@@ -29,6 +38,36 @@
 router_world::router_world(router_world_options options)
     : options_(std::move(options)), random_(options_.seed) {
   Prepare();
+  if (options_.noise > 0.0) {
+    ChangeNoise();
+  }
+  if (options_.tells_load) {
+    ShareLoads();
+  }
+}
+
+void router_world::ShareLoads() {
+  for (const auto& each : routers_) {
+    loads_.Add(each->TakeLoads(kService, now_), now_);
+  }
+  At(now_ + kShareDelay, [this, loads = loads_.TakeFresh(now_)]() mutable {
+    constexpr uint32_t kDelayMs = kShareDelay / std::chrono::milliseconds{1};
+    for (load_sample& each : loads) {
+      each.age_ms += kDelayMs;
+    }
+    for (const auto& each : routers_) {
+      each->OnLoads(loads, now_);
+    }
+  });
+  At(now_ + kShareLoadsEvery, [this] { ShareLoads(); });
+}
+
+void router_world::ChangeNoise() {
+  std::bernoulli_distribution is_noisy(options_.noise);
+  for (target_model& each : targets_) {
+    each.noise = is_noisy(random_) ? kNoisySlowness : 1.0;
+  }
+  At(now_ + kNoiseEvery, [this] { ChangeNoise(); });
 }
 
 void router_world::Prepare() {
@@ -86,7 +125,9 @@
   for (const target_model& each : targets_) {
     slots += each.speed * options_.slots;
   }
-  return slots / std::chrono::duration<double>(options_.mean_work).count();
+  const double usual = 1.0 - options_.noise + options_.noise / kNoisySlowness;
+  return slots * usual /
+         std::chrono::duration<double>(options_.mean_work).count();
 }
 
 void router_world::At(time_point at, std::function<void()> run) {
@@ -199,7 +240,7 @@
   std::lognormal_distribution<double> factor(
       -options_.spread * options_.spread / 2, options_.spread);
   return std::chrono::duration_cast<duration>(
-      options_.mean_work * (factor(random_) * slowness_ / at.speed));
+      options_.mean_work * (factor(random_) * slowness_ * at.noise / at.speed));
 }
 
 void router_world::Begin(size_t target, work begun) {
@@ -211,7 +252,13 @@
 void router_world::End(size_t target, const work& ended) {
   target_model& at = targets_[target];
   --at.busy;
-  Report(ended, attempt_verdict::kServed);
+  std::optional<told_load> load;
+  if (options_.tells_load) {
+    load = told_load{.running = at.busy,
+                     .waiting = static_cast<int>(at.waiting.size()),
+                     .slowness = at.noise};
+  }
+  Report(ended, attempt_verdict::kServed, load);
   while (!at.waiting.empty() && at.busy < options_.slots) {
     const work next = at.waiting.front();
     at.waiting.pop_front();
@@ -221,14 +268,15 @@
   }
 }
 
-void router_world::Report(const work& of, attempt_verdict verdict) {
-  At(now_ + kLinkDelay, [this, of, verdict] {
+void router_world::Report(const work& of, attempt_verdict verdict,
+                          std::optional<told_load> load) {
+  At(now_ + kLinkDelay, [this, of, verdict, load] {
     if (!IsWanted(of)) {
       return;
     }
     router_actions actions;
-    routers_[of.host]->OnAttemptEnded({.id = of.id, .verdict = verdict}, now_,
-                                      actions);
+    routers_[of.host]->OnAttemptEnded(
+        {.id = of.id, .verdict = verdict, .load = load}, now_, actions);
     Carry(of.host, actions);
   });
 }
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
@@ -48,6 +49,10 @@
   duration objective{std::chrono::milliseconds{250}};
   duration patience{std::chrono::milliseconds{1500}};
   uint64_t seed = 1;
+  /// Targets tell their load, and hosts share what they hear.
+  bool tells_load = false;
+  /// Part of the time in which another tenant slows a target threefold.
+  double noise = 0.0;
 };
 
 /// Hosts, targets and callers.
@@ -79,6 +84,7 @@
   struct target_model {
     target_entry entry;
     double speed = 1.0;
+    double noise = 1.0;  ///< How long work takes there now.
     int busy = 0;
     std::deque<work> waiting;
   };
@@ -96,6 +102,8 @@
   };
 
   void Prepare();
+  void ShareLoads();
+  void ChangeNoise();
   void At(time_point at, std::function<void()> run);
   void Ask(double rate, time_point end);
   void Carry(size_t host, const router_actions& actions);
@@ -103,7 +111,8 @@
   void Arrive(size_t target, work arrived);
   void Begin(size_t target, work begun);
   void End(size_t target, const work& ended);
-  void Report(const work& of, attempt_verdict verdict);
+  void Report(const work& of, attempt_verdict verdict,
+              std::optional<told_load> load = std::nullopt);
   void Wake(size_t host);
   bool IsWanted(const work& of) const;
   duration Work(const target_model& at);
@@ -113,6 +122,7 @@
   std::vector<std::unique_ptr<request_router>> routers_;
   std::vector<time_point> wake_at_;
   std::vector<target_model> targets_;
+  load_board loads_;
   std::map<std::string, size_t> target_of_;  ///< By id.
   std::map<request_id, caller> callers_;
   std::priority_queue<event, std::vector<event>, std::greater<>> events_;
--- a/tests/worst_load_test.cc
+++ b/tests/worst_load_test.cc
@@ -72,5 +72,55 @@
                                            load_case{false, 0.3},
                                            load_case{false, 0.6}));
 
+/// Many hosts before many targets of unlike speed, a fifth of which is slowed
+/// threefold by others, anew every 0.4 s.
+class ManyHostsTest : public ::testing::Test {
+ protected:
+  static caller_tally Measure(bool tells_load, double load) {
+    router_world world({.hosts = 67,
+                        .targets = 64,
+                        .speeds = {0.5, 1.0, 1.0, 1.5},
+                        .keyed = false,
+                        .mean_work = std::chrono::milliseconds{240},
+                        .objective = std::chrono::milliseconds{600},
+                        .patience = std::chrono::milliseconds{1500},
+                        .seed = 1,
+                        .tells_load = tells_load,
+                        .noise = 0.2});
+    const double rate = load * world.Capacity();
+    world.Run(rate, kLearning);
+    return world.Run(rate, kMeasured);
+  }
+};
+
+// Guards against hosts that send to slowed and busy targets while others have
+// room, because each of them hears of a target every few seconds only.
+TEST_F(ManyHostsTest,
+       ToldLoadsLeaveThreeInFourInTimeAtFourFifthsOfTheCapacity) {
+  const caller_tally got = Measure(true, 0.8);
+  EXPECT_GE(got.InTimeShare(), 0.75);
+}
+
+// Guards against a queue that stands at the targets until requests time out.
+TEST_F(ManyHostsTest, ToldLoadsKeepTimeoutsRareAtFullCapacity) {
+  const caller_tally got = Measure(true, 1.0);
+  EXPECT_LE(static_cast<double>(got.failed),
+            0.05 * static_cast<double>(got.asked));
+}
+
+// Guards against limits that refuse what the targets have room for.
+TEST_F(ManyHostsTest, ToldLoadsRefuseHardlyAnyRequestInCalm) {
+  const caller_tally got = Measure(true, 0.6);
+  EXPECT_LT(static_cast<double>(got.refused),
+            0.02 * static_cast<double>(got.asked));
+}
+
+// Guards against callers that are held before they are refused.
+TEST_F(ManyHostsTest, ToldLoadsRefuseAtOnceBeyondTheCapacity) {
+  const caller_tally got = Measure(true, 1.3);
+  ASSERT_GT(got.refused, 0U);
+  EXPECT_LE(got.MeanRefusedWait(), std::chrono::milliseconds{600} / 8);
+}
+
 }  // namespace
 }  // namespace foxtailspread::testing
