Let the limit of a service follow from its objective and its unqueued latency

Change: the load above which the limit shrinks leaves six tenths of the time to the objective for the queue; how long answers take without one is measured on answers of targets with a free slot.

--- a/include/foxtailspread/service_limit.h
+++ b/include/foxtailspread/service_limit.h
@@ -13,26 +13,35 @@
 #include <cstddef>
 #include <limits>
 
+#include "foxtailspread/time.h"
+
 namespace foxtailspread {
 
+/// An answer that came with a told load.
+struct told_answer {
+  double load = 0.0;     ///< Requests at the target for each of its slots.
+  duration took{};       ///< Time to the answer.
+  duration objective{};  ///< The latency that the route wants.
+};
+
 /// Follows the load that targets tell by additive increase and multiplicative
 /// decrease, so that hosts which do not see each other come to like shares.
 ///
 /// @code
-/// limit.OnAnswer(load.occupied() / slots, in_flight);
+/// limit.OnAnswer({.load = 1.5, .took = took, .objective = objective}, 7);
 /// if (limit.HasRoom(in_flight)) Send();
 /// @endcode
 class service_limit {
  public:
   /// Takes the slots of all targets and the number of hosts that share them.
+  /// `in_flight`, below, counts this host's requests under way.
   void SetShare(double slots, size_t hosts);
 
   /// Always true while no target told its load.
   bool HasRoom(int in_flight) const { return in_flight < limit(); }
 
-  /// Takes the load that came with an answer: requests at the target for each
-  /// of its slots. `in_flight` counts the requests that are still under way.
-  void OnAnswer(double load, int in_flight);
+  /// Takes an answer.
+  void OnAnswer(const told_answer& answer, int in_flight);
 
   bool is_told() const { return is_told_; }
   double limit() const {
@@ -40,8 +49,13 @@
   }
 
  private:
+  /// The mean load at which most answers still come within the objective.
+  double MostLoad(duration objective) const;
+
   bool is_told_ = false;
   double mean_load_ = 0.0;
+  duration unqueued_{
+      0};  ///< Mean time to an answer of targets with a free slot.
   double least_ = 1.0;
   double most_ = 1.0;
   double limit_ = 0.0;  ///< 0 until the share is known.
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -225,9 +225,11 @@
   if (report.load) {
     was->health.OnTold(*report.load, now, duration{0});
     was->has_told = true;
-    at.limit.OnAnswer(
-        static_cast<double>(report.load->occupied()) / was->entry.slots,
-        at.in_flight);
+    at.limit.OnAnswer({.load = static_cast<double>(report.load->occupied()) /
+                               was->entry.slots,
+                       .took = now - ended.sent,
+                       .objective = ended.by->objective},
+                      at.in_flight);
   }
   const bool shed = report.verdict == attempt_verdict::kShed;
   at.shed_share += kShedWeight * ((shed ? 1.0 : 0.0) - at.shed_share);
