--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -267,6 +267,9 @@
   static target* FindOwner(service& from, const request& by);
   target* OwnerOf(service& from, const request& by, time_point now);
   target* PickPooled(service& from, const request& by, time_point now);
+  /// Takes the load that target `by` told when it ended an attempt.
+  static void TakeLoad(const request& ended, target& by,
+                       const attempt_report& report, time_point now);
   bool MayRepeat(request& repeated, time_point now);
   void Repeat(request& repeated, refusal_reason otherwise, time_point now,
               router_actions& out);
--- a/include/foxtailspread/service_limit.h
+++ b/include/foxtailspread/service_limit.h
@@ -20,6 +20,7 @@
 /// An answer that came with a told load.
 struct told_answer {
   double load = 0.0;     ///< Requests at the target for each of its slots.
+  bool served = true;    ///< False for one that the target did not work on.
   duration took{};       ///< Time to the answer.
   duration objective{};  ///< The latency that the route wants.
 };
--- a/src/core/service_limit.cc
+++ b/src/core/service_limit.cc
@@ -49,7 +49,7 @@
 void service_limit::OnAnswer(const told_answer& answer, int in_flight) {
   is_told_ = true;
   mean_load_ += kLoadWeight * (answer.load - mean_load_);
-  if (answer.load <= 1.0) {
+  if (answer.served && answer.load <= 1.0) {
     unqueued_ =
         unqueued_ == duration{0}
             ? answer.took
--- a/tests/told_load_test.cc
+++ b/tests/told_load_test.cc
@@ -138,6 +138,21 @@
   EXPECT_EQ(limit_.limit(), before);
 }
 
+// Guards against rejections, which come at once, that are taken for fast work.
+TEST_F(ServiceLimitTest, RejectionsSayNothingOfHowLongWorkTakes) {
+  Answer(500, 1.0, 20);
+  for (int i = 0; i < 500; ++i) {
+    limit_.OnAnswer({.load = 1.0,
+                     .served = false,
+                     .took = milliseconds{1},
+                     .objective = milliseconds{600}},
+                    20);
+  }
+  const double before = limit_.limit();
+  Answer(500, 2.5, 20);
+  EXPECT_LT(limit_.limit(), before);
+}
+
 // Guards against a limit that stays low when the load is over.
 TEST_F(ServiceLimitTest, FreeTargetsLetItGrowAgain) {
   Answer(500, 4.0, 20);
