--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -198,6 +198,17 @@
   EXPECT_EQ(follower_.NextCall(now_)->since, 10U);
 }
 
+// Guards against a call of each host for what the holder of the lease tells.
+TEST_F(KindFollowerTest, ToldContentNeedsNoListWhileItIsVouchedFor) {
+  kind_follower<int> told{{.wait = seconds{1}, .told_by_others = true}};
+  told.Spare(now_ + seconds{2});
+  EXPECT_FALSE(told.NextCall(now_));
+  now_ += seconds{2};
+  const auto call = told.NextCall(now_);
+  ASSERT_TRUE(call);
+  EXPECT_TRUE(call->list);
+}
+
 class StaleListTest : public ::testing::Test {
  protected:
   /// Lists a and b, as the store had them at revision 10.
