Write the followers' timings where the followers are made

Four functions filled one aggregate each, two of them alike but for names; designated initializers say the same in place. Behaviour is as it was.

--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -53,44 +53,16 @@
 /// and its own watch would come back for each; the others are told by datagram.
 constexpr duration kOwnPace{milliseconds{400}};
 
-follow_timing OwnTiming() {
-  follow_timing timing;
-  timing.pace = kOwnPace;
-  timing.wait = kConfigWait;
-  return timing;
-}
-
-/// The same for evacuations, which must be in force within five seconds.
+/// A watch of evacuations is renewed for the same reason; they must be in force
+/// within five seconds.
 constexpr duration kEvacuationWait{milliseconds{1500}};
 /// Heartbeats, which tell of evacuations, reach a new host by then.
 constexpr duration kToldWithin{milliseconds{1500}};
 
-follow_timing EvacuationTiming() {
-  follow_timing timing;
-  timing.wait = kEvacuationWait;
-  timing.told_by_others = true;
-  return timing;
-}
-
-follow_timing ConfigTiming() {
-  follow_timing timing;
-  timing.wait = kConfigWait;
-  return timing;
-}
-
 /// Each target writes about once a second: a watch from an older revision
 /// brings more than a list does, and takes tens of megabytes to read.
 constexpr duration kTargetHistory{seconds{3}};
 
-follow_timing TargetTiming() {
-  follow_timing timing;
-  timing.history = kTargetHistory;
-  timing.pace = kTargetPace;
-  timing.wait = kTargetWait;
-  timing.stale_lists = true;
-  return timing;
-}
-
 std::optional<shared_config> ReadConfig(std::string_view name,
                                         const nlohmann::json& content) {
   if (name != platform::kConfigName) {
@@ -150,17 +122,23 @@
       hosts_(events_, [this](std::string_view bytes) { OnDatagram(bytes); }),
       store_(events_, settings_.store),
       config_(
-          store_, platform::kConfigKind, ReadConfig, ConfigTiming(),
+          store_, platform::kConfigKind, ReadConfig, {.wait = kConfigWait},
           [this] { OnConfigChanged(); }, [this] { OnStoreState(); }),
       targets_(
-          store_, platform::kTargetKind, platform::ReadTarget, TargetTiming(),
+          store_, platform::kTargetKind, platform::ReadTarget,
+          {.wait = kTargetWait,
+           .pace = kTargetPace,
+           .stale_lists = true,
+           .history = kTargetHistory},
           [this] { OnTargetsChanged(); }, [this] { OnStoreState(); }),
       own_(
-          store_, platform::kOwnKind, ReadText, OwnTiming(),
+          store_, platform::kOwnKind, ReadText,
+          {.wait = kConfigWait, .pace = kOwnPace},
           [this] { OnOwnObjectsChanged(); }, [this] { OnStoreState(); }),
       evacuation_requests_(
-          store_, platform::kEvacuationKind, ReadEvacuation, EvacuationTiming(),
-          [] {}, [this] { OnEvacuationsRead(); }),
+          store_, platform::kEvacuationKind, ReadEvacuation,
+          {.wait = kEvacuationWait, .told_by_others = true}, [] {},
+          [this] { OnEvacuationsRead(); }),
       router_({.zone = settings_.zone,
                .retries = settings_.retries,
                .drain = settings_.drain,
