Log why the keys of a former owner are free, and which orders failed

The two open findings of keys with two owners could not be told apart from their logs: a holder says that keys move and that they are granted, but not why it took the former owner for one that holds them no longer, how its last orders to it ended, who else may still renew, or whether it goes on renewing after its lease has lapsed.

keys-free (326) names the reason for each range: the release was answered, all grants have run out, or the address is reused. order-failed (327) says how an order ended. assigner-began lists the former holders that may still renew, with the time of each; assigner-ended says why.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -49,6 +49,8 @@
   kKeysMoving = 323,
   kKeysGranted = 324,
   kGrantFenced = 325,
+  kKeysFree = 326,
+  kOrderFailed = 327,
   kZoneEvacuated = 330,
   kZoneReturned = 331,
   kFaultsChanged = 800,
@@ -157,6 +159,14 @@
     {event_id::kGrantFenced, event_level::kWarning, "grant-fenced",
      "The target has seen a higher fence on the keys; they are granted anew.",
      "Nothing to do unless it repeats: two deployments would share targets."},
+    {event_id::kKeysFree, event_level::kInfo, "keys-free",
+     "The former owner cannot hold the keys given any more, for the reason "
+     "given; the next owner may get them.",
+     "Nothing to do."},
+    {event_id::kOrderFailed, event_level::kWarning, "order-failed",
+     "A target did not carry out an order on the keys given, as far as is "
+     "known; how it ended is given.",
+     "Look at the target, or at the links to it, if it goes on."},
     {event_id::kZoneEvacuated, event_level::kInfo, "zone-evacuated",
      "An operator has evacuated the zone; its targets get nothing new.",
      "Switch the zone off once its targets have finished what they run."},
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -126,6 +126,9 @@
   kUnanswered,  ///< No answer: it may have been carried out, or may yet.
 };
 
+/// The name of an end, in lower case, for the log.
+std::string_view ToString(order_end end);
+
 /// Gives an order up: its connection is closed without sending what is left.
 struct order_cancel {
   uint64_t id = 0;
@@ -147,6 +150,8 @@
     kKeysMoving,
     kKeysGranted,
     kGrantFenced,
+    kKeysFree,
+    kOrderFailed,
   };
   kind what = kind::kLeaseTaken;
   std::string service{};
@@ -154,6 +159,8 @@
   key_point first = 0;
   key_point last = 0;
   fence_number fence = 0;
+  /// Why or how, in words that are stable; empty if there is nothing to say.
+  std::string detail{};
 };
 
 /// Sends a sign of life to the other hosts.
@@ -339,6 +346,7 @@
   struct order_context {
     std::string service;
     range_id range;
+    key_point last = 0;
     std::string target;
     bool grant = true;
     bool renews = false;
@@ -363,6 +371,10 @@
   /// When the last grant of a former holder of the lease has run out.
   time_point InheritedUntil() const;
   time_point HeldUntil(const target_life& life) const;
+  /// Why the former owner of `range` cannot hold its keys any more, empty while
+  /// it may.
+  std::string_view WhyFree(const keyed_service& of, const key_range& range,
+                           const transfer& state, time_point now) const;
   /// Whether a release that the former owner answered proves that it does not
   /// hold the keys and will not.
   bool IsReleaseProof(const keyed_service& of, const key_range& range,
@@ -399,6 +411,8 @@
   bool IsFailing(const target_state& state, time_point now) const;
   void NoteOrder(target_state& state, const order_context& context,
                  const order_report& report, time_point now);
+  void ReportFailure(const order_context& context, order_end end,
+                     assigner_actions& out) const;
   void EndLateOrders(time_point now, assigner_actions& out);
 
   void StepService(keyed_service& of, time_point now, assigner_actions& out);
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <span>
+#include <string>
 #include <utility>
 
 #include "foxtailspread/json_reader.h"
@@ -68,6 +70,16 @@
 constexpr duration kShareHostsEvery{std::chrono::seconds{1}};
 constexpr duration kHostsToldFor{std::chrono::seconds{5}};
 
+/// The former holders and how much longer each may renew grants, for the log.
+std::string Describe(std::span<const former_holder> former) {
+  std::string text;
+  for (const former_holder& each : former) {
+    text += (text.empty() ? "" : ", ") + each.host + " " +
+            std::to_string(ceil<milliseconds>(each.may_renew).count()) + " ms";
+  }
+  return text;
+}
+
 }  // namespace
 
 std::string FormatLease(const assigner_lease& lease) {
@@ -509,7 +521,8 @@
     for (const former_holder& each : lease_->predecessors) {
       predecessors_.emplace(each.host, now + each.may_renew);
     }
-    out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseTaken});
+    out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseTaken,
+                                   .detail = Describe(lease_->predecessors)});
   }
 }
 
@@ -528,7 +541,8 @@
     each.transfers.clear();
     each.write.reset();
   }
-  out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseLost});
+  out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseLost,
+                                 .detail = "lapsed, renews what it granted"});
 }
 
 void key_assigner::LoseLease(assigner_actions& out) {
@@ -543,7 +557,8 @@
     each.renewals.clear();
     each.write.reset();
   }
-  out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseLost});
+  out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseLost,
+                                 .detail = "taken over"});
 }
 
 void key_assigner::Leave(time_point now, assigner_actions& out) {
@@ -560,7 +575,8 @@
     each.transfers.clear();
     each.write.reset();
   }
-  out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseLost});
+  out.emplace_back(assigner_note{.what = assigner_note::kind::kLeaseLost,
+                                 .detail = "leaving"});
   Release(now, out);
 }
 
--- a/src/core/key_assigner_orders.cc
+++ b/src/core/key_assigner_orders.cc
@@ -29,6 +29,24 @@
 
 }  // namespace
 
+std::string_view ToString(order_end end) {
+  switch (end) {
+    case order_end::kDone:
+      return "done";
+    case order_end::kFenced:
+      return "fenced";
+    case order_end::kRejected:
+      return "rejected";
+    case order_end::kNoProcess:
+      return "no-process";
+    case order_end::kNotSent:
+      return "not-sent";
+    case order_end::kUnanswered:
+      return "unanswered";
+  }
+  return "unknown";
+}
+
 duration key_assigner::LongestHold() const {
   return settings_.hold + settings_.hold / kSlowClockPart + kHoldSlack;
 }
@@ -53,6 +71,20 @@
          (offered == of.may_hold_until.end() || now >= offered->second);
 }
 
+std::string_view key_assigner::WhyFree(const keyed_service& of,
+                                       const key_range& range,
+                                       const transfer& state,
+                                       time_point now) const {
+  const target_life& former = *range.former;
+  if (state.released && IsReleaseProof(of, range, now)) {
+    return "released";
+  }
+  if (LaterLife(former) == nullptr && IsAddressReused(former)) {
+    return "address-reused";
+  }
+  return now >= HeldUntil(former) ? "grants-expired" : std::string_view{};
+}
+
 time_point key_assigner::HeldUntil(const target_life& life) const {
   const time_point inherited = InheritedUntil();
   const auto found = targets_.find(LifeKey(life));
@@ -77,6 +109,7 @@
   const duration timeout = grant ? kOrderTimeout : kReleaseTimeout;
   orders_[id] = {.service = of.name,
                  .range = IdOf(range),
+                 .last = range.last,
                  .target = LifeKey(to),
                  .grant = grant,
                  .renews = renews,
@@ -125,13 +158,15 @@
   if (!range.former) {
     state.let_go = true;
   }
-  // Renewals that were meant for a process that has ended may have reached the
-  // next one at its address, which then holds the keys: that one has to let go.
-  const target_state* later = range.former ? LaterLife(*range.former) : nullptr;
-  if (!state.let_go && ((later == nullptr && IsAddressReused(*range.former)) ||
-                        now >= HeldUntil(*range.former) ||
-                        (state.released && IsReleaseProof(of, range, now)))) {
-    state.let_go = true;
+  if (!state.let_go) {
+    const std::string_view why = WhyFree(of, range, state, now);
+    if (!why.empty()) {
+      state.let_go = true;
+      assigner_note note =
+          NoteOf(assigner_note::kind::kKeysFree, of, range, range.former->id);
+      note.detail = why;
+      out.emplace_back(std::move(note));
+    }
   }
   if (state.confirmed || state.order != 0 || now < state.retry_at) {
     return;
@@ -141,6 +176,9 @@
     return;
   }
   if (!state.let_go) {
+    // Renewals that were meant for a process that has ended may have reached
+    // the next one at its address: that one has to let go.
+    const target_state* later = LaterLife(*range.former);
     const target_life& from =
         later == nullptr ? *range.former : later->entry.life;
     state.order = Order(of, range, false, false, from, {}, now, out);
@@ -189,6 +227,9 @@
   }
   const order_context context = found->second;
   orders_.erase(found);
+  if (report.end != order_end::kDone) {
+    ReportFailure(context, report.end, out);
+  }
   const auto target = targets_.find(context.target);
   if (target != targets_.end()) {
     NoteOrder(target->second, context, report, now);
@@ -233,6 +274,21 @@
   }
 }
 
+void key_assigner::ReportFailure(const order_context& context, order_end end,
+                                 assigner_actions& out) const {
+  const std::string_view kind = context.renews  ? "renewal: "
+                                : context.grant ? "grant: "
+                                                : "release: ";
+  out.emplace_back(
+      assigner_note{.what = assigner_note::kind::kOrderFailed,
+                    .service = context.service,
+                    .target = context.target,
+                    .first = context.range.second,
+                    .last = context.last,
+                    .fence = context.range.first,
+                    .detail = std::string{kind}.append(ToString(end))});
+}
+
 void key_assigner::EndLateOrders(time_point now, assigner_actions& out) {
   for (auto each = orders_.begin(); each != orders_.end();) {
     const auto [id, context] = *each++;
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -523,12 +523,19 @@
     case kind::kGrantFenced:
       event = event_id::kGrantFenced;
       break;
+    case kind::kKeysFree:
+      event = event_id::kKeysFree;
+      break;
+    case kind::kOrderFailed:
+      event = event_id::kOrderFailed;
+      break;
   }
   LogEvent(event, {{"service", action.service},
                    {"target", action.target},
                    {"first", int64_t{action.first}},
                    {"last", int64_t{action.last}},
-                   {"fence", static_cast<int64_t>(action.fence)}});
+                   {"fence", static_cast<int64_t>(action.fence)},
+                   {"detail", action.detail}});
 }
 
 void edge_daemon::CarryOne(const share_action& action) {
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <string_view>
+
 #include "support/assigner_world.h"
 
 namespace foxtailspread {
@@ -16,6 +19,15 @@
 
 class KeyAssignerTest : public ::testing::Test {
  protected:
+  /// Whether a note says that keys of `target` are free, for that reason.
+  bool IsReportedFree(std::string_view target, std::string_view reason) const {
+    return std::any_of(world_.notes().begin(), world_.notes().end(),
+                       [&](const assigner_note& note) {
+                         return note.what == assigner_note::kind::kKeysFree &&
+                                note.target == target && note.detail == reason;
+                       });
+  }
+
   void TearDown() override { EXPECT_EQ(world_.problem(), ""); }
 
   assigner_world world_{{.hosts = 5, .targets = 6, .seed = 7}};
@@ -173,6 +185,22 @@
   EXPECT_EQ(world_.KeysOf(2), 0U);
 }
 
+// Guards against moves whose reason no log tells.
+TEST_F(KeyAssignerTest, LostTargetsKeysAreReportedFreeWithTheReason) {
+  world_.Run(kSettled);
+  world_.target(2).alive = false;
+  world_.Run(milliseconds{5200});
+  EXPECT_TRUE(IsReportedFree("t2", "grants-expired"));
+}
+
+// Guards against moves whose reason no log tells.
+TEST_F(KeyAssignerTest, LeavingTargetsKeysAreReportedFreeWithTheReason) {
+  world_.Run(kSettled);
+  world_.target(2).entry.draining = true;
+  world_.Run(seconds{2});
+  EXPECT_TRUE(IsReportedFree("t2", "released"));
+}
+
 // A target and the host that gives keys go at the same moment. The successor
 // cannot know what was granted last.
 TEST_F(KeyAssignerTest, LostTargetAndLostHolderRecoverTogether) {
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -200,7 +200,9 @@
 
 void assigner_world::Carry(size_t index, const assigner_actions& actions) {
   for (const assigner_action& action : actions) {
-    if (const auto* write = std::get_if<store_write>(&action)) {
+    if (const auto* note = std::get_if<assigner_note>(&action)) {
+      notes_.push_back(*note);
+    } else if (const auto* write = std::get_if<store_write>(&action)) {
       CarryWrite(index, *write);
     } else if (const auto* order = std::get_if<key_order>(&action)) {
       CarryOrder(index, *order);
--- a/tests/support/assigner_world.h
+++ b/tests/support/assigner_world.h
@@ -115,6 +115,9 @@
   double late_writes = 0.0;
   double late_orders = 0.0;
 
+  /// What the hosts' assigners said for the log.
+  const std::vector<assigner_note>& notes() const { return notes_; }
+
   /// What broke first, "" if nothing did: two holders of a key, a fence that
   /// does not rise.
   const std::string& problem() const { return problem_; }
@@ -166,6 +169,7 @@
   /// The highest fence of each watched key, and who had it.
   std::array<fence_number, kWatchedKeys> highest_{};
   std::array<target_life, kWatchedKeys> highest_of_{};
+  std::vector<assigner_note> notes_;
   std::string problem_;
   std::deque<std::string> history_;
 };
