Take a release for proof by what targets remember, not by confirmed grants

What callers would see: two targets that both run requests for one key.

Cause, from the history of 1000149: a renewal of a confirmed grant (order 138) is not answered and carried out 2 s later. In between a release of an older move (order 71), carried out late, takes the keys from their owner, which then answers the present release (order 159) without holding them and, being of the kind that forgets, keeps no fence. IsReleaseProof asked nothing more, since the owner had confirmed its first grant.

Elsewhere, the default, the wait covers all own grants without an answer and all that a former holder may have sent, and no release is sent beside a grant under way. The record's field former_confirmed and the table of unanswered first grants have no duty left.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -191,6 +191,10 @@
   std::string host;
   std::string zone;
   std::string address;  ///< Where this host takes load reports.
+  /// Targets remember the fence of a release also for keys that they do not
+  /// hold, and refuse a lower grant that is carried out after it. Without that
+  /// keys wait until every grant that may still be carried out has run out.
+  bool targets_keep_release_fences = false;
   duration hold{std::chrono::seconds{3}};  ///< Validity of a grant.
   double link_mbps = 1000.0;               ///< What this host's link carries.
   uint64_t seed = 1;  ///< Spreads the hosts' attempts to take the lease.
@@ -294,9 +298,6 @@
     bool inherited = true;
     /// The former owner has answered the release.
     bool released = false;
-    /// The new owner may hold the keys until then by grants that it did not
-    /// answer.
-    time_point may_hold_until{};
     std::string handover;
     uint64_t order = 0;  ///< Under way, or 0.
     time_point retry_at{};
@@ -317,9 +318,6 @@
     key_map draft;    ///< What `write` records.
     key_map changes;  ///< What of it differs from the record before.
     std::map<range_id, transfer> transfers;
-    /// By the fence of a range on its way: until when its former owner may come
-    /// to hold it by a grant that it has not answered.
-    std::map<fence_number, time_point> may_hold_until;
     std::map<range_id, renewal> renewals;
     key_load load;
     time_point balanced_at{};
@@ -339,6 +337,8 @@
     double latency_us = 0.0;       ///< Running mean over all hosts' requests.
     /// It may hold keys until then, by the grants of this host that ended.
     time_point held_until{};
+    /// The same, by those of them that it did not answer.
+    time_point unanswered_until{};
     target_availability availability;
     time_point answered_at{};  ///< An order of this host, as holder.
   };
@@ -373,12 +373,13 @@
   time_point HeldUntil(const target_life& life) const;
   /// Why the former owner of `range` cannot hold its keys any more, empty while
   /// it may.
-  std::string_view WhyFree(const keyed_service& of, const key_range& range,
-                           const transfer& state, time_point now) const;
+  std::string_view WhyFree(const key_range& range, const transfer& state,
+                           time_point now) const;
   /// Whether a release that the former owner answered proves that it does not
   /// hold the keys and will not.
-  bool IsReleaseProof(const keyed_service& of, const key_range& range,
-                      time_point now) const;
+  bool IsReleaseProof(const target_life& former, time_point now) const;
+  /// Whether a grant of keys of `range` to `life` is under way.
+  bool IsGrantUnderWay(const target_life& life, const key_range& range) const;
   /// The lives of owners that have not answered an order since this host took
   /// the lease. This host may be cut off from them.
   std::set<std::string> SilentOwners(const std::string& service) const;
--- a/include/foxtailspread/key_map.h
+++ b/include/foxtailspread/key_map.h
@@ -48,9 +48,6 @@
   /// Set until the owner before this one has let go of the keys. Only then
   /// may `owner` get its grant.
   std::optional<target_life> former{};
-  /// Whether the former owner had confirmed its grant. A release proves little
-  /// otherwise: the grant may be carried out after it.
-  bool former_confirmed = true;
 
   bool Contains(key_point key) const { return first <= key && key <= last; }
   bool operator==(const key_range&) const = default;
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -344,10 +344,6 @@
   if (of.write) {
     return;
   }
-  std::erase_if(of.may_hold_until, [&](const auto& each) {
-    const auto next = live.lower_bound({each.first, 0});
-    return next == live.end() || next->first != each.first;
-  });
   key_map draft = of.map;
   if (PlanChanges(of, draft, now, out)) {
     JoinEqualNeighbours(draft);
--- a/src/core/key_assigner_moves.cc
+++ b/src/core/key_assigner_moves.cc
@@ -73,7 +73,6 @@
     }
     range.granted = true;
     range.former.reset();
-    range.former_confirmed = true;
     changed = true;
     out.emplace_back(
         NoteOf(assigner_note::kind::kKeysGranted, of, range, range.owner.id));
@@ -87,16 +86,12 @@
   const bool offered = range.granted || found == of.transfers.end() ||
                        found->second.offered || found->second.inherited;
   range.former = offered ? std::optional{range.owner} : std::nullopt;
-  range.former_confirmed = range.granted || !offered;
   range.owner = to;
   range.granted = false;
   // Two numbers: one for the release, which must be above what the former
   // owner has seen, so that a late renewal is refused; one for the grant.
   draft.last_fence += 2;
   range.fence = draft.last_fence;
-  if (!range.former_confirmed && found != of.transfers.end()) {
-    of.may_hold_until[range.fence] = found->second.may_hold_until;
-  }
 }
 
 bool key_assigner::ReplaceOwners(keyed_service& of, key_map& draft,
@@ -118,7 +113,6 @@
       draft.last_fence += 2;
       range.fence = draft.last_fence;
       range.former.reset();
-      range.former_confirmed = true;
       range.granted = false;
       changed = true;
       continue;
--- a/src/core/key_assigner_orders.cc
+++ b/src/core/key_assigner_orders.cc
@@ -60,23 +60,31 @@
   return stopped + kOrderTimeout + LongestHold();
 }
 
-bool key_assigner::IsReleaseProof(const keyed_service& of,
-                                  const key_range& range,
+bool key_assigner::IsReleaseProof(const target_life& former,
                                   time_point now) const {
-  if (range.former_confirmed) {
+  if (settings_.targets_keep_release_fences) {
     return true;
   }
-  const auto offered = of.may_hold_until.find(range.fence);
+  const auto found = targets_.find(LifeKey(former));
   return now >= InheritedUntil() &&
-         (offered == of.may_hold_until.end() || now >= offered->second);
+         (found == targets_.end() || now >= found->second.unanswered_until);
 }
 
-std::string_view key_assigner::WhyFree(const keyed_service& of,
-                                       const key_range& range,
+bool key_assigner::IsGrantUnderWay(const target_life& life,
+                                   const key_range& range) const {
+  const std::string target = LifeKey(life);
+  return std::any_of(orders_.begin(), orders_.end(), [&](const auto& each) {
+    const order_context& order = each.second;
+    return order.grant && order.target == target &&
+           order.range.second <= range.last && range.first <= order.last;
+  });
+}
+
+std::string_view key_assigner::WhyFree(const key_range& range,
                                        const transfer& state,
                                        time_point now) const {
   const target_life& former = *range.former;
-  if (state.released && IsReleaseProof(of, range, now)) {
+  if (state.released && IsReleaseProof(former, now)) {
     return "released";
   }
   if (LaterLife(former) == nullptr && IsAddressReused(former)) {
@@ -159,7 +167,7 @@
     state.let_go = true;
   }
   if (!state.let_go) {
-    const std::string_view why = WhyFree(of, range, state, now);
+    const std::string_view why = WhyFree(range, state, now);
     if (!why.empty()) {
       state.let_go = true;
       assigner_note note =
@@ -181,10 +189,12 @@
     const target_state* later = LaterLife(*range.former);
     const target_life& from =
         later == nullptr ? *range.former : later->entry.life;
+    if (IsGrantUnderWay(from, range)) {
+      return;  // It might overtake the release.
+    }
     state.order = Order(of, range, false, false, from, {}, now, out);
   } else if (IsUsable(range.owner, now)) {
     state.offered = true;
-    state.may_hold_until = now + kOrderTimeout + kOrderRetry + LongestHold();
     state.order =
         Order(of, range, true, false, range.owner, state.handover, now, out);
   }
@@ -200,6 +210,9 @@
   if (context.grant && reached && report.end != order_end::kFenced) {
     // It arrived by now, or never will; its hold counts from its arrival.
     state.held_until = std::max(state.held_until, now + LongestHold());
+    if (report.end == order_end::kUnanswered) {
+      state.unanswered_until = state.held_until;
+    }
   }
   if (!IsHolder(now)) {
     return;  // It may have gone unsent for want of a connection.
--- a/src/core/key_map.cc
+++ b/src/core/key_map.cc
@@ -34,7 +34,10 @@
   reader.Read("granted", out.granted);
   reader.ReadObject(
       "former", [&](object_reader& r) { ReadLife(r, out.former.emplace()); });
-  reader.Read("former_confirmed", out.former_confirmed);
+  // Written by earlier releases; the wait that it asked for follows from the
+  // holder's own orders now.
+  bool confirmed = true;
+  reader.Read("former_confirmed", confirmed);
 }
 
 }  // namespace
@@ -78,9 +81,6 @@
     if (range.former) {
       one["former"] = LifeJson(*range.former);
     }
-    if (!range.former_confirmed) {
-      one["former_confirmed"] = false;
-    }
     ranges.push_back(std::move(one));
   }
   return json{{"last_fence", map.last_fence}, {"ranges", std::move(ranges)}}
@@ -153,8 +153,7 @@
       key_range& before = joined.back();
       const bool same =
           before.owner == range.owner && before.fence == range.fence &&
-          before.granted == range.granted && before.former == range.former &&
-          before.former_confirmed == range.former_confirmed;
+          before.granted == range.granted && before.former == range.former;
       if (same) {
         before.last = range.last;
         continue;
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -143,12 +143,14 @@
                .retries = settings_.retries,
                .drain = settings_.drain,
                .seed = HashText(settings_.name)}),
-      assigner_({.host = settings_.name,
-                 .zone = settings_.zone,
-                 .address = settings_.hosts,
-                 .hold = std::min(settings_.max_hold, kHold),
-                 .link_mbps = settings_.link_mbps,
-                 .seed = HashText(settings_.name)}),
+      assigner_(
+          {.host = settings_.name,
+           .zone = settings_.zone,
+           .address = settings_.hosts,
+           .targets_keep_release_fences = platform::kTargetsKeepReleaseFences,
+           .hold = std::min(settings_.max_hold, kHold),
+           .link_mbps = settings_.link_mbps,
+           .seed = HashText(settings_.name)}),
       stop_(settings_.stop_grace) {
   LimitMemory();
 }
--- a/tests/key_assigner_proof_test.cc
+++ b/tests/key_assigner_proof_test.cc
@@ -204,6 +204,14 @@
   }
 }
 
+// Guards against a renewal that its target carries out after it answered the
+// release of keys that it had let go of before.
+TEST(KeyAssignerProofTest, SchedulesOfForgetfulTargetsThatOnceFailedHold) {
+  for (const uint64_t seed : {1000149, 1000251}) {
+    PlaySchedule(seed, {.targets_forget_releases = true});
+  }
+}
+
 // Targets that take any grant, whatever its fence, let late grants overtake
 // newer ones. The world has to see that, or it would prove nothing.
 TEST(KeyAssignerProofTest, TargetsWithoutFencingAreFoundOut) {
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -70,12 +70,13 @@
   ++host.life;
   host.seen_revision = 0;
   host.connection_of.clear();
-  host.assigner =
-      std::make_unique<key_assigner>(assigner_settings{.host = host.name,
-                                                       .zone = host.zone,
-                                                       .address = host.name,
-                                                       .hold = seconds{3},
-                                                       .seed = random_()});
+  host.assigner = std::make_unique<key_assigner>(assigner_settings{
+      .host = host.name,
+      .zone = host.zone,
+      .address = host.name,
+      .targets_keep_release_fences = !options_.targets_forget_releases,
+      .hold = seconds{3},
+      .seed = random_()});
   service_settings service;
   service.name = kService;
   service.keyed = true;
