Reset the connection of a call that ended without an answer

What callers would see: an order to a target, or a request, that this host has given up and that the target carries out afterwards. What a target may hold is counted from the end of the last order to it: that order arrived by then, or never will.

A call that ended by itself (a peer's half close, bytes that are no answer) only closed it, and a closed connection goes on delivering.

Test: ConnectionOfABrokenCallIsReset failed before; its peer saw an orderly end.

--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -78,6 +78,10 @@
   if (connection->is_reusable()) {
     Keep(connection);
   } else {
+    if (result.end != call_end::kAnswered) {
+      // What the network still holds of the request must not arrive later.
+      connection->Abort();
+    }
     Drop(connection);
   }
   on_ended(std::move(result));
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -39,6 +39,7 @@
   void Close() { listener_.Close(); }
   int connections() const { return accepted_; }
   int requests() const { return requests_; }
+  int resets() const { return resets_; }
 
   std::deque<peer_script> scripts;
 
@@ -57,6 +58,7 @@
       }
       const read_result read = stream.Read();
       if (read.end == read_end::kClosed || read.end == read_end::kBroken) {
+        peer.resets_ += read.end == read_end::kBroken ? 1 : 0;
         stream.Close();
         return;
       }
@@ -103,6 +105,7 @@
   std::deque<std::unique_ptr<connection>> connections_;
   int accepted_ = 0;
   int requests_ = 0;
+  int resets_ = 0;
 };
 
 class ConnectionPoolTest : public ::testing::Test {
@@ -189,6 +192,14 @@
   EXPECT_EQ(Call("a").end, call_end::kBroken);
 }
 
+// Guards against a request that ended without an answer and that the network
+// delivers afterwards.
+TEST_F(ConnectionPoolTest, ConnectionOfABrokenCallIsReset) {
+  peer_.scripts = {{.replies = {"@@@@\r\n\r\n"}}};
+  EXPECT_EQ(Call("a").end, call_end::kBroken);
+  EXPECT_TRUE(RunUntil([&] { return peer_.resets() == 1; }));
+}
+
 // The peer closes a kept connection while it is idle. The next call goes to a
 // new one, and nothing was sent twice.
 TEST_F(ConnectionPoolTest, ConnectionThatEndedWhileIdleIsNotUsed) {
