Take no answer to a grant for the answer to a release

What callers would see: keys granted to a next owner while the former one still holds them, because a late second answer to a grant, on a kept connection, was taken for the answer to the release sent there next.

Test: SuccessWithoutItsMarkIsNotTakenForTheNext failed with the comparison taken out. A second answer to an order of the same kind is not told apart; it confirms a renewal that the next one makes again.

--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -61,6 +61,8 @@
   id_ = id;
   on_ended_ = std::move(on_ended);
   echo_ = std::move(call.echo);
+  mark_ = call.mark;
+  marked_ = call.marked;
   fresh_ = fresh;
   sent_before_ = stream_.bytes_sent();
   reader_.ExpectNoBody(call.head);
@@ -115,6 +117,10 @@
 }
 
 bool pooled_connection::IsAwaited(const http_message& answer) const {
+  if (!mark_.empty() && answer.status == kHttpOk &&
+      answer.Header(mark_).has_value() != marked_) {
+    return false;
+  }
   if (echo_.empty()) {
     return true;
   }
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -45,6 +45,10 @@
   bool head = false;
   /// The value of the echo header that the answer must carry; "" for any.
   std::string echo{};
+  /// A header that tells successes of two kinds of calls apart; "" for none. A
+  /// success that has it and should not, or the reverse, answers another call.
+  std::string_view mark{};
+  bool marked = false;  ///< Whether a success of this call has `mark`.
   duration connect_timeout{std::chrono::milliseconds{500}};
   /// Use a kept connection with a number up to this one or none: the call must
   /// reach a process that was there when that one was made. 0 for any.
@@ -126,6 +130,8 @@
   call_id id_ = 0;
   call_receiver on_ended_;
   std::string echo_;
+  std::string_view mark_;
+  bool marked_ = false;
   bool fresh_ = true;
   bool spoiled_ = false;
   bool closed_ = false;
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -155,6 +155,28 @@
   EXPECT_EQ(second.answer.body, "mine");
 }
 
+// Guards against a late second answer that is taken for the success of a call
+// of another kind, where the peer echoes nothing.
+TEST_F(ConnectionPoolTest, SuccessWithoutItsMarkIsNotTakenForTheNext) {
+  const std::string marked = "HTTP/1.1 200 OK\r\nMark: m\r\n";
+  const std::string end = "Content-Length: 0\r\n\r\n";
+  peer_.scripts = {{.replies = {"HTTP/1.1 200 OK\r\n" + end,
+                                "HTTP/1.1 200 OK\r\n" + end + marked + end}}};
+  Call("");
+  pool_call call;
+  const std::string address = peer_.address();
+  call.address = address;
+  call.request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  call.mark = "Mark";
+  call.marked = true;
+  std::optional<call_result> ended;
+  pool_.Send(std::move(call),
+             [&](const call_result& result) { ended = result; });
+  ASSERT_TRUE(RunUntil([&] { return ended.has_value(); }));
+  EXPECT_EQ(ended->end, call_end::kAnswered);
+  EXPECT_TRUE(ended->answer.Header("Mark"));
+}
+
 TEST_F(ConnectionPoolTest, BytesBehindAnAnswerSpoilTheConnection) {
   peer_.scripts = {{.replies = {Ok("a") + "HTTP/1.1 200 OK\r\nEcho: a\r\n"}},
                    {.replies = {Ok("b")}}};
