Rest connections for orders for less than their keep-alive allows

Why this works: what a target may hold is counted from the end of the last order to it, which is right only if an order that ends unanswered is reset.

--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -118,7 +118,7 @@
                       },
                   .on_gone = [](exchange_id) {}}),
       targets_pool_(events_, platform::TargetPoolSettings()),
-      orders_pool_(events_, {}),
+      orders_pool_(events_, platform::OrderPoolSettings()),
       hosts_(events_, [this](std::string_view bytes) { OnDatagram(bytes); }),
       store_(events_, settings_.store),
       config_(
--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -1,5 +1,6 @@
 #include "net/pooled_connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -142,7 +143,8 @@
   const duration idle =
       stated ? std::chrono::duration_cast<duration>(*stated * kIdleShare)
              : pool_.settings_.keep_idle;
-  idle_until_ = reusable ? Now() + idle : time_point{};
+  idle_until_ = reusable ? Now() + std::min(idle, pool_.settings_.most_idle)
+                         : time_point{};
   call_result result{.end = call_end::kAnswered, .answer = std::move(answer)};
   pool_.Finish(this, std::move(result));
 }
