Play losses that strike together against the owners of keys

The schedules of faults in virtual time struck one host or target at a time. Both open findings of two owners had a zone cut off with its hosts and targets, and one had all hosts killed and started within a second. The world now plays that, and targets whose answers are lost one way, addresses that another service's target takes, and records and lists of hosts that travel by datagram. Schedules that stood before draw the same faults as before.

Orders that lie in a cut and arrive after it are not played: the users' rules pass over grants that arrive as a cut ends.

--- a/tests/key_assigner_proof_test.cc
+++ b/tests/key_assigner_proof_test.cc
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <random>
+#include <set>
 
 #include "support/assigner_world.h"
 
@@ -27,19 +28,32 @@
   return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
 }
 
+/// Targets of the keyed service.
+constexpr size_t kFirstTargets = 6;
+
+/// What a schedule plays beside its faults.
+struct schedule_options {
+  bool targets_forget_releases = false;
+  bool evacuations = false;
+  bool losses_together = false;
+};
+
 /// Plays random faults for some forty seconds.
 class fault_player {
  public:
   fault_player(assigner_world& world, uint64_t seed)
       : world_(world), random_(seed) {}
 
-  void Play(bool with_evacuations = false) {
+  void Play(const schedule_options& options) {
     world_.Run(seconds{4});
     for (int i = 0; i < 25; ++i) {
       Strike();
-      if (with_evacuations) {
+      if (options.evacuations) {
         ChangeEvacuations();
       }
+      if (options.losses_together) {
+        StrikeTogether();
+      }
       world_.Run(milliseconds{Pick(2500)});
     }
   }
@@ -48,6 +62,7 @@
   void Heal() {
     world_.store_down = false;
     world_.evacuated_zones.clear();
+    world_.cut_zone.clear();
     world_.lost_writes = 0.0;
     world_.late_writes = 0.0;
     world_.late_orders = 0.0;
@@ -64,7 +79,8 @@
       auto& target = world_.target(i);
       target.reaches_store = true;
       target.unreachable_from.clear();
-      if (!target.alive) {
+      target.unheard_by.clear();
+      if (!target.alive && !reused_.contains(i)) {
         world_.RestartTarget(i);
       }
     }
@@ -81,6 +97,57 @@
     }
   }
 
+  /// Faults that strike several hosts or targets at once, or one direction.
+  void StrikeTogether() {
+    auto& target = world_.target(Pick(world_.target_count()));
+    const size_t lost = Pick(world_.target_count());
+    switch (Pick(8)) {
+      case 0:
+        world_.cut_zone = "zone-" + std::to_string(Pick(3));
+        break;
+      case 1:
+        world_.cut_zone.clear();
+        break;
+      case 2:
+        target.unheard_by.insert(world_.host(Pick(world_.host_count())).name);
+        break;
+      case 3:
+        target.unheard_by.clear();
+        break;
+      case 4:
+        RestartAllHosts();
+        break;
+      case 5:
+        ReplaceAtAddress(lost);
+        break;
+      default:
+        break;
+    }
+  }
+
+  void RestartAllHosts() {
+    for (size_t i = 0; i < world_.host_count(); ++i) {
+      world_.KillHost(i);
+    }
+    world_.Run(milliseconds{Pick(1000)});
+    for (size_t i = 0; i < world_.host_count(); ++i) {
+      world_.StartHost(i);
+    }
+  }
+
+  /// A target ends for good; later another service's target has its address.
+  void ReplaceAtAddress(size_t index) {
+    constexpr size_t kMostReplaced = 3;
+    if (reused_.size() >= kMostReplaced || index >= kFirstTargets ||
+        reused_.contains(index)) {
+      return;
+    }
+    reused_.insert(index);
+    world_.target(index).alive = false;
+    world_.Run(seconds{2});
+    world_.ReuseAddress(index);
+  }
+
   void Strike() {
     auto& host = world_.host(Pick(world_.host_count()));
     auto& target = world_.target(Pick(world_.target_count()));
@@ -117,7 +184,8 @@
         target.alive = false;
         break;
       case 9:
-        if (!world_.target(target_index).alive) {
+        if (!world_.target(target_index).alive &&
+            !reused_.contains(target_index)) {
           world_.RestartTarget(target_index);
         }
         break;
@@ -143,24 +211,20 @@
 
   assigner_world& world_;
   std::mt19937_64 random_;
-};
-
-/// What a schedule plays beside its faults.
-struct schedule_options {
-  bool targets_forget_releases = false;
-  bool evacuations = false;
+  std::set<size_t> reused_;  ///< Targets whose address another has.
 };
 
 /// Plays one schedule of faults and checks what must hold.
 void PlaySchedule(uint64_t seed, const schedule_options& options) {
   assigner_world world(
       {.hosts = 5,
-       .targets = 6,
+       .targets = kFirstTargets,
        .seed = seed,
        .targets_forget_releases = options.targets_forget_releases,
+       .datagrams = options.losses_together,
        .cold_time = options.evacuations ? seconds{3} : seconds{0}});
   fault_player player(world, seed);
-  player.Play(options.evacuations);
+  player.Play(options);
   player.Heal();
   EXPECT_EQ(world.problem(), "") << "seed " << seed << '\n' << world.History();
   EXPECT_EQ(world.UnownedKeys(), 0U) << "seed " << seed;
@@ -193,6 +257,13 @@
   PlaySchedules(kFewerSeeds, {.evacuations = true});
 }
 
+// Guards against two owners of a key when zones are cut off whole, answers are
+// lost one way, all hosts restart at once, addresses are reused, and hosts
+// learn of records by datagram.
+TEST(KeyAssignerProofTest, LossesTogetherNeverGiveAKeyTwoOwners) {
+  PlaySchedules(kFewerSeeds, {.losses_together = true});
+}
+
 // Faults that random schedules found: a grant that was offered while the record
 // that replaces it was on its way to the store; a holder two before the present
 // one that went on renewing; and a holder that left its own new record aside
@@ -222,7 +293,7 @@
                           .seed = seed,
                           .targets_ignore_fences = true});
     fault_player player(world, seed);
-    player.Play();
+    player.Play({});
     found += world.problem().empty() ? 0 : 1;
   }
   EXPECT_GT(found, 0U);
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -130,7 +130,8 @@
 std::vector<target_entry> assigner_world::Listed() {
   std::vector<target_entry> listed;
   for (world_target& target : targets_) {
-    const bool reports = target.alive && target.reaches_store && !store_down;
+    const bool reports = target.alive && target.reaches_store && !store_down &&
+                         target.entry.zone != cut_zone;
     if (reports) {
       target.silent_since.reset();
       ++target.entry.sequence;
@@ -150,7 +151,7 @@
 
 void assigner_world::StepHost(size_t index) {
   world_host& host = hosts_[index];
-  const bool answers = host.reaches_store && !store_down;
+  const bool answers = ReachesStore(host);
   host.assigner->OnStoreAnswers(answers, now_);
   const std::vector<target_entry> listed = Listed();
   if (answers && host.lists_targets) {
@@ -190,7 +191,7 @@
 world_host* assigner_world::Reach(const world_host& from,
                                   const std::string& address) {
   for (world_host& other : hosts_) {
-    if (other.alive && other.name == address &&
+    if (other.alive && other.name == address && !IsCut(from.zone, other.zone) &&
         !from.unreachable_hosts.contains(other.name) &&
         !other.unreachable_hosts.contains(from.name)) {
       return &other;
@@ -208,17 +209,42 @@
     } else if (const auto* order = std::get_if<key_order>(&action)) {
       CarryOrder(index, *order);
     } else if (const auto* heartbeat = std::get_if<heartbeat_action>(&action)) {
-      for (const fanout_hop& hop : heartbeat->hops) {
-        world_host* first = Reach(hosts_[index], hop.address);
-        if (first == nullptr) {
-          continue;
-        }
-        first->assigner->OnHeartbeat(heartbeat->heartbeat, now_);
-        for (const std::string& address : hop.forward_to) {
-          if (world_host* next = Reach(*first, address)) {
-            next->assigner->OnHeartbeat(heartbeat->heartbeat, now_);
-          }
-        }
+      Send(hosts_[index], heartbeat->hops, [&](key_assigner& to) {
+        to.OnHeartbeat(heartbeat->heartbeat, now_);
+      });
+    } else if (options_.datagrams) {
+      CarryDatagram(index, action);
+    }
+  }
+}
+
+void assigner_world::CarryDatagram(size_t index,
+                                   const assigner_action& action) {
+  if (const auto* share = std::get_if<share_action>(&action)) {
+    Send(hosts_[index], share->hops, [&](key_assigner& to) {
+      if (const status taken = to.OnOwners(share->record); !taken) {
+        Fail(taken.error().Message());
+      }
+    });
+  } else if (const auto* known = std::get_if<hosts_action>(&action)) {
+    if (world_host* to = Reach(hosts_[index], known->address)) {
+      to->assigner->OnHosts(known->record, now_);
+    }
+  }
+}
+
+void assigner_world::Send(const world_host& from,
+                          const std::vector<fanout_hop>& hops,
+                          const std::function<void(key_assigner&)>& deliver) {
+  for (const fanout_hop& hop : hops) {
+    world_host* first = Reach(from, hop.address);
+    if (first == nullptr) {
+      continue;
+    }
+    deliver(*first->assigner);
+    for (const std::string& address : hop.forward_to) {
+      if (world_host* next = Reach(*first, address)) {
+        deliver(*next->assigner);
       }
     }
   }
@@ -253,7 +279,7 @@
     hosts_[index].assigner->OnWriteEnded(report, now_, actions);
     Carry(index, actions);
   };
-  if (!host.reaches_store || store_down) {
+  if (!ReachesStore(host)) {
     Later(milliseconds{300}, [answer, id = write.id] {
       answer({.id = id, .end = write_end::kUnknown});
     });
@@ -276,14 +302,23 @@
   }
 }
 
+world_target& assigner_world::TargetAt(const std::string& address) {
+  const auto listens = [&](const world_target& target) {
+    return target.alive && target.entry.address == address;
+  };
+  const auto had = [&](const world_target& target) {
+    return target.entry.address == address;
+  };
+  const auto live = std::find_if(targets_.begin(), targets_.end(), listens);
+  return live != targets_.end()
+             ? *live
+             : *std::find_if(targets_.begin(), targets_.end(), had);
+}
+
 order_report assigner_world::ApplyOrder(const key_order& order,
                                         time_point arrived) {
   order_report report{.id = order.id, .end = order_end::kDone};
-  const auto found = std::find_if(
-      targets_.begin(), targets_.end(), [&](const world_target& target) {
-        return target.entry.address == order.address;
-      });
-  world_target& target = *found;
+  world_target& target = TargetAt(order.address);
   Note((order.grant ? "grant " : "release ") + order.target.id + "@" +
        std::to_string(target.entry.life.started) + " " +
        std::to_string(order.first) + "-" + std::to_string(order.last) +
@@ -348,11 +383,7 @@
 void assigner_world::CarryOrder(size_t index, const key_order& order) {
   world_host& host = hosts_[index];
   const uint64_t life = host.life;
-  const auto found = std::find_if(
-      targets_.begin(), targets_.end(), [&](const world_target& target) {
-        return target.entry.address == order.address;
-      });
-  const world_target& target = *found;
+  const world_target& target = TargetAt(order.address);
   const std::string process =
       target.entry.life.id + "@" + std::to_string(target.entry.life.started);
   uint64_t& connection = host.connection_of[process];
@@ -363,8 +394,9 @@
     });
     return;
   }
-  const bool reached =
-      target.alive && !target.unreachable_from.contains(host.name);
+  const bool reached = target.alive &&
+                       !target.unreachable_from.contains(host.name) &&
+                       !IsCut(host.zone, target.entry.zone);
   if (!reached) {
     const order_end end = connection == 0 || target.alive
                               ? order_end::kNotSent
@@ -382,7 +414,7 @@
     // It arrived, and is carried out later without an answer.
     const time_point arrived = now_;
     const uint64_t started = target.entry.life.started;
-    const size_t at = static_cast<size_t>(found - targets_.begin());
+    const size_t at = static_cast<size_t>(&target - targets_.data());
     Later(seconds{2 + random_() % 8}, [this, order, arrived, at, started] {
       if (targets_[at].alive && targets_[at].entry.life.started == started) {
         ApplyOrder(order, arrived);
@@ -393,7 +425,15 @@
     });
     return;
   }
-  if (target.rejects) {
+  if (target.unheard_by.contains(host.name)) {
+    connection = 0;
+    Later(kOrderTime, [this, order] { ApplyOrder(order, now_); });
+    Later(milliseconds{500}, [this, index, life, id = order.id] {
+      Report(index, life, {.id = id, .end = order_end::kUnanswered});
+    });
+    return;
+  }
+  if (target.rejects || target.entry.life.id != order.target.id) {
     Later(kOrderTime, [this, index, life, id = order.id] {
       Report(index, life, {.id = id, .end = order_end::kRejected});
     });
--- a/tests/support/assigner_world.h
+++ b/tests/support/assigner_world.h
@@ -41,6 +41,8 @@
   bool reaches_store = true;
   bool rejects = false;  ///< Another process answers at its address.
   std::set<std::string> unreachable_from{};  ///< Hosts that cannot reach it.
+  /// Hosts whose orders arrive while the answers do not get back.
+  std::set<std::string> unheard_by{};
   std::array<fence_number, kWatchedKeys> seen{};
   std::array<std::optional<hold>, kWatchedKeys> holds{};
   std::optional<time_point> silent_since{};
@@ -83,6 +85,8 @@
     bool targets_ignore_fences = false;
     /// Targets that remember the fence of a release only for keys they held.
     bool targets_forget_releases = false;
+    /// Hosts hear of records and of each other by datagram.
+    bool datagrams = false;
     /// How long targets are cold after their start; they bear any load if 0.
     duration cold_time{};
   };
@@ -107,6 +111,8 @@
   void StartHost(size_t index);
 
   bool store_down = false;
+  /// The zone whose hosts and targets reach only each other; "" if none.
+  std::string cut_zone{};
   /// Zones that are evacuated, as hosts that reach the store learn of them.
   std::set<std::string> evacuated_zones{};
   /// Part of the writes whose answer is lost, and of those that are carried
@@ -144,9 +150,22 @@
   void Step();
   void StepHost(size_t index);
   void Carry(size_t index, const assigner_actions& actions);
+  void CarryDatagram(size_t index, const assigner_action& action);
   /// The host that gets datagrams at `address`; nullptr if none of `from`
   /// gets there.
   world_host* Reach(const world_host& from, const std::string& address);
+  /// Whether a cut stands between two zones.
+  bool IsCut(const std::string& from, const std::string& to) const {
+    return (from == cut_zone) != (to == cut_zone);
+  }
+  bool ReachesStore(const world_host& host) const {
+    return host.reaches_store && !store_down && host.zone != cut_zone;
+  }
+  /// What listens at `address`: a live target, or the first that had it.
+  world_target& TargetAt(const std::string& address);
+  /// Runs `deliver` for each host that a datagram over `hops` gets to.
+  void Send(const world_host& from, const std::vector<fanout_hop>& hops,
+            const std::function<void(key_assigner&)>& deliver);
   void CarryWrite(size_t index, const store_write& write);
   void CarryOrder(size_t index, const key_order& order);
   write_report Apply(const store_write& write);
