Test that a lapsed holder's renewals revive no moved keys

A host that the store turns away goes on renewing what it granted for ten seconds, also at targets that others reach, while its successor takes a confirmed release for proof. The test passes on both kinds; it was not seen failing.

--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -403,6 +403,36 @@
 }
 
 // Guards against keys that stay with the targets of an evacuated zone.
+class LapsedHolderTest : public ::testing::TestWithParam<bool> {
+ protected:
+  assigner_world world_{{.hosts = 5,
+                         .targets = 6,
+                         .seed = 7,
+                         .targets_forget_releases = GetParam()}};
+};
+
+// Guards against keys with two owners when the store turns away the holder,
+// which goes on renewing at targets that its successor moves keys from.
+TEST_P(LapsedHolderTest, RenewalsAfterTheLapseReviveNoMovedKeys) {
+  world_.Run(kSettled);
+  const size_t lapsed = world_.holder().value();
+  world_.host(lapsed).reaches_store = false;
+  world_.Run(seconds{6});
+  ASSERT_TRUE(world_.holder());
+  ASSERT_NE(world_.holder().value(), lapsed);
+  world_.target(2).entry.draining = true;
+  world_.late_orders = 0.3;
+  world_.Run(seconds{3});
+  world_.late_orders = 0.0;
+  world_.Run(seconds{25});
+  EXPECT_EQ(world_.problem(), "") << world_.History();
+  EXPECT_EQ(world_.KeysOf(2), 0U);
+  EXPECT_EQ(world_.UnownedKeys(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(TargetsForgetReleases, LapsedHolderTest,
+                         ::testing::Bool());
+
 TEST_F(KeyAssignerTest, EvacuatedZoneLosesItsKeysAtOnce) {
   world_.Run(kSettled);
   world_.evacuated_zones = {"zone-1"};
