Leave requests that come after the close of a connection unread

Cause, from the times and a test: a stopping host ends its own side of an idle connection and reads on for one second; what comes then is dropped.

Now nothing is read after the close, except the rest of a request that was refused. A request that comes is met by a reset at once, or 200 ms after the last answer, so that it destroys none; its caller may send it again.

Test: RequestAfterTheCloseIsResetUnread failed before (closed in order after a second, nothing told the caller).

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -13,10 +13,14 @@
 /// read until answers have gone out, so that one caller cannot fill memory.
 constexpr size_t kMaxPipelined = 32;
 
-/// How long a connection that this side has ended is still read. Closing with
-/// unread bytes would reset it and could destroy the answer on its way.
+/// How long a connection that this side has ended is kept for its caller to end
+/// it too, and the rest of a refused request is read. Closing with unread bytes
+/// resets it and could destroy the answer on its way.
 constexpr duration kLingerTime{std::chrono::seconds{1}};
 
+/// How long the last answer may be on its way.
+constexpr duration kAnswerTravel{std::chrono::milliseconds{200}};
+
 /// A request that is still arriving is refused for want of memory only when it
 /// keeps more than this: refusing small ones frees nothing.
 constexpr size_t kSmallRequest = 4096;
@@ -61,8 +65,13 @@
     End();
     return;
   }
-  if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0 &&
-      !ReadAll()) {
+  const bool readable =
+      (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+  if (readable && lingering_ && !discards_rest_) {
+    OnReadableAfterClose(events);
+    return;
+  }
+  if (readable && !ReadAll()) {
     End();
     return;
   }
@@ -72,6 +81,22 @@
   }
 }
 
+/// The caller has left, or has sent a request after the close. That one is not
+/// read: the reset tells its caller that it may be sent again.
+void caller_connection::OnReadableAfterClose(uint32_t events) {
+  const bool has_left = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+  const time_point arrived = last_byte_ + kAnswerTravel;
+  const bool answered = stream_.bytes_waiting() == 0;
+  if (has_left || (answered && Now() >= arrived)) {
+    End();
+    return;
+  }
+  stream_.PauseReading(true);
+  if (answered) {
+    linger_until_ = std::min(linger_until_, arrived);
+  }
+}
+
 /// False when the caller has left.
 bool caller_connection::ReadAll() {
   const read_result read = stream_.Read();
@@ -134,6 +159,7 @@
   refused.close_after = true;
   refused.answer = FormatAnswer(PlainAnswer(status), true);
   no_more_requests_ = true;
+  discards_rest_ = true;
   reader_.Drop();
 }
 
@@ -262,6 +288,8 @@
   }
   if (reader_.in_message()) {
     stream_.Write(FormatAnswer(PlainAnswer(HTTP_STATUS_REQUEST_TIMEOUT), true));
+    discards_rest_ = true;
+    last_byte_ = now;
   }
   BeginLingering(now);
 }
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -42,6 +42,7 @@
   };
 
   void OnReady(uint32_t events);
+  void OnReadableAfterClose(uint32_t events);
   bool ReadAll();
   bool IsOverdue(time_point now) const;
   void TakeRequests();
@@ -63,6 +64,7 @@
   size_t counted_bytes_ = 0;  ///< This connection's part of the server's sum.
   bool no_more_requests_ = false;
   bool lingering_ = false;
+  bool discards_rest_ = false;  ///< The rest of a refused request may come.
   time_point linger_until_{};
 };
 
--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -3,9 +3,13 @@
 #include "net/caller_server.h"
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "foxtailspread/address.h"
 #include "net/poller.h"
@@ -89,6 +93,31 @@
   EXPECT_EQ(caller_.got(), "");
 }
 
+// Guards against a request that is read after its connection was closed, and so
+// lost: its caller must be told by a reset that it was not read.
+TEST_F(CallerServerTest, RequestAfterTheCloseIsResetUnread) {
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(server_.port());
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  ASSERT_EQ(connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof(to)), 0);
+  ASSERT_TRUE(RunUntil([&] { return server_.connections() == 2; }));
+  server_.BeginClosing();
+  char byte = 0;
+  ASSERT_TRUE(RunUntil([&] { return recv(fd, &byte, 1, MSG_DONTWAIT) == 0; }));
+  const std::string_view request = "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n";
+  ASSERT_EQ(send(fd, request.data(), request.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(request.size()));
+  EXPECT_TRUE(RunUntil([&] { return server_.connections() == 0; }));
+  int problem = 0;
+  socklen_t size = sizeof(problem);
+  getsockopt(fd, SOL_SOCKET, SO_ERROR, &problem, &size);
+  EXPECT_NE(problem, 0) << "closed in order, as if the request had been read";
+  EXPECT_FALSE(asked_);
+  close(fd);
+}
+
 // Several callers send large bodies, slowly. Kept all at once they would take
 // the process over its memory, and it would be killed with the requests of
 // everybody. The one that goes beyond is told that it was not run and when to
