Forget failed orders when the lease is taken, not only when reads come back

The lease lapses at 35.76 s; a renewal still being repeated makes the host holder again at 36.825 s; at 36.837 s it gives up 48 ranges; store-back, at which it forgets the orders that failed in the cut, follows at 36.838 s.

Why this works: orders that failed before the lease was taken tell of this host's links. A target that is lost in truth fails its next orders.

Test: RenewalThatEndsACutForgetsTheOrdersThatFailedInIt failed before (u is given up 0.25 s after the cut although it answers).

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -410,6 +410,7 @@
   bool MayFollow(time_point now) const;
   std::vector<former_holder> Predecessors(time_point now) const;
   bool IsFailing(const target_state& state, time_point now) const;
+  void ForgetFailedOrders();
   void NoteOrder(target_state& state, const order_context& context,
                  const order_report& report, time_point now);
   void ReportFailure(const order_context& context, order_end end,
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -516,6 +516,9 @@
     acting_from_revision_ = report.revision;
     synced_since_taken_ = false;
     successors_.clear();
+    // A renewal that was on its way in a cut may be the first that gets
+    // through: orders that failed before tell of this host's links.
+    ForgetFailedOrders();
     TakeHosts(now);
     predecessors_.clear();
     for (const former_holder& each : lease_->predecessors) {
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -149,13 +149,17 @@
     // Orders that failed meanwhile tell of this host's own links, and the list
     // that would show its targets alive is as old. Taken for lost, all targets
     // outside a zone that had been cut off gave their keys to the three inside.
-    for (auto& [life, state] : targets_) {
-      state.failed_orders = 0;
-    }
+    ForgetFailedOrders();
   }
   store_answers_ = answers;
 }
 
+void key_assigner::ForgetFailedOrders() {
+  for (auto& [life, state] : targets_) {
+    state.failed_orders = 0;
+  }
+}
+
 void key_assigner::OnServices(const std::vector<service_settings>& services) {
   services_known_ = true;
   std::set<std::string> keyed;
--- a/tests/assigner_lease_test.cc
+++ b/tests/assigner_lease_test.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "foxtailspread/key_assigner.h"
 #include "support/keyed_service.h"
@@ -46,35 +48,69 @@
     return std::nullopt;
   }
 
-  /// Lets time pass until the assigner writes the map of its service.
-  store_write UntilMapIsWritten() {
-    for (int i = 0; i < 500; ++i) {
-      now_ += milliseconds{10};
-      assigner_actions actions;
-      assigner_.OnTime(now_, actions);
-      for (const assigner_action& action : actions) {
-        const auto* write = std::get_if<store_write>(&action);
-        if (write != nullptr && write->name == key_assigner::MapName("s")) {
-          return *write;
+  /// Lets some time pass and answers what the assigner sends, but for its maps.
+  assigner_actions Step() {
+    now_ += milliseconds{10};
+    assigner_actions actions;
+    assigner_.OnTime(now_, actions);
+    AnswerOrders(actions);
+    if (const auto write = LeaseWrite(actions)) {
+      Ended(*write, answer_to_lease_, ++revision_);
+    }
+    return actions;
+  }
+
+  /// Answers the orders among `actions`, which grow by what follows from that.
+  void AnswerOrders(assigner_actions& actions) {
+    for (size_t i = 0; i < actions.size(); ++i) {
+      if (const auto* order = std::get_if<key_order>(&actions[i])) {
+        const bool to_u = order->target.id == "u";
+        assigner_.OnOrderEnded(
+            {.id = order->id, .end = to_u ? answer_of_u_ : order_end::kDone},
+            now_, actions);
+      } else if (const auto* write = std::get_if<store_write>(&actions[i])) {
+        if (write->name == key_assigner::MapName("s")) {
+          map_write_ = *write;
         }
       }
     }
-    ADD_FAILURE() << "the map was not written";
-    return {};
+  }
+
+  static target_entry Target(std::string id) {
+    target_entry target;
+    target.life = {.id = std::move(id), .started = 1};
+    target.service = "s";
+    target.slots = 3;
+    return target;
+  }
+
+  /// Lets time pass until the assigner writes the map of its service.
+  store_write UntilMapIsWritten() {
+    for (int i = 0; i < 500 && !map_write_; ++i) {
+      Step();
+    }
+    EXPECT_TRUE(map_write_) << "the map was not written";
+    return std::exchange(map_write_, std::nullopt).value_or(store_write{});
   }
 
   /// The store has carried `write` out.
   void Written(const store_write& write, uint64_t revision) {
-    assigner_actions ignored;
-    assigner_.OnWriteEnded({.id = write.id,
-                            .end = write_end::kWritten,
-                            .revision = revision,
-                            .content = {}},
-                           now_, ignored);
+    Ended(write, write_end::kWritten, revision);
+  }
+  void Ended(const store_write& write, write_end end, uint64_t revision) {
+    assigner_actions actions;
+    assigner_.OnWriteEnded(
+        {.id = write.id, .end = end, .revision = revision, .content = {}}, now_,
+        actions);
+    AnswerOrders(actions);
   }
 
   key_assigner assigner_{{.host = "h", .zone = "z", .address = "1:2"}};
   time_point now_{seconds{100}};
+  order_end answer_of_u_ = order_end::kDone;
+  std::optional<store_write> map_write_;  ///< The last one not answered yet.
+  write_end answer_to_lease_ = write_end::kWritten;
+  uint64_t revision_ = 20;  ///< Of the last lease that Step() had written.
 };
 
 // The holder is asked to stop just when it renews its lease, and the store
@@ -131,11 +167,7 @@
   objects["assigner"] = {
       .name = "assigner", .revision = 11, .item = lease.content};
   ASSERT_TRUE(assigner_.OnObjects(objects, now_));
-  target_entry target;
-  target.life = {.id = "t", .started = 1};
-  target.service = "s";
-  target.slots = 3;
-  assigner_.OnTargets({target}, false, now_);
+  assigner_.OnTargets({Target("t")}, false, now_);
   const store_write first = UntilMapIsWritten();
 
   const key_map newer{
@@ -163,6 +195,49 @@
   }
 }
 
+// Guards against a holder that was cut off and, when the store takes its
+// renewal again, gives up all targets whose orders failed in the cut.
+TEST_F(AssignerLeaseTest, RenewalThatEndsACutForgetsTheOrdersThatFailedInIt) {
+  const store_write lease = UntilLeaseIsWritten();
+  Written(lease, 11);
+  key_assigner::own_objects objects;
+  objects["assigner"] = {
+      .name = "assigner", .revision = 11, .item = lease.content};
+  ASSERT_TRUE(assigner_.OnObjects(objects, now_));
+  assigner_.OnTargets({Target("t"), Target("u")}, false, now_);
+  Written(UntilMapIsWritten(), 12);
+  Written(UntilMapIsWritten(), 13);
+  Written(UntilMapIsWritten(), 14);
+  ASSERT_TRUE(assigner_.MapOf("s")->ranges.front().granted);
+  ASSERT_TRUE(assigner_.MapOf("s")->ranges.back().granted);
+
+  assigner_.OnStoreAnswers(false, now_);
+  answer_of_u_ = order_end::kUnanswered;
+  answer_to_lease_ = write_end::kUnknown;
+  while (assigner_.IsHolder(now_)) {
+    Step();
+  }
+  answer_to_lease_ = write_end::kWritten;
+  std::optional<store_write> renewal;
+  for (int i = 0; i < 100 && !renewal; ++i) {
+    renewal = LeaseWrite(Step());
+  }
+  ASSERT_TRUE(renewal);
+  ASSERT_TRUE(assigner_.IsHolder(now_));
+  objects["assigner"] = {
+      .name = "assigner", .revision = revision_, .item = renewal->content};
+  ASSERT_TRUE(assigner_.OnObjects(objects, now_));
+  answer_of_u_ = order_end::kDone;
+  for (int i = 0; i < 120; ++i) {
+    for (const assigner_action& action : Step()) {
+      const auto* note = std::get_if<assigner_note>(&action);
+      ASSERT_TRUE(note == nullptr ||
+                  note->what != assigner_note::kind::kTargetLost)
+          << i;
+    }
+  }
+}
+
 // All hosts learn of the declarations at the same moment. If they all tried to
 // take the free lease then, a hundred writes would be paid for where a few do.
 TEST_F(AssignerLeaseTest, FreeLeaseIsTakenAfterTheHostsOwnDelay) {
