--- a/tests/assigner_lease_test.cc
+++ b/tests/assigner_lease_test.cc
@@ -76,6 +76,17 @@
     }
   }
 
+  /// Makes the assigner the holder and returns what the store has then.
+  key_assigner::own_objects TakeLease() {
+    const store_write lease = UntilLeaseIsWritten();
+    Written(lease, 11);
+    key_assigner::own_objects objects;
+    objects["assigner"] = {
+        .name = "assigner", .revision = 11, .item = lease.content};
+    EXPECT_TRUE(assigner_.OnObjects(objects, now_));
+    return objects;
+  }
+
   static target_entry Target(std::string id) {
     target_entry target;
     target.life = {.id = std::move(id), .started = 1};
@@ -161,12 +172,7 @@
 // Guards against an old map under the revision of a newer one: written on top
 // of that, it would take the newer owners and their fences back.
 TEST_F(AssignerLeaseTest, AnswerThatComesAfterANewerMapLeavesThatInForce) {
-  const store_write lease = UntilLeaseIsWritten();
-  Written(lease, 11);
-  key_assigner::own_objects objects;
-  objects["assigner"] = {
-      .name = "assigner", .revision = 11, .item = lease.content};
-  ASSERT_TRUE(assigner_.OnObjects(objects, now_));
+  key_assigner::own_objects objects = TakeLease();
   assigner_.OnTargets({Target("t")}, false, now_);
   const store_write first = UntilMapIsWritten();
 
@@ -198,12 +204,7 @@
 // Guards against a holder that was cut off and, when the store takes its
 // renewal again, gives up all targets whose orders failed in the cut.
 TEST_F(AssignerLeaseTest, RenewalThatEndsACutForgetsTheOrdersThatFailedInIt) {
-  const store_write lease = UntilLeaseIsWritten();
-  Written(lease, 11);
-  key_assigner::own_objects objects;
-  objects["assigner"] = {
-      .name = "assigner", .revision = 11, .item = lease.content};
-  ASSERT_TRUE(assigner_.OnObjects(objects, now_));
+  key_assigner::own_objects objects = TakeLease();
   assigner_.OnTargets({Target("t"), Target("u")}, false, now_);
   Written(UntilMapIsWritten(), 12);
   Written(UntilMapIsWritten(), 13);
