Answer every request in work before a stop closes its connection

What callers saw: of several requests of one connection that were in work when their host stopped, the first was answered with "Connection: close" and the others were never answered, though targets worked on them. An answer that was ready before the stop and waited for the one ahead of it closed the connection without telling so.

Cause: closing was noted on each answer. The stop noted it on the request that was last then, and every answer given while the server closes noted it on itself. The first of them to go out closed the connection and dropped what stood behind it, as if it had not been read. Requests read later, behind one in work, were handed on and dropped in the same way, and so was what had been read together with a request that was answered at once.

Now closing belongs to the connection: CloseAfterLast() ends the handing on, and the answer to the last request that was handed on closes. The stop, requests that are read while the server closes, requests with "Connection: close" and refusals share it. Answers are formatted when they are sent, so the last one always tells of the close; requests that are read together are all handed on before the first answer goes out. Nothing can be in work behind a closing answer, so BeginLingering() has nothing left to cancel.

Tests: nine of the ten new ones failed before, such as PipelinedRequestsInWorkAtAStopAreAllAnswered: got { 200 /a/ (closes) } instead of { 200 /a/, 200 /b/ (closes) }, and the owner was told that the caller of /b/ was gone. AnswerGivenWhileAStopBeginsTellsOfTheClose passed before too; it guards what the change of place could have lost.

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -38,6 +38,14 @@
   return answer;
 }
 
+size_t BytesOf(const http_message& answer) {
+  size_t bytes = answer.body.size();
+  for (const http_header& header : answer.headers) {
+    bytes += header.name.size() + header.value.size();
+  }
+  return bytes;
+}
+
 int StatusOf(http_parse_error error) {
   switch (error) {
     case http_parse_error::kHeadersTooLarge:
@@ -106,7 +114,7 @@
   if (read.end != read_end::kData) {
     return false;
   }
-  if (lingering_ || no_more_requests_) {
+  if (lingering_ || closes_after_last_) {
     return true;
   }
   last_byte_ = Now();
@@ -116,7 +124,7 @@
   }
   const bool good = reader_.Feed(read.bytes);
   TakeRequests();
-  if (!good) {
+  if (!good && !closes_after_last_) {
     RefuseRest(StatusOf(reader_.error()));
   } else if (IsShortOfMemory()) {
     RefuseRest(HTTP_STATUS_SERVICE_UNAVAILABLE);
@@ -128,11 +136,18 @@
 }
 
 void caller_connection::TakeRequests() {
+  // Requests that came together are handed on together: an answer given at once
+  // must not close the connection before those behind it.
+  handing_on_ = true;
   while (auto request = reader_.Take()) {
-    if (!no_more_requests_) {
+    if (!closes_after_last_) {
       AddRequest(std::move(*request));
     }
   }
+  handing_on_ = false;
+  if (server_.closing_ && !exchanges_.empty()) {
+    CloseAfterLast();
+  }
   if (exchanges_.size() >= kMaxPipelined) {
     stream_.PauseReading(true);
   }
@@ -142,25 +157,26 @@
   exchange& added = exchanges_.emplace_back();
   added.id = server_.Register(this);
   added.head = request.method == "HEAD";
-  added.close_after = !request.keep_alive;
   added.request_bytes = request.target.size() + request.body.size();
-  // What follows a request that closes the connection is not read: its sender
-  // may repeat it elsewhere.
-  no_more_requests_ = no_more_requests_ || added.close_after;
+  if (!request.keep_alive) {
+    CloseAfterLast();
+  }
   server_.owner_.on_request(added.id, std::move(request));
 }
 
+void caller_connection::CloseAfterLast() {
+  closes_after_last_ = true;
+  reader_.Drop();
+}
+
 void caller_connection::RefuseRest(int status) {
   LogEvent(event_id::kRequestNotRead,
            {{"status", int64_t{status}},
             {"bytes", static_cast<int64_t>(reader_.buffered())},
             {"all_bytes", static_cast<int64_t>(server_.buffered_)}});
-  exchange& refused = exchanges_.emplace_back();
-  refused.close_after = true;
-  refused.answer = FormatAnswer(PlainAnswer(status), true);
-  no_more_requests_ = true;
+  exchanges_.emplace_back().answer = PlainAnswer(status);
   discards_rest_ = true;
-  reader_.Drop();
+  CloseAfterLast();
 }
 
 /// Whether the request that is arriving must be refused so that the process
@@ -177,13 +193,13 @@
 void caller_connection::CountBytes() {
   size_t bytes = reader_.buffered() + stream_.bytes_waiting();
   for (const exchange& each : exchanges_) {
-    bytes += each.request_bytes + (each.answer ? each.answer->size() : 0);
+    bytes += each.request_bytes + (each.answer ? BytesOf(*each.answer) : 0);
   }
   server_.buffered_ += bytes;
   server_.buffered_ -= std::exchange(counted_bytes_, bytes);
 }
 
-void caller_connection::Answer(exchange_id id, const http_message& answer) {
+void caller_connection::Answer(exchange_id id, http_message answer) {
   const auto found =
       std::find_if(exchanges_.begin(), exchanges_.end(),
                    [&](const exchange& each) { return each.id == id; });
@@ -191,9 +207,14 @@
     return;
   }
   found->id = 0;
-  found->close_after = found->close_after || server_.closing_;
   found->request_bytes = 0;
-  found->answer = FormatAnswer(answer, found->close_after);
+  found->answer = std::move(answer);
+  if (handing_on_) {
+    return;
+  }
+  if (server_.closing_) {
+    CloseAfterLast();
+  }
   Flush();
 }
 
@@ -201,9 +222,10 @@
   while (!exchanges_.empty() && exchanges_.front().answer) {
     const exchange done = std::move(exchanges_.front());
     exchanges_.pop_front();
-    stream_.Write(*done.answer);
+    const bool closes = closes_after_last_ && exchanges_.empty();
+    stream_.Write(FormatAnswer(*done.answer, closes));
     last_byte_ = Now();
-    if (done.close_after) {
+    if (closes) {
       BeginLingering(last_byte_);
       return;
     }
@@ -215,16 +237,6 @@
 }
 
 void caller_connection::BeginLingering(time_point now) {
-  // Requests behind the closing answer are dropped unread, by the rule that
-  // the sender counts them as not read.
-  for (const exchange& left : exchanges_) {
-    if (left.id != 0) {
-      server_.Forget(left.id);
-      server_.owner_.on_gone(left.id);
-    }
-  }
-  exchanges_.clear();
-  no_more_requests_ = true;
   lingering_ = true;
   reader_.Drop();
   CountBytes();
@@ -253,7 +265,7 @@
   if (exchanges_.empty() && !reader_.in_message()) {
     BeginLingering(now);
   } else if (!exchanges_.empty()) {
-    exchanges_.back().close_after = true;
+    CloseAfterLast();
   }
 }
 
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
-#include <string>
 
 #include "foxtailspread/time.h"
 #include "net/http_message.h"
@@ -26,7 +25,7 @@
  public:
   caller_connection(caller_server& server, int fd, time_point now);
 
-  void Answer(exchange_id id, const http_message& answer);
+  void Answer(exchange_id id, http_message answer);
   /// Closes when nothing is in work; else after the last answer.
   void CloseWhenIdle(time_point now);
   /// Ends a connection whose time is over, which may destroy it.
@@ -36,9 +35,9 @@
   struct exchange {
     exchange_id id = 0;  ///< 0 once it was answered.
     bool head = false;
-    bool close_after = false;
     size_t request_bytes = 0;  ///< Kept until it is answered.
-    std::optional<std::string> answer{};
+    /// Formatted when it is sent: only then is it known whether it is the last.
+    std::optional<http_message> answer{};
   };
 
   void OnReady(uint32_t events);
@@ -47,10 +46,14 @@
   bool IsOverdue(time_point now) const;
   void TakeRequests();
   void AddRequest(http_message request);
+  /// Hands nothing more on and closes after the answer to the last request that
+  /// was. What comes behind it its caller may send again.
+  void CloseAfterLast();
   void RefuseRest(int status);
   bool IsShortOfMemory();
   void CountBytes();
   void Flush();
+  /// Ends this side. Nothing is in work.
   void BeginLingering(time_point now);
   /// Destroys the connection and tells the owner of unanswered requests.
   void End();
@@ -62,7 +65,8 @@
   time_point last_byte_;
   time_point message_began_{};
   size_t counted_bytes_ = 0;  ///< This connection's part of the server's sum.
-  bool no_more_requests_ = false;
+  bool handing_on_ = false;   ///< Answers wait for the end of the batch.
+  bool closes_after_last_ = false;
   bool lingering_ = false;
   bool discards_rest_ = false;  ///< The rest of a refused request may come.
   time_point linger_until_{};
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -41,14 +41,14 @@
                                  std::default_delete<caller_connection>());
 }
 
-void caller_server::Answer(exchange_id id, const http_message& answer) {
+void caller_server::Answer(exchange_id id, http_message answer) {
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) {
     return;
   }
   caller_connection* connection = found->second;
   exchanges_.erase(found);
-  connection->Answer(id, answer);
+  connection->Answer(id, std::move(answer));
 }
 
 void caller_server::BeginClosing() {
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -58,7 +58,7 @@
   uint16_t port() const { return listener_.port(); }
 
   /// Answers a request. Does nothing when the caller is gone.
-  void Answer(exchange_id id, const http_message& answer);
+  void Answer(exchange_id id, http_message answer);
 
   /// Changes the limits, for requests that begin later.
   void SetLimits(const caller_limits& limits) { limits_ = limits; }
@@ -67,7 +67,8 @@
   /// may keep. Beyond, a request that is still arriving is refused as not run.
   void SetMostBuffered(size_t bytes) { most_buffered_ = bytes; }
 
-  /// Closes connections after their answers, and idle ones now.
+  /// Closes idle connections now, and each other one after the answer to the
+  /// last request that was handed on.
   void BeginClosing();
 
   /// Requests handed on and not answered yet.
--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -7,9 +7,16 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <functional>
 #include <optional>
+#include <ostream>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "foxtailspread/address.h"
 #include "net/poller.h"
@@ -53,6 +60,82 @@
   bool ended_ = false;
 };
 
+/// A caller whose bytes have arrived when Send() returns, whether the loop runs
+/// or not.
+class blocking_caller {
+ public:
+  explicit blocking_caller(uint16_t port)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(port);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connected_ =
+        connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) == 0;
+  }
+  ~blocking_caller() { Leave(); }
+  blocking_caller(const blocking_caller&) = delete;
+  blocking_caller& operator=(const blocking_caller&) = delete;
+
+  bool is_connected() const { return connected_; }
+  void Send(std::string_view bytes) const {
+    EXPECT_EQ(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+  }
+  /// Takes what has come. True once the server has ended the connection.
+  bool HasEnded() {
+    std::array<char, 4096> buffer;
+    ssize_t size = 0;
+    while ((size = recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0) {
+      got_.append(buffer.data(), static_cast<size_t>(size));
+    }
+    return size == 0 || (size < 0 && errno != EAGAIN);
+  }
+  const std::string& got() const { return got_; }
+  void Leave() {
+    if (fd_ >= 0) {
+      close(std::exchange(fd_, -1));
+    }
+  }
+
+ private:
+  int fd_;
+  bool connected_ = false;
+  std::string got_;
+};
+
+std::string Get(std::string_view target, std::string_view headers = {}) {
+  return std::string{"GET "}
+      .append(target)
+      .append(" HTTP/1.1\r\nHost: h\r\n")
+      .append(headers)
+      .append("\r\n");
+}
+
+/// What a caller sees of one answer.
+struct seen_answer {
+  int status = 0;
+  std::string body{};
+  bool closes = false;
+  bool operator==(const seen_answer&) const = default;
+};
+
+void PrintTo(const seen_answer& seen, std::ostream* out) {
+  *out << seen.status << " " << seen.body << (seen.closes ? " (closes)" : "");
+}
+
+std::vector<seen_answer> Answers(std::string_view bytes) {
+  http_reader reader(HTTP_RESPONSE, {});
+  EXPECT_TRUE(reader.Feed(bytes)) << bytes;
+  std::vector<seen_answer> all;
+  while (const auto answer = reader.Take()) {
+    all.push_back({.status = answer->status,
+                   .body = answer->body,
+                   .closes = !answer->keep_alive});
+  }
+  return all;
+}
+
 class CallerServerTest : public ::testing::Test {
  protected:
   void SetUp() override {
@@ -62,13 +145,55 @@
         [&] { return caller_.is_connected() && server_.connections() == 1; }));
   }
 
+  struct asked_request {
+    exchange_id id = 0;
+    std::string target{};
+  };
+
+  void OnRequest(exchange_id id, const http_message& request) {
+    asked_ = id;
+    requests_.push_back({.id = id, .target = request.target});
+    if (at_once_) {
+      at_once_(request.target);
+    }
+  }
+
+  bool WasAsked(std::string_view target) const {
+    return std::any_of(
+        requests_.begin(), requests_.end(),
+        [&](const asked_request& each) { return each.target == target; });
+  }
+
+  /// Answers the request with its target as the body.
+  void AnswerRequest(std::string_view target) {
+    for (const asked_request& each : requests_) {
+      if (each.target == target) {
+        http_message answer;
+        answer.status = 200;
+        answer.body = target;
+        server_.Answer(each.id, answer);
+      }
+    }
+  }
+
+  /// Lets the loop take what has arrived.
+  static void Turn() {
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+    }
+  }
+
   poller events_;
   std::optional<exchange_id> asked_;
+  std::vector<asked_request> requests_;
+  std::vector<exchange_id> gone_;
+  std::function<void(const std::string& target)> at_once_;
   caller_server server_{
       events_,
-      {.on_request = [this](exchange_id id,
-                            const http_message&) { asked_ = id; },
-       .on_gone = [](exchange_id) {}}};
+      {.on_request =
+           [this](exchange_id id, const http_message& request) {
+             OnRequest(id, request);
+           },
+       .on_gone = [this](exchange_id id) { gone_.push_back(id); }}};
   test_caller caller_{events_};
 };
 
@@ -150,5 +275,191 @@
   ASSERT_TRUE(RunUntil([&] { return server_.buffered() == 0; }));
 }
 
+// Guards against the loss of requests in work: the first answer after a stop
+// closed the connection and cancelled those behind it.
+TEST_F(CallerServerTest, PipelinedRequestsInWorkAtAStopAreAllAnswered) {
+  caller_.Send(Get("/a/") + Get("/b/"));
+  ASSERT_TRUE(RunUntil([&] { return requests_.size() == 2; }));
+  server_.BeginClosing();
+  AnswerRequest("/a/");
+  Turn();
+  EXPECT_TRUE(gone_.empty());
+  AnswerRequest("/b/");
+  ASSERT_TRUE(RunUntil([&] { return caller_.HasLeft(); }));
+  EXPECT_EQ(
+      Answers(caller_.got()),
+      (std::vector<seen_answer>{{200, "/a/", false}, {200, "/b/", true}}));
+}
+
+// Guards against a close that nothing announced: the last answer was made
+// before the stop, and waits for the one ahead of it.
+TEST_F(CallerServerTest, AnswerThatWaitsAtAStopTellsOfTheClose) {
+  caller_.Send(Get("/a/") + Get("/b/"));
+  ASSERT_TRUE(RunUntil([&] { return requests_.size() == 2; }));
+  AnswerRequest("/b/");
+  server_.BeginClosing();
+  AnswerRequest("/a/");
+  ASSERT_TRUE(RunUntil([&] { return caller_.HasLeft(); }));
+  EXPECT_EQ(
+      Answers(caller_.got()),
+      (std::vector<seen_answer>{{200, "/a/", false}, {200, "/b/", true}}));
+}
+
+// Guards against a request that is handed on behind the one that closes the
+// connection, and cancelled by its answer.
+TEST_F(CallerServerTest, RequestReadBehindOneInWorkAfterAStopIsNotHandedOn) {
+  blocking_caller caller(server_.port());
+  ASSERT_TRUE(caller.is_connected());
+  caller.Send(Get("/a/"));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
+  server_.BeginClosing();
+  caller.Send(Get("/b/"));
+  Turn();
+  AnswerRequest("/a/");
+  ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
+  EXPECT_EQ(Answers(caller.got()),
+            (std::vector<seen_answer>{{200, "/a/", true}}));
+  EXPECT_FALSE(WasAsked("/b/"));
+  EXPECT_TRUE(gone_.empty());
+}
+
+// Guards against the same loss among requests that end the wait of a stop for
+// one that was arriving.
+TEST_F(CallerServerTest, RequestsReadTogetherAfterAStopAreAllAnswered) {
+  blocking_caller caller(server_.port());
+  ASSERT_TRUE(caller.is_connected());
+  const std::string both = Get("/a/") + Get("/b/");
+  caller.Send(both.substr(0, 5));
+  ASSERT_TRUE(RunUntil([&] { return server_.connections() == 2; }));
+  Turn();
+  server_.BeginClosing();
+  caller.Send(both.substr(5));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/b/"); }));
+  caller.Send(Get("/late/"));
+  Turn();
+  AnswerRequest("/a/");
+  AnswerRequest("/b/");
+  ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
+  EXPECT_EQ(
+      Answers(caller.got()),
+      (std::vector<seen_answer>{{200, "/a/", false}, {200, "/b/", true}}));
+  EXPECT_FALSE(WasAsked("/late/"));
+  EXPECT_TRUE(gone_.empty());
+}
+
+// Guards against the loss of what lies unread behind a request that is answered
+// as soon as it is read.
+TEST_F(CallerServerTest, RequestBehindOneAnsweredAtOnceAfterAStopIsAnswered) {
+  at_once_ = [&](const std::string& target) {
+    if (target == "/a/") {
+      AnswerRequest(target);
+    }
+  };
+  caller_.Send(Get("/a/") + Get("/b/"));
+  server_.BeginClosing();
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/b/") || caller_.HasLeft(); }));
+  AnswerRequest("/b/");
+  ASSERT_TRUE(RunUntil([&] { return caller_.HasLeft(); }));
+  EXPECT_EQ(
+      Answers(caller_.got()),
+      (std::vector<seen_answer>{{200, "/a/", false}, {200, "/b/", true}}));
+}
+
+// Guards against a close that nothing announced: what a stop reads on one
+// connection leads to an answer on another that the stop comes to later.
+TEST_F(CallerServerTest, AnswerGivenWhileAStopBeginsTellsOfTheClose) {
+  test_caller second{events_};
+  ASSERT_TRUE(second.Connect(server_.port()));
+  ASSERT_TRUE(RunUntil([&] { return second.is_connected(); }));
+  second.Send(Get("/b/"));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/b/"); }));
+  at_once_ = [&](const std::string&) { AnswerRequest("/b/"); };
+  caller_.Send(Get("/a/"));
+  server_.BeginClosing();
+  ASSERT_TRUE(RunUntil([&] { return second.HasLeft(); }));
+  EXPECT_EQ(Answers(second.got()),
+            (std::vector<seen_answer>{{200, "/b/", true}}));
+}
+
+// Guards against the loss of requests of a caller that sends more at once than
+// are worked on before reading pauses.
+TEST_F(CallerServerTest, ManyPipelinedRequestsAtAStopAreAllAnswered) {
+  constexpr size_t kMany = 40;
+  std::string bytes;
+  for (size_t i = 0; i < kMany; ++i) {
+    bytes += Get("/" + std::to_string(i));
+  }
+  caller_.Send(bytes);
+  ASSERT_TRUE(RunUntil([&] { return requests_.size() == kMany; }));
+  server_.BeginClosing();
+  for (size_t i = kMany; i > 0; --i) {
+    AnswerRequest("/" + std::to_string(i - 1));
+  }
+  ASSERT_TRUE(RunUntil([&] { return caller_.HasLeft(); }));
+  const std::vector<seen_answer> seen = Answers(caller_.got());
+  ASSERT_EQ(seen.size(), kMany);
+  for (size_t i = 0; i < kMany; ++i) {
+    EXPECT_EQ(seen[i],
+              (seen_answer{200, "/" + std::to_string(i), i + 1 == kMany}));
+  }
+  EXPECT_TRUE(gone_.empty());
+}
+
+// Guards against an answer to bytes behind a request that closes the
+// connection, and against that request's loss.
+TEST_F(CallerServerTest, NothingBehindARequestThatClosesIsHandedOn) {
+  caller_.Send(Get("/a/") + Get("/b/", "Connection: close\r\n") + Get("/c/"));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/b/"); }));
+  server_.BeginClosing();
+  AnswerRequest("/b/");
+  AnswerRequest("/a/");
+  ASSERT_TRUE(RunUntil([&] { return caller_.HasLeft(); }));
+  EXPECT_EQ(
+      Answers(caller_.got()),
+      (std::vector<seen_answer>{{200, "/a/", false}, {200, "/b/", true}}));
+  EXPECT_FALSE(WasAsked("/c/"));
+  EXPECT_TRUE(gone_.empty());
+}
+
+// Guards against a refusal that closes the connection before the answers ahead
+// of it, with a stop or without.
+TEST_F(CallerServerTest, RefusalBehindRequestsInWorkComesAfterTheirAnswers) {
+  for (const bool stops : {false, true}) {
+    SCOPED_TRACE(stops);
+    requests_.clear();
+    test_caller caller{events_};
+    ASSERT_TRUE(caller.Connect(server_.port()));
+    ASSERT_TRUE(RunUntil([&] { return caller.is_connected(); }));
+    caller.Send(Get("/a/") + Get("/b/") + "NONSENSE\r\n\r\n");
+    ASSERT_TRUE(RunUntil([&] { return requests_.size() == 2; }));
+    if (stops) {
+      server_.BeginClosing();
+    }
+    AnswerRequest("/a/");
+    AnswerRequest("/b/");
+    ASSERT_TRUE(RunUntil([&] { return caller.HasLeft(); }));
+    EXPECT_EQ(Answers(caller.got()),
+              (std::vector<seen_answer>{
+                  {200, "/a/", false}, {200, "/b/", false}, {400, "", true}}));
+    EXPECT_TRUE(gone_.empty());
+  }
+}
+
+// Guards against a connection that a stop has missed: the load balancer sends
+// new ones until it has seen the host unready.
+TEST_F(CallerServerTest, RequestsOnAConnectionMadeAfterAStopAreAllAnswered) {
+  server_.BeginClosing();
+  test_caller late{events_};
+  ASSERT_TRUE(late.Connect(server_.port()));
+  ASSERT_TRUE(RunUntil([&] { return late.is_connected(); }));
+  late.Send(Get("/a/") + Get("/b/"));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/b/"); }));
+  AnswerRequest("/a/");
+  AnswerRequest("/b/");
+  ASSERT_TRUE(RunUntil([&] { return late.HasLeft(); }));
+  EXPECT_EQ(Answers(late.got()), (std::vector<seen_answer>{
+                                     {200, "/a/", false}, {200, "/b/", true}}));
+}
+
 }  // namespace
 }  // namespace foxtailspread
