Test the other ways in which a caller's connection ends

Requests that lie unread at the idle time, at the header time and, in several readings, at a stop; a request after an idle close; one in work beyond all times; callers that leave.

--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -10,11 +10,13 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <ostream>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -91,6 +93,14 @@
     }
     return size == 0 || (size < 0 && errno != EAGAIN);
   }
+  /// Whether the server ended the connection with bytes that it had not read.
+  /// Tells it once.
+  bool WasReset() const {
+    int problem = 0;
+    socklen_t size = sizeof(problem);
+    getsockopt(fd_, SOL_SOCKET, SO_ERROR, &problem, &size);
+    return problem != 0;
+  }
   const std::string& got() const { return got_; }
   void Leave() {
     if (fd_ >= 0) {
@@ -182,6 +192,24 @@
     }
   }
 
+  /// Lets the loop stand still and runs `arrive` between its last reading and
+  /// the server's next check of the times of connections.
+  static void StallUntilTheNextCheck(const std::function<void()>& arrive) {
+    bool arrived = false;
+    bool checked = false;
+    const timer arrival = RunAfter(kCheckPeriod + kCheckPeriod / 2, [&] {
+      arrive();
+      arrived = true;
+    });
+    const timer first_check =
+        RunAfter(kCheckPeriod + kCheckPeriod / 10, [&] { checked = true; });
+    ASSERT_TRUE(RunUntil([&] { return checked; }));
+    std::this_thread::sleep_for(kCheckPeriod);
+    ASSERT_TRUE(RunUntil([&] { return arrived; }));
+  }
+
+  static constexpr std::chrono::milliseconds kCheckPeriod{500};
+
   poller events_;
   std::optional<exchange_id> asked_;
   std::vector<asked_request> requests_;
@@ -445,6 +473,112 @@
   }
 }
 
+// Guards against the loss of a request that comes in several readings, the
+// first of them by the stop itself.
+TEST_F(CallerServerTest, LongRequestThatLiesUnreadAtAStopIsAnswered) {
+  const std::string body(100'000, 'x');
+  blocking_caller caller(server_.port());
+  ASSERT_TRUE(caller.is_connected());
+  ASSERT_TRUE(RunUntil([&] { return server_.connections() == 2; }));
+  caller.Send("PUT /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body);
+  server_.BeginClosing();
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/") || caller.HasEnded(); }));
+  AnswerRequest("/a/");
+  ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
+  EXPECT_EQ(Answers(caller.got()),
+            (std::vector<seen_answer>{{200, "/a/", true}}));
+}
+
+// Guards against the loss of a request that a busy host has not read when its
+// connection's idle time is over.
+TEST_F(CallerServerTest, RequestThatLiesUnreadAtTheIdleTimeIsAnswered) {
+  blocking_caller caller(server_.port());
+  ASSERT_TRUE(caller.is_connected());
+  ASSERT_TRUE(RunUntil([&] { return server_.connections() == 2; }));
+  StallUntilTheNextCheck([&] {
+    server_.SetLimits({.idle_timeout = std::chrono::milliseconds{1}});
+    caller.Send(Get("/a/"));
+  });
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/") || caller.HasEnded(); }));
+  AnswerRequest("/a/");
+  ASSERT_TRUE(RunUntil(
+      [&] { return caller.HasEnded() || caller.got().ends_with("/a/"); }));
+  EXPECT_EQ(Answers(caller.got()),
+            (std::vector<seen_answer>{{200, "/a/", false}}));
+}
+
+// Guards against the refusal of a request of which a busy host has not read the
+// end when the time for its headers is over.
+TEST_F(CallerServerTest, RequestWhoseEndLiesUnreadAtTheHeaderTimeIsAnswered) {
+  const std::string request = Get("/a/");
+  blocking_caller caller(server_.port());
+  ASSERT_TRUE(caller.is_connected());
+  caller.Send(request.substr(0, 5));
+  ASSERT_TRUE(RunUntil([&] { return server_.connections() == 2; }));
+  StallUntilTheNextCheck([&] {
+    server_.SetLimits({.header_timeout = std::chrono::milliseconds{1}});
+    caller.Send(request.substr(5));
+  });
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/") || caller.HasEnded(); }));
+  AnswerRequest("/a/");
+  ASSERT_TRUE(RunUntil(
+      [&] { return caller.HasEnded() || caller.got().ends_with("/a/"); }));
+  EXPECT_EQ(Answers(caller.got()),
+            (std::vector<seen_answer>{{200, "/a/", false}}));
+}
+
+// Guards against a request that is read after its connection was closed as
+// idle, and so lost.
+TEST_F(CallerServerTest, RequestAfterTheIdleCloseIsResetUnread) {
+  blocking_caller caller(server_.port());
+  ASSERT_TRUE(caller.is_connected());
+  ASSERT_TRUE(RunUntil([&] { return server_.connections() == 2; }));
+  server_.SetLimits({.idle_timeout = std::chrono::milliseconds{1}});
+  ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
+  caller.Send(Get("/a/"));
+  ASSERT_TRUE(RunUntil([&] { return server_.connections() == 0; }));
+  EXPECT_TRUE(caller.WasReset());
+  EXPECT_TRUE(requests_.empty());
+}
+
+// Guards against the end of a connection as idle while a request is in work.
+TEST_F(CallerServerTest, RequestInWorkBeyondAllTimesIsAnswered) {
+  caller_.Send(Get("/a/"));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
+  server_.SetLimits({.header_timeout = std::chrono::milliseconds{1},
+                     .idle_timeout = std::chrono::milliseconds{1}});
+  bool checked = false;
+  const timer check = RunAfter(2 * kCheckPeriod, [&] { checked = true; });
+  ASSERT_TRUE(RunUntil([&] { return checked; }));
+  EXPECT_FALSE(caller_.HasLeft());
+  AnswerRequest("/a/");
+  ASSERT_TRUE(RunUntil([&] { return caller_.got().ends_with("/a/"); }));
+}
+
+// Guards against work for a caller that has left, and against the same report
+// twice.
+TEST_F(CallerServerTest, CallerThatLeavesEndsAllItsRequestsOnce) {
+  for (const bool stops : {false, true}) {
+    SCOPED_TRACE(stops);
+    requests_.clear();
+    gone_.clear();
+    blocking_caller caller(server_.port());
+    ASSERT_TRUE(caller.is_connected());
+    caller.Send(Get("/a/") + Get("/b/"));
+    ASSERT_TRUE(RunUntil([&] { return requests_.size() == 2; }));
+    if (stops) {
+      server_.BeginClosing();
+    }
+    caller.Leave();
+    ASSERT_TRUE(RunUntil([&] { return gone_.size() == 2; }));
+    EXPECT_EQ(gone_[0], requests_[0].id);
+    EXPECT_EQ(gone_[1], requests_[1].id);
+    EXPECT_EQ(server_.pending(), 0U);
+    AnswerRequest("/a/");
+  }
+}
+
 // Guards against a connection that a stop has missed: the load balancer sends
 // new ones until it has seen the host unready.
 TEST_F(CallerServerTest, RequestsOnAConnectionMadeAfterAStopAreAllAnswered) {
