Reset a closed connection only once its last answer has arrived

What callers could see: an answer with "Connection: close" that is cut off, if its caller has sent another request behind or takes the answer slowly.

Cause: since requests after a close are left unread, a request that came behind a closing answer reset the connection 200 ms after the answer was handed to the kernel.

Now the server asks the kernel for the bytes that are not acknowledged. The reset, or the second of lingering, waits for them; an answer that gets no further for 3 s is given up, and a connection that sends an answer is not idle.

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -14,12 +14,13 @@
 constexpr size_t kMaxPipelined = 32;
 
 /// How long a connection that this side has ended is kept for its caller to end
-/// it too, and the rest of a refused request is read. Closing with unread bytes
-/// resets it and could destroy the answer on its way.
+/// it too once the last answer has arrived, and the rest of a refused request
+/// is read. Closing with unread bytes resets it and would destroy the answer on
+/// its way.
 constexpr duration kLingerTime{std::chrono::seconds{1}};
 
-/// How long the last answer may be on its way.
-constexpr duration kAnswerTravel{std::chrono::milliseconds{200}};
+/// How long the last answer may be on its way without getting further.
+constexpr duration kAnswerStallTimeout{std::chrono::seconds{3}};
 
 /// A request that is still arriving is refused for want of memory only when it
 /// keeps more than this: refusing small ones frees nothing.
@@ -93,16 +94,31 @@
 /// read: the reset tells its caller that it may be sent again.
 void caller_connection::OnReadableAfterClose(uint32_t events) {
   const bool has_left = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
-  const time_point arrived = last_byte_ + kAnswerTravel;
-  const bool answered = stream_.bytes_waiting() == 0;
-  if (has_left || (answered && Now() >= arrived)) {
+  if (has_left || UnreceivedBytes() == 0) {
     End();
     return;
   }
   stream_.PauseReading(true);
-  if (answered) {
-    linger_until_ = std::min(linger_until_, arrived);
-  }
+  has_unread_request_ = true;
+}
+
+size_t caller_connection::UnreceivedBytes() const {
+  return stream_.bytes_waiting() + stream_.bytes_unacknowledged();
+}
+
+/// Whether the caller has got its last answer and has had the time to end its
+/// side, or gets no further with the answer.
+bool caller_connection::HasLingered(time_point now) {
+  const size_t unreceived = UnreceivedBytes();
+  if (unreceived != unreceived_bytes_) {
+    unreceived_bytes_ = unreceived;
+    answer_progress_at_ = now;
+  }
+  const duration unchanged = now - answer_progress_at_;
+  if (unreceived > 0) {
+    return unchanged >= kAnswerStallTimeout;
+  }
+  return has_unread_request_ || unchanged >= kLingerTime;
 }
 
 /// False when the caller has left.
@@ -240,7 +256,8 @@
   lingering_ = true;
   reader_.Drop();
   CountBytes();
-  linger_until_ = now + kLingerTime;
+  unreceived_bytes_ = UnreceivedBytes();
+  answer_progress_at_ = now;
   stream_.PauseReading(false);
   if (stream_.bytes_waiting() == 0) {
     stream_.ShutDownWriting();
@@ -272,7 +289,8 @@
 /// Whether the caller has taken too long to send its request, or to begin one.
 bool caller_connection::IsOverdue(time_point now) const {
   const caller_limits& limits = server_.limits_;
-  if (!exchanges_.empty()) {
+  // An answer that is still being sent counts as work.
+  if (!exchanges_.empty() || stream_.bytes_waiting() > 0) {
     return false;
   }
   if (reader_.in_message() && !reader_.headers_done()) {
@@ -283,7 +301,7 @@
 
 void caller_connection::CheckTimes(time_point now) {
   if (lingering_) {
-    if (now >= linger_until_ || !stream_.is_open()) {
+    if (!stream_.is_open() || HasLingered(now)) {
       End();
     }
     return;
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -42,6 +42,9 @@
 
   void OnReady(uint32_t events);
   void OnReadableAfterClose(uint32_t events);
+  /// Bytes of answers that have not reached the caller.
+  size_t UnreceivedBytes() const;
+  bool HasLingered(time_point now);
   bool ReadAll();
   bool IsOverdue(time_point now) const;
   void TakeRequests();
@@ -69,7 +72,9 @@
   bool closes_after_last_ = false;
   bool lingering_ = false;
   bool discards_rest_ = false;  ///< The rest of a refused request may come.
-  time_point linger_until_{};
+  bool has_unread_request_ = false;  ///< One came after the close.
+  size_t unreceived_bytes_ = 0;      ///< At the last check while lingering.
+  time_point answer_progress_at_{};  ///< When that number last changed.
 };
 
 }  // namespace foxtailspread
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -1,10 +1,13 @@
 #include "net/tcp_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -181,9 +184,20 @@
 void tcp_stream::ShutDownWriting() {
   if (fd_ >= 0) {
     shutdown(fd_, SHUT_WR);
+    shut_down_ = true;
   }
 }
 
+size_t tcp_stream::bytes_unacknowledged() const {
+  int unacknowledged = 0;
+  if (fd_ < 0 || ioctl(fd_, SIOCOUTQ, &unacknowledged) != 0) {
+    return 0;
+  }
+  // The end of this side's direction counts like a byte.
+  const int end = shut_down_ ? 1 : 0;
+  return static_cast<size_t>(std::max(unacknowledged - end, 0));
+}
+
 tcp_listener::tcp_listener(poller& events, receiver on_accepted)
     : events_(events),
       handler_(HandlerFor<&tcp_listener::OnReady>(this)),
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -89,6 +89,9 @@
   /// Bytes that the kernel has taken. 0 proves that the peer saw none.
   uint64_t bytes_sent() const { return bytes_sent_; }
   size_t bytes_waiting() const { return out_.size() - out_start_; }
+  /// Bytes that the kernel has taken and the peer has not acknowledged. Closing
+  /// with unread bytes makes a reset, which destroys them.
+  size_t bytes_unacknowledged() const;
 
  private:
   uint32_t Wanted() const;
@@ -104,6 +107,7 @@
   bool paused_ = false;
   bool failed_ = false;
   bool refused_ = false;
+  bool shut_down_ = false;
   uint32_t watched_ = 0;
   std::string out_;
   size_t out_start_ = 0;
--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -595,5 +595,62 @@
                                      {200, "/a/", false}, {200, "/b/", true}}));
 }
 
+// Guards against a reset that destroys a closing answer on its way because the
+// caller has sent another request.
+TEST_F(CallerServerTest, ClosingAnswerOnItsWayArrivesDespiteALaterRequest) {
+  blocking_caller caller(server_.port());
+  caller.Send(Get("/a/", "Connection: close\r\n"));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
+  http_message answer;
+  answer.status = 200;
+  answer.body = std::string(20'000'000, 'x');
+  server_.Answer(*asked_, answer);
+  caller.Send(Get("/b/"));
+  bool later = false;
+  const timer wait =
+      RunAfter(std::chrono::milliseconds{800}, [&] { later = true; });
+  ASSERT_TRUE(RunUntil([&] { return later; }));
+  ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
+  EXPECT_GT(caller.got().size(), answer.body.size());
+  EXPECT_FALSE(WasAsked("/b/"));
+}
+
+// Guards against a closing answer that is cut off because its caller takes it
+// slowly.
+TEST_F(CallerServerTest, LargeClosingAnswerToASlowCallerArrivesWhole) {
+  blocking_caller caller(server_.port());
+  caller.Send(Get("/a/", "Connection: close\r\n"));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
+  http_message answer;
+  answer.status = 200;
+  answer.body = std::string(20'000'000, 'x');
+  server_.Answer(*asked_, answer);
+  bool later = false;
+  const timer wait =
+      RunAfter(std::chrono::milliseconds{2000}, [&] { later = true; });
+  ASSERT_TRUE(RunUntil([&] { return later; }));
+  ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
+  EXPECT_GT(caller.got().size(), answer.body.size());
+}
+
+// Guards against an answer that is cut off because the idle time runs out while
+// it is being sent.
+TEST_F(CallerServerTest, AnswerThatTakesLongerThanTheIdleTimeArrivesWhole) {
+  server_.SetLimits({.idle_timeout = std::chrono::milliseconds{200}});
+  blocking_caller caller(server_.port());
+  caller.Send(Get("/a/"));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
+  http_message answer;
+  answer.status = 200;
+  answer.body = std::string(20'000'000, 'x');
+  server_.Answer(*asked_, answer);
+  bool later = false;
+  const timer wait =
+      RunAfter(std::chrono::milliseconds{2000}, [&] { later = true; });
+  ASSERT_TRUE(RunUntil([&] { return later; }));
+  ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
+  EXPECT_GT(caller.got().size(), answer.body.size());
+}
+
 }  // namespace
 }  // namespace foxtailspread
