Let a process of another service execute no late orders in the simulated world

A target of another service at a reused address rejects orders in the simulation, except those drawn to be executed late, which it carried out. Late orders are now treated like the others. The random draws stay the same.

--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -436,8 +436,10 @@
     const size_t target_index = static_cast<size_t>(&target - targets_.data());
     ScheduleAfter(seconds{2 + random_() % 8},
                   [this, order, arrived, target_index, started] {
-                    if (targets_[target_index].alive &&
-                        targets_[target_index].entry.life.started == started) {
+                    const world_target& receiver = targets_[target_index];
+                    if (receiver.alive &&
+                        receiver.entry.life.id == order.target.id &&
+                        receiver.entry.life.started == started) {
                       ApplyOrder(order, arrived);
                     }
                   });
