Let a late answer to a lease write regain no lease that another host has taken

Callers could see two targets run requests for the same keys: one renewed by a host of a zone that is cut off, one granted by its successor outside.

Cause: a holder stalls while its renewal of the lease is in flight. The store has written it, and a successor takes the lease on top of it. After the stall the host reads the successor's lease, gives up its own, and then handles the answer to the renewal, which made it the holder again until the end of that term. It renewed its grants, and the lease in the successor's name. Its load reports name the successor's revision, so that the successor no longer counts it among the hosts that may renew.

Evidence, before the change: StalledHolderRenewsNothingAfterReadingItsSuccessor: "after 9740 ms: key 22016 is held by t0 and t2"; LateAnswerToRenewalDoesNotRegainSuccessorsLease and LateAnswerToTakeoverDoesNotRegainSuccessorsLease: IsHolder() is true, expected false.

Why it works: the newest lease that the host knows decides. If that is another host's, the answer to an older write ends the host's hold as a conflict does.

The simulated hosts can stall after a store write and handle its answer after reading the store; random schedules with such stalls, targets added in groups and cuts of the holder's zone are added.

--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -526,7 +526,11 @@
     ReleaseLease(now, out);
     return;
   }
-  if (!written) {
+  // A stalled host may read its successor's lease before the answer to its own
+  // earlier write. Its reports then tell the successor that it renews no more
+  // grants, so it must not hold the lease again.
+  const bool superseded = lease_ && lease_->host != settings_.host;
+  if (!written || superseded) {
     // Another host has written the lease meanwhile, so it is alive.
     last_heartbeat_at_ = std::max(last_heartbeat_at_, now);
     OnLeaseLost(out);
--- a/tests/assigner_lease_test.cc
+++ b/tests/assigner_lease_test.cc
@@ -212,6 +212,40 @@
   }
 }
 
+// A holder's renewal of the lease is answered after it has read its successor's
+// lease, as after a stall of its process. Guards against it holding the lease a
+// second time: its report has told the successor that it renews no more grants.
+TEST_F(AssignerLeaseTest, LateAnswerToRenewalDoesNotRegainSuccessorsLease) {
+  key_assigner::system_objects objects = TakeLease();
+  const store_write renewal = AdvanceToLeaseWrite();
+  objects["assigner"] = {
+      .name = "assigner",
+      .revision = 13,
+      .item = FormatLease({.host = "other", .address = "3:4"})};
+  ASSERT_TRUE(assigner_.OnObjects(objects, now_));
+  ASSERT_FALSE(assigner_.IsHolder(now_));
+  ReportWritten(renewal, 12);
+  EXPECT_FALSE(assigner_.IsHolder(now_));
+  EXPECT_EQ(assigner_.lease()->host, "other");
+  for (int i = 0; i < 300; ++i) {
+    EXPECT_FALSE(FindLeaseWrite(Step())) << i;
+  }
+}
+
+// A host's attempt to take the lease is answered after it has read the lease of
+// the host that took it next. Guards against two holders.
+TEST_F(AssignerLeaseTest, LateAnswerToTakeoverDoesNotRegainSuccessorsLease) {
+  const store_write takeover = AdvanceToLeaseWrite();
+  ASSERT_TRUE(assigner_.OnObjects(
+      {{"assigner",
+        {.name = "assigner",
+         .revision = 13,
+         .item = FormatLease({.host = "other", .address = "3:4"})}}},
+      now_));
+  ReportWritten(takeover, 12);
+  EXPECT_FALSE(assigner_.IsHolder(now_));
+}
+
 // A holder is partitioned from the store and from some targets, then renews its
 // lease. Guards against it considering all targets lost whose orders failed
 // during the partition.
--- a/tests/key_assigner_proof_test.cc
+++ b/tests/key_assigner_proof_test.cc
@@ -39,6 +39,9 @@
   bool evacuations = false;
   /// Injects correlated faults, and sends records by datagram.
   bool correlated_faults = false;
+  /// Stalls hosts that have sent a store write, adds targets in groups and cuts
+  /// off the lease holder's zone.
+  bool stalls = false;
 };
 
 /// Injects random faults for about 40 s of virtual time.
@@ -57,6 +60,9 @@
       if (options.correlated_faults) {
         InjectCorrelatedFault();
       }
+      if (options.stalls) {
+        InjectStallFault();
+      }
       world_.Run(milliseconds{RandomBelow(2500)});
     }
   }
@@ -69,6 +75,7 @@
     world_.lost_write_answer_probability = 0.0;
     world_.late_write_probability = 0.0;
     world_.late_order_probability = 0.0;
+    world_.stall_after_write_probability = 0.0;
     for (size_t i = 0; i < world_.host_count(); ++i) {
       auto& host = world_.host(i);
       host.reaches_store = true;
@@ -130,6 +137,35 @@
     }
   }
 
+  void InjectStallFault() {
+    constexpr size_t kMaxTargets = 18;
+    const auto holder = world_.holder();
+    switch (RandomBelow(6)) {
+      case 0:
+      case 1:
+        world_.stall_after_write_probability = 0.2;
+        break;
+      case 2:
+        world_.stall_after_write_probability = 0.0;
+        break;
+      case 3:
+        if (holder) {
+          world_.isolated_zone = world_.host(*holder).zone;
+        }
+        break;
+      case 4:
+        world_.isolated_zone.clear();
+        break;
+      case 5:
+        for (int i = 0; i < 3 && world_.target_count() < kMaxTargets; ++i) {
+          world_.AddTarget();
+        }
+        break;
+      default:
+        break;
+    }
+  }
+
   void RestartAllHosts() {
     for (size_t i = 0; i < world_.host_count(); ++i) {
       world_.KillHost(i);
@@ -273,6 +309,13 @@
   RunSchedules(kVariantScheduleCount, {.correlated_faults = true});
 }
 
+// Guards against keys with two owners when hosts stall while a store write is
+// in flight and then read a later lease before the answer to the write.
+TEST(KeyAssignerProofTest, StalledHostsNeverGiveKeyTwoOwners) {
+  RunSchedules(kVariantScheduleCount,
+               {.correlated_faults = true, .stalls = true});
+}
+
 // Seeds of random schedules that gave a key two owners:
 // - A grant was sent while the record that replaces it was being written.
 // - A host that held the lease two holders earlier kept renewing its grants.
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -443,6 +443,30 @@
 INSTANTIATE_TEST_SUITE_P(TargetsForgetReleases, LapsedHolderTest,
                          ::testing::Bool());
 
+// The holder stalls while its lease renewal is in flight, reads its successor's
+// lease before the answer, and its zone is cut off after it has reported that
+// it renews no more grants. Guards against it renewing them again: the
+// successor waits only for its own grants before it moves the zone's keys.
+TEST_F(KeyAssignerTest, StalledHolderRenewsNothingAfterReadingItsSuccessor) {
+  world_.Run(kSettlingTime);
+  const size_t stalled = world_.holder().value();
+  auto& host = world_.host(stalled);
+  world_.stall_after_write_probability = 1.0;
+  while (host.stalled_until <= world_.now()) {
+    world_.Run(milliseconds{10});
+  }
+  world_.stall_after_write_probability = 0.0;
+  host.stalled_until = world_.now() + milliseconds{1300};
+  host.frozen_until = host.stalled_until;
+  host.reads_before_answers = true;
+  world_.Run(milliseconds{1350});
+  ASSERT_NE(host.assigner->lease()->host, host.name);
+  EXPECT_FALSE(host.assigner->IsHolder(world_.now()));
+  world_.Run(milliseconds{1000});
+  world_.isolated_zone = host.zone;
+  world_.Run(seconds{10});
+}
+
 // Guards against keys that stay with the targets of an evacuated zone.
 TEST_F(KeyAssignerTest, EvacuatedZoneLosesItsKeysAtOnce) {
   world_.Run(kSettlingTime);
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -282,13 +282,18 @@
   const uint64_t incarnation = host.incarnation;
   const auto report_end = [this, index,
                            incarnation](const write_report& report) {
-    if (!hosts_[index].alive || hosts_[index].incarnation != incarnation) {
-      return;
-    }
-    assigner_actions actions;
-    hosts_[index].assigner->OnWriteEnded(report, now_, actions);
-    ExecuteActions(index, actions);
+    DeliverAnswer(
+        index, incarnation,
+        [this, report](key_assigner& assigner, assigner_actions& actions) {
+          assigner.OnWriteEnded(report, now_, actions);
+        });
   };
+  if (stall_after_write_probability > 0.0 &&
+      DrawBernoulli(stall_after_write_probability)) {
+    host.frozen_until = now_ + milliseconds{500 + random_() % 3500};
+    host.stalled_until = host.frozen_until;
+    host.reads_before_answers = DrawBernoulli(0.5);
+  }
   if (!ReachesStore(host)) {
     ScheduleAfter(milliseconds{300}, [report_end, id = write.id] {
       report_end({.id = id, .outcome = conditional_write_outcome::kUnknown});
@@ -389,12 +394,32 @@
 
 void assigner_world::DeliverReport(size_t host, uint64_t life,
                                    const order_report& report) {
-  if (!hosts_[host].alive || hosts_[host].incarnation != life) {
+  DeliverAnswer(
+      host, life,
+      [this, report](key_assigner& assigner, assigner_actions& actions) {
+        assigner.OnOrderEnded(report, now_, actions);
+      });
+}
+
+void assigner_world::DeliverAnswer(
+    size_t index, uint64_t incarnation,
+    std::function<void(key_assigner&, assigner_actions&)> handle) {
+  const world_host& host = hosts_[index];
+  if (!host.alive || host.incarnation != incarnation) {
+    return;
+  }
+  if (now_ < host.stalled_until) {
+    // Scheduled callbacks run before the hosts read the store in a step.
+    const duration order = host.reads_before_answers ? kStep : duration{0};
+    ScheduleAfter(host.stalled_until - now_ + order,
+                  [this, index, incarnation, handle = std::move(handle)] {
+                    DeliverAnswer(index, incarnation, handle);
+                  });
     return;
   }
   assigner_actions actions;
-  hosts_[host].assigner->OnOrderEnded(report, now_, actions);
-  ExecuteActions(host, actions);
+  handle(*host.assigner, actions);
+  ExecuteActions(index, actions);
 }
 
 void assigner_world::SendOrder(size_t index, const key_order& order) {
@@ -434,15 +459,14 @@
     const time_point arrived = now_;
     const uint64_t started = target.entry.life.started;
     const size_t target_index = static_cast<size_t>(&target - targets_.data());
-    ScheduleAfter(seconds{2 + random_() % 8},
-                  [this, order, arrived, target_index, started] {
-                    const world_target& receiver = targets_[target_index];
-                    if (receiver.alive &&
-                        receiver.entry.life.id == order.target.id &&
-                        receiver.entry.life.started == started) {
-                      ApplyOrder(order, arrived);
-                    }
-                  });
+    ScheduleAfter(seconds{2 + random_() % 8}, [this, order, arrived,
+                                               target_index, started] {
+      const world_target& receiver = targets_[target_index];
+      if (receiver.alive && receiver.entry.life.id == order.target.id &&
+          receiver.entry.life.started == started) {
+        ApplyOrder(order, arrived);
+      }
+    });
     ScheduleAfter(milliseconds{500}, [this, index, incarnation, id = order.id] {
       DeliverReport(index, incarnation,
                     {.id = id, .outcome = order_outcome::kUnanswered});
--- a/tests/support/assigner_world.h
+++ b/tests/support/assigner_world.h
@@ -65,6 +65,11 @@
       true;  ///< Whether it gets updates of the target list.
   std::set<std::string> unreachable_hosts{};  ///< Names, in both directions.
   time_point frozen_until{};
+  /// The end of its last stall, in which it handles no answers either.
+  time_point stalled_until{};
+  /// Whether it handles the answers that arrive during its stall only after it
+  /// has read the store.
+  bool reads_before_answers = false;
   time_point next_report_at{};  ///< When its next load report is due.
   uint64_t seen_revision = 0;   ///< The store revision that it last read.
   /// Changes whenever the process stops or starts, so that answers to an
@@ -142,6 +147,10 @@
   /// Probability that a target executes an order 2 to 9 s later, without an
   /// answer.
   double late_order_probability = 0.0;
+  /// Probability that a host stalls for up to 4 s after it has sent a store
+  /// write. A stalled host handles answers and reads the store when the stall
+  /// ends, in either order.
+  double stall_after_write_probability = 0.0;
 
   /// The log notes of all hosts' assigners.
   const std::vector<assigner_note>& notes() const { return notes_; }
@@ -195,6 +204,11 @@
   void SendFanout(const world_host& sender, const std::vector<fanout_hop>& hops,
                   const std::function<void(key_assigner&)>& deliver);
   void SendWrite(size_t index, const store_write& write);
+  /// Calls `handle` when host `index` handles an answer that arrives now,
+  /// unless its process has changed by then.
+  void DeliverAnswer(
+      size_t index, uint64_t incarnation,
+      std::function<void(key_assigner&, assigner_actions&)> handle);
   void SendOrder(size_t index, const key_order& order);
   write_report ApplyWrite(const store_write& write);
   /// Executes `order` at its target. A grant is valid from `arrived`, which is
