Log callers that leave before their answer, and stalls of the loop

Of a lost request the log could not tell whether its caller left, or the host closed the connection, or how long the host had handled nothing before.

Now "caller-gone" names each request whose connection ended before its answer; the host itself closes none with a request in work. "loop-stalled" tells of 200 ms and more in which nothing was handled.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -43,6 +43,8 @@
   kRecordRefused = 307,
   kRequestRefused = 310,
   kRequestNotRead = 311,
+  kCallerGone = 312,
+  kLoopStalled = 313,
   kAssignerBegan = 320,
   kAssignerEnded = 321,
   kOwnerLost = 322,
@@ -143,6 +145,13 @@
      "(400), body too large (413), headers too large (431), or too many bytes "
      "kept for all callers (503).",
      "For 400, 413 and 431 look at the caller; for 503 add hosts or memory."},
+    {event_id::kCallerGone, event_level::kInfo, "caller-gone",
+     "A caller's connection ended before the answer to this request; the host "
+     "did not close it.",
+     "Nothing to do if the caller gave up; else look at its network."},
+    {event_id::kLoopStalled, event_level::kWarning, "loop-stalled",
+     "The host handled nothing for the time given: it was busy or stood still.",
+     "Add hosts or processor time if it comes often."},
     {event_id::kAssignerBegan, event_level::kInfo, "assigner-began",
      "This host now gives keys to targets.", "Nothing to do."},
     {event_id::kAssignerEnded, event_level::kInfo, "assigner-ended",
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -41,6 +41,9 @@
 /// some megabytes.
 constexpr size_t kCallersMemoryPart = 4;
 
+/// A stall of the loop of this length can make requests late.
+constexpr duration kLoggedStall{milliseconds{200}};
+
 /// Longest sleep of the loop while something may be due.
 constexpr duration kLongestSleep{seconds{1}};
 
@@ -229,6 +232,12 @@
 }
 
 void edge_daemon::OnCallerGone(exchange_id id) {
+  const auto found = flights_.find(id);
+  if (found != flights_.end()) {
+    const std::string attempt{platform::AttemptId(found->second.request)};
+    LogEvent(event_id::kCallerGone,
+             {{"request", attempt}, {"target", found->second.target.id}});
+  }
   router_actions actions;
   router_.OnCallerGone(id, Now(), actions);
   Carry(actions);
@@ -333,7 +342,11 @@
 void edge_daemon::Step() {
   const time_point now = Now();
   if (armed_for_ != time_point::max()) {
-    metrics_.OnLoopLag(std::max(now - armed_for_, duration{0}));
+    const duration lag = std::max(now - armed_for_, duration{0});
+    metrics_.OnLoopLag(lag);
+    if (lag >= kLoggedStall) {
+      LogEvent(event_id::kLoopStalled, {{"lag_ms", lag.count() / 1000}});
+    }
   }
   armed_for_ = time_point::max();
   config_.Step(now);
