Read the lease before it is taken where its change of hands was only heard of

A host could take the lease without waiting for one that may still renew grants, so that callers could see two targets run requests for one key.

Cause: the lease goes from one host to a second and back. A third host hears of the new revision in the first one's heartbeat and took it for the revision of the lease that it had read. It then never read the lease that names the second host, and its takeover was written on the heard revision with the old list of predecessors.

Evidence: TakeoverNamesHolderWhoseLeaseWasNotRead failed before: written was a lease whose predecessors name only "d", expected also "x".

Why it works: a write of the lease is conditional on the revision that was read. The conflict brings the lease, and the takeover goes on at once with its list. It costs one more write in a takeover after renewals that were only heard of.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -476,7 +476,11 @@
   assigner_settings settings_;
   bool store_available_ = false;
   std::optional<assigner_lease> lease_;
+  /// The newest revision of the lease that this host has read or has learned
+  /// from the holder's heartbeats.
   uint64_t lease_revision_ = 0;
+  /// The revision of the lease from which `lease_` was read.
+  uint64_t lease_read_revision_ = 0;
   /// When the holder's last write or heartbeat was noticed. Never before the
   /// end of the last store outage.
   time_point lease_seen_at_{};
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -191,8 +191,9 @@
   last_heartbeat_ = heartbeat;
   last_heartbeat_at_ = now;
   if (lease_ && lease_->host == heartbeat.host) {
-    // Renewals of the lease are not read while heartbeats arrive. Without the
-    // revision from the heartbeat, the first attempt at a takeover would fail.
+    // Renewals of the lease are not read while heartbeats arrive. The lease may
+    // also have changed hands and come back, so that `lease_` does not name all
+    // hosts that may renew grants: a takeover reads it first.
     lease_seen_at_ = now;
     lease_revision_ = std::max(lease_revision_, heartbeat.lease_revision);
   }
@@ -466,7 +467,7 @@
                               assigner_actions& out) {
   lease_write_ = pending_write{.name = std::string{kLeaseName},
                                .content = FormatLease(next),
-                               .expected_revision = lease_revision_};
+                               .expected_revision = lease_read_revision_};
   lease_write_->first_sent_at = now;
   SendWrite(*lease_write_, now, out);
 }
@@ -509,13 +510,17 @@
   const pending_write completed = *std::exchange(lease_write_, std::nullopt);
   const auto parsed = ParseLease(written ? std::string_view{completed.content}
                                          : report.content);
-  if (report.revision > lease_revision_ && parsed) {
+  const bool was_only_heard_of = report.revision > lease_read_revision_ &&
+                                 report.revision <= lease_revision_;
+  if (report.revision >= lease_revision_ &&
+      report.revision > lease_read_revision_ && parsed) {
     if (!lease_ || lease_->host != parsed.value().host) {
       holder_changed_at_ = now;
     }
     lease_ = parsed.value();
     lease_revision_ = report.revision;
-    lease_seen_at_ = now;
+    lease_read_revision_ = report.revision;
+    lease_seen_at_ = was_only_heard_of ? lease_seen_at_ : now;
     lease_read_at_ = now;
   }
   if (!written && stopping_ && lease_ && lease_->host == settings_.host &&
@@ -531,9 +536,14 @@
   // grants, so it must not hold the lease again.
   const bool superseded = lease_ && lease_->host != settings_.host;
   if (!written || superseded) {
-    // Another host has written the lease meanwhile, so it is alive.
-    last_heartbeat_at_ = std::max(last_heartbeat_at_, now);
     OnLeaseLost(out);
+    if (was_only_heard_of) {
+      // Heartbeats have told of this write, so it is no new sign of life.
+      UpdateLease(now, out);
+    } else {
+      // Another host has written the lease meanwhile, so it is alive.
+      last_heartbeat_at_ = std::max(last_heartbeat_at_, now);
+    }
     return;
   }
   if (stopping_) {
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -104,9 +104,11 @@
   status parse_status = OkStatus();
   objects_read_ = true;
   const auto lease = objects.find(std::string{kLeaseName});
-  if (lease != objects.end() && lease->second.revision > lease_revision_) {
+  if (lease != objects.end() && lease->second.revision >= lease_revision_ &&
+      lease->second.revision > lease_read_revision_) {
     const auto parsed = ParseLease(lease->second.item.value_or(""));
     lease_revision_ = lease->second.revision;
+    lease_read_revision_ = lease->second.revision;
     lease_seen_at_ = now;
     lease_read_at_ = now;
     // A lease that cannot be parsed has no holder. It is taken over like any
--- a/tests/assigner_lease_test.cc
+++ b/tests/assigner_lease_test.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "foxtailspread/key_assigner.h"
 #include "support/keyed_service.h"
@@ -246,6 +247,40 @@
   EXPECT_FALSE(assigner_.IsHolder(now_));
 }
 
+// The lease goes from "d" to "x" and back, which this host learns only from
+// d's heartbeat, and then takes the lease. Guards against a lease that does not
+// name "x", which may still renew its grants.
+TEST_F(AssignerLeaseTest, TakeoverNamesHolderWhoseLeaseWasNotRead) {
+  const auto lease_of_d = [](std::vector<former_holder> predecessors) {
+    return FormatLease({.host = "d",
+                        .address = "3:4",
+                        .predecessors = std::move(predecessors)});
+  };
+  ASSERT_TRUE(assigner_.OnObjects(
+      {{"assigner",
+        {.name = "assigner", .revision = 11, .item = lease_of_d({})}}},
+      now_));
+  assigner_.OnHeartbeat(
+      {.host = "d", .lease_revision = 13, .successors = {"h"}, .host_count = 3},
+      now_);
+  const store_write first = AdvanceToLeaseWrite();
+  ASSERT_NE(first.expected_revision, 13U) << "written: " << first.content;
+  assigner_actions actions;
+  assigner_.OnWriteEnded({.id = first.id,
+                          .outcome = conditional_write_outcome::kConflict,
+                          .revision = 13,
+                          .content = lease_of_d({{"x", seconds{15}}})},
+                         now_, actions);
+  const auto second = FindLeaseWrite(actions);
+  ASSERT_TRUE(second) << "the takeover waits";
+  EXPECT_EQ(second->expected_revision, 13U);
+  const auto taken = ParseLease(second->content);
+  ASSERT_TRUE(taken);
+  ASSERT_EQ(taken.value().predecessors.size(), 2U) << second->content;
+  EXPECT_EQ(taken.value().predecessors[0].host, "x");
+  EXPECT_EQ(taken.value().predecessors[1].host, "d");
+}
+
 // A holder is partitioned from the store and from some targets, then renews its
 // lease. Guards against it considering all targets lost whose orders failed
 // during the partition.
