Take no record of key owners by datagram while this host assigns keys

A holder that has been replaced and has not read it yet takes its successor's record from a datagram and carries out the move in it, beside the successor.

Cause: OnOwners takes any newer record; only OnObjects brings the lease with it.

Evidence: HolderCarriesOutNoMoveOfAnUnreadSuccessor failed before: a release of the successor's move was sent. That callers could see two owners by it is not shown by a run.

--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -68,6 +68,12 @@
   if (found == services_.end() || record.revision <= found->second.revision) {
     return OkStatus();
   }
+  if (was_holder_) {
+    // Another holder wrote this record. Its moves must not be carried out here
+    // before its lease is read: it takes a new owner that it has sent no grant
+    // for one that holds no keys.
+    return OkStatus();
+  }
   keyed_service& service = found->second;
   if (record.base_revision != 0 && record.base_revision != service.revision) {
     // Records are missing in between. The digest in the next heartbeat will
--- a/tests/assigner_lease_test.cc
+++ b/tests/assigner_lease_test.cc
@@ -281,6 +281,47 @@
   EXPECT_EQ(taken.value().predecessors[1].host, "d");
 }
 
+// A successor has taken the lease and recorded a move of keys, and its datagram
+// arrives before the lease is read. Guards against orders that carry the move
+// out beside the successor, which takes the new owner for one that was sent no
+// grant and may give the keys to another at once.
+TEST_F(AssignerLeaseTest, HolderCarriesOutNoMoveOfAnUnreadSuccessor) {
+  TakeLease();
+  assigner_.OnTargets({MakeTarget("t"), MakeTarget("u")}, false, now_);
+  store_write write = AdvanceToMapWrite();
+  ReportWritten(write, 12);
+  for (uint64_t revision = 13; revision < 16; ++revision) {
+    for (int i = 0; i < 20; ++i) {
+      Step();
+    }
+    if (map_write_) {
+      write = *std::exchange(map_write_, std::nullopt);
+      ReportWritten(write, revision);
+    }
+  }
+  const key_map before = *assigner_.MapOf("s");
+  key_map after = before;
+  key_range& moved = after.ranges[0];
+  ASSERT_TRUE(moved.granted);
+  moved.former_owner = moved.owner;
+  moved.owner = {.id = moved.owner.id == "t" ? "u" : "t", .started = 1};
+  moved.granted = false;
+  after.last_fence += 2;
+  moved.fence = after.last_fence;
+  ASSERT_TRUE(assigner_.OnOwners(
+      {.service = "s",
+       .base_revision = assigner_.MapRevision("s"),
+       .revision = 90,
+       .content = FormatKeyMap(DiffKeyMaps(before, after))}));
+  for (int i = 0; i < 50; ++i) {
+    for (const assigner_action& action : Step()) {
+      const auto* order = std::get_if<key_order>(&action);
+      EXPECT_TRUE(order == nullptr || order->fence < moved.fence - 1)
+          << (order->is_grant ? "grant" : "release") << " at step " << i;
+    }
+  }
+}
+
 // A holder is partitioned from the store and from some targets, then renews its
 // lease. Guards against it considering all targets lost whose orders failed
 // during the partition.
