Count a connection as idle from the last byte of its answer

A kept connection was closed as idle in the first check after a long answer: its time ran from the first byte of the answer, and since only while nothing of it waits to be sent.

Evidence: ConnectionIsKeptForTheIdleTimeAfterALongAnswer failed before (the connection had ended 0.6 s after its answer, with an idle time of 1.5 s). ConnectionWhoseAnswerIsNotTakenIsGivenUp passed before too: the kernel's limit for unacknowledged bytes ends such a connection after 3 s.

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -70,10 +70,14 @@
 }
 
 void caller_connection::OnReady(uint32_t events) {
+  const size_t waiting = stream_.bytes_waiting();
   if (!stream_.OnWritable(events)) {
     End();
     return;
   }
+  if (stream_.bytes_waiting() < waiting) {
+    last_byte_ = Now();
+  }
   const bool readable =
       (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
   if (readable && lingering_ && !discards_rest_) {
--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -652,5 +652,45 @@
   EXPECT_GT(caller.got().size(), answer.body.size());
 }
 
+// Guards against the close of a kept connection as idle right after a long
+// answer: the time that its sending took counted as idle.
+TEST_F(CallerServerTest, ConnectionIsKeptForTheIdleTimeAfterALongAnswer) {
+  server_.SetLimits({.idle_timeout = std::chrono::milliseconds{1500}});
+  blocking_caller caller(server_.port());
+  caller.Send(Get("/a/"));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
+  http_message answer;
+  answer.status = 200;
+  answer.body = std::string(20'000'000, 'x');
+  server_.Answer(*asked_, answer);
+  bool later = false;
+  timer wait = RunAfter(std::chrono::milliseconds{2000}, [&] { later = true; });
+  ASSERT_TRUE(RunUntil([&] { return later; }));
+  ASSERT_TRUE(RunUntil([&] {
+    return caller.HasEnded() || caller.got().size() > answer.body.size();
+  }));
+  bool checked = false;
+  wait = RunAfter(kCheckPeriod + kCheckPeriod / 5, [&] { checked = true; });
+  ASSERT_TRUE(RunUntil([&] { return checked; }));
+  ASSERT_FALSE(caller.HasEnded());
+  caller.Send(Get("/b/"));
+  EXPECT_TRUE(RunUntil([&] { return WasAsked("/b/") || caller.HasEnded(); }));
+  EXPECT_TRUE(WasAsked("/b/"));
+}
+
+// Guards against a connection that is kept for ever because its caller takes
+// nothing of its answer.
+TEST_F(CallerServerTest, ConnectionWhoseAnswerIsNotTakenIsGivenUp) {
+  server_.SetLimits({.idle_timeout = std::chrono::milliseconds{200}});
+  blocking_caller caller(server_.port());
+  caller.Send(Get("/a/"));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
+  http_message answer;
+  answer.status = 200;
+  answer.body = std::string(20'000'000, 'x');
+  server_.Answer(*asked_, answer);
+  EXPECT_TRUE(RunUntil([&] { return server_.connections() == 0; }));
+}
+
 }  // namespace
 }  // namespace foxtailspread
