Let a stop that begins inside a walk over connections wait for its end

A request that a check of times reads may begin a stop in its callback; the stop then ends connections, one of which the check visits next: use after free. No owner does that at present: the daemon begins its stop from a timer.

Evidence: StopThatBeginsInACheckOfTimesEndsOtherConnections crashed before (segmentation fault).

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -53,20 +53,34 @@
 
 void caller_server::BeginClosing() {
   closing_ = true;
-  const time_point now = Now();
-  for (auto each = connections_.begin(); each != connections_.end();) {
-    caller_connection& connection = *each++;
-    connection.CloseWhenIdle(now);
+  close_idle_ = true;
+  if (!walking_) {
+    CloseIdle();
+  }
+}
+
+void caller_server::CloseIdle() {
+  walking_ = true;
+  while (std::exchange(close_idle_, false)) {
+    const time_point now = Now();
+    for (auto each = connections_.begin(); each != connections_.end();) {
+      caller_connection& connection = *each++;
+      connection.CloseWhenIdle(now);
+    }
   }
+  walking_ = false;
 }
 
 void caller_server::Sweep() {
   sweep_armed_ = false;
   const time_point now = Now();
+  walking_ = true;
   for (auto each = connections_.begin(); each != connections_.end();) {
     caller_connection& connection = *each++;
     connection.CheckTimes(now);
   }
+  walking_ = false;
+  CloseIdle();
   ArmSweep();
 }
 
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -87,6 +87,7 @@
   exchange_id Register(caller_connection* from);
   void Forget(exchange_id id) { exchanges_.erase(id); }
   void Remove(caller_connection* connection);
+  void CloseIdle();
   void Sweep();
   void ArmSweep();
 
@@ -100,6 +101,10 @@
   size_t buffered_ = 0;
   size_t most_buffered_ = kDefaultMostBuffered;
   bool closing_ = false;
+  bool close_idle_ = false;  ///< Idle connections are still to be closed.
+  /// In a walk over the connections: a second one within, from a callback,
+  /// could end the connection that the first one is to visit next.
+  bool walking_ = false;
   bool sweep_armed_ = false;
   timer sweep_;
 };
--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -692,5 +692,24 @@
   EXPECT_TRUE(RunUntil([&] { return server_.connections() == 0; }));
 }
 
+// Guards against a walk over connections of which a callback has ended one.
+TEST_F(CallerServerTest, StopThatBeginsInACheckOfTimesEndsOtherConnections) {
+  blocking_caller first(server_.port());
+  ASSERT_TRUE(RunUntil([&] { return server_.connections() == 2; }));
+  blocking_caller second(server_.port());
+  ASSERT_TRUE(RunUntil([&] { return server_.connections() == 3; }));
+  at_once_ = [&](const std::string&) { server_.BeginClosing(); };
+  StallUntilTheNextCheck([&] {
+    server_.SetLimits({.idle_timeout = std::chrono::milliseconds{1}});
+    first.Send(Get("/a/"));
+    second.Leave();
+  });
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
+  AnswerRequest("/a/");
+  ASSERT_TRUE(RunUntil([&] { return first.HasEnded(); }));
+  EXPECT_EQ(Answers(first.got()),
+            (std::vector<seen_answer>{{200, "/a/", true}}));
+}
+
 }  // namespace
 }  // namespace foxtailspread
