Bound the passes of a holder over many ranges

Cause of that: each answered order and each written map asked for a pass over all ranges, with a plan and a map record.

An ended order now moves on its own transfer; passes over a map of more than 64 ranges keep 50 us for each further range between them. Smaller maps are treated as before.

The new test failed before (145 map writes, at most 16 allowed) and passes. key_assigner_test, assigner_lease_test and assigner_sharing_test pass (44). key_assigner_proof_test passes on this code.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -335,6 +335,9 @@
     std::map<range_id, transfer> transfers;
     std::map<range_id, renewal_state> renewals;
     key_load load;
+    time_point updated_at{};  ///< Of the last pass over all ranges.
+    /// An order or a write has ended since then: the next pass is due early.
+    bool has_news = false;
     time_point balanced_at{};
     time_point steady_balanced_at{};
     cold_policy cold;
@@ -442,6 +445,14 @@
 
   void UpdateService(keyed_service& service, time_point now,
                      assigner_actions& out);
+  /// Updates the service now, or in OnTime() if the last pass over all ranges
+  /// is too recent for their number.
+  void UpdateSoon(keyed_service& service, time_point now,
+                  assigner_actions& out);
+  /// The same; the transfer of range `id` proceeds now in either case.
+  void UpdateRangeSoon(keyed_service& service, const range_id& id,
+                       time_point now, assigner_actions& out);
+  static time_point NextUpdateAt(const keyed_service& service);
   void UpdateTransfer(keyed_service& service, const key_range& range,
                       time_point now, assigner_actions& out);
   static bool IsBeingReplaced(const keyed_service& service,
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -23,6 +23,12 @@
 /// same target are adjacent in the order of these keys.
 constexpr char kLifeSeparator = '@';
 
+/// Shortest time between two passes over all ranges, for each range beyond
+/// kUnboundedRanges. Ended orders ask for a pass each: without this bound, N
+/// first grants cost N passes over N ranges.
+constexpr duration kUpdateIntervalPerRange{std::chrono::microseconds{50}};
+constexpr size_t kUnboundedRanges = 64;
+
 /// How long after a store outage a missing target still counts as present. Its
 /// entry may have expired during the outage although the target is alive.
 constexpr duration kMissingTargetGracePeriod{std::chrono::milliseconds{2300}};
@@ -330,10 +336,44 @@
       std::any_of(services_.begin(), services_.end(), [](const auto& entry) {
         return !entry.second.transfers.empty() || entry.second.record_write;
       });
-  if (transferring) {
-    return now + kTransferUpdatePeriod;
+  time_point due = now + (transferring ? kTransferUpdatePeriod
+                                       : (was_holder_ ? kHolderUpdatePeriod
+                                                      : kStandbyUpdatePeriod));
+  if (was_holder_) {
+    for (const auto& [name, service] : services_) {
+      if (service.has_news) {
+        due = std::min(due, std::max(now, NextUpdateAt(service)));
+      }
+    }
+  }
+  return due;
+}
+
+time_point key_assigner::NextUpdateAt(const keyed_service& service) {
+  const size_t ranges = service.map.ranges.size();
+  return service.updated_at +
+         kUpdateIntervalPerRange *
+             (std::max(ranges, kUnboundedRanges) - kUnboundedRanges);
+}
+
+void key_assigner::UpdateSoon(keyed_service& service, time_point now,
+                              assigner_actions& out) {
+  if (now >= NextUpdateAt(service)) {
+    UpdateService(service, now, out);
+  } else {
+    service.has_news = true;
+  }
+}
+
+void key_assigner::UpdateRangeSoon(keyed_service& service, const range_id& id,
+                                   time_point now, assigner_actions& out) {
+  UpdateSoon(service, now, out);
+  const key_range* range = std::as_const(service.map).Find(id.second);
+  if (service.has_news && IsHolder(now) && range != nullptr &&
+      IdOf(*range) == id && !range->granted &&
+      !IsBeingReplaced(service, *range)) {
+    UpdateTransfer(service, *range, now, out);
   }
-  return now + (was_holder_ ? kHolderUpdatePeriod : kStandbyUpdatePeriod);
 }
 
 void key_assigner::UpdateService(keyed_service& service, time_point now,
@@ -341,6 +381,8 @@
   if (!IsHolder(now)) {
     return;
   }
+  service.updated_at = now;
+  service.has_news = false;
   service.load.UpdateAverages(now);
   RetryWrite(service.record_write, now, out);
   std::set<range_id> current_ranges;
@@ -403,7 +445,7 @@
         service.transfers[IdOf(range)].inherited = false;
       }
     }
-    UpdateService(service, now, out);
+    UpdateSoon(service, now, out);
   } else if (report.outcome == conditional_write_outcome::kConflict) {
     // Another holder has written the record, so that this host has lost the
     // lease, even if it has not noticed yet. A record that cannot be parsed is
--- a/src/core/key_assigner_orders.cc
+++ b/src/core/key_assigner_orders.cc
@@ -302,7 +302,7 @@
           context.is_former_owner ? report.handover_token : "";
     }
     state.retry_at = now;
-    UpdateService(service, now, out);
+    UpdateRangeSoon(service, context.range, now, out);
   } else if (report.outcome == order_outcome::kFenced) {
     state.grant_fenced = true;
     out.emplace_back(
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -3,7 +3,12 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
+#include <string>
 #include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
 
 #include "support/assigner_world.h"
 
@@ -492,5 +497,109 @@
   EXPECT_EQ(world.problem(), "");
 }
 
+/// A holder without a network: targets answer its orders one after the other,
+/// the store confirms each write at once.
+struct first_map_run {
+  size_t map_writes = 0;
+  size_t granted_ranges = 0;
+  time_point last_grant_recorded_at{};
+  time_point last_grant_answered_at{};
+};
+
+first_map_run GrantFirstMap(size_t target_count) {
+  constexpr duration kTick{std::chrono::microseconds{300}};
+  constexpr duration kWriteTime{milliseconds{2}};
+  time_point now{seconds{1000}};
+  key_assigner assigner({.host = "a",
+                         .zone = "z",
+                         .address = "a",
+                         .targets_keep_release_fences = true});
+  service_settings service;
+  service.name = "keyed";
+  service.keyed = true;
+  assigner.OnServices({service});
+  std::vector<target_entry> targets(target_count);
+  for (size_t i = 0; i < target_count; ++i) {
+    targets[i].service = service.name;
+    targets[i].life = {"i-" + std::to_string(i), 1};
+    targets[i].address = "t" + std::to_string(i);
+    targets[i].slots = 3;
+  }
+  assigner.OnStoreAvailability(true, now);
+  key_assigner::system_objects objects;
+  EXPECT_TRUE(assigner.OnObjects(objects, now));
+  assigner.OnTargets(targets, false, now);
+  first_map_run run;
+  std::deque<uint64_t> orders;
+  std::deque<std::pair<time_point, store_write>> writes;
+  uint64_t revision = 1;
+  const auto take = [&](assigner_actions& actions) {
+    for (assigner_action& action : actions) {
+      if (const auto* order = std::get_if<key_order>(&action)) {
+        orders.push_back(order->id);
+      } else if (auto* write = std::get_if<store_write>(&action)) {
+        run.map_writes += write->name == key_assigner::kLeaseName ? 0U : 1U;
+        writes.emplace_back(now + kWriteTime, std::move(*write));
+      }
+    }
+    actions.clear();
+  };
+  assigner_actions actions;
+  time_point due = now;
+  const time_point end = now + seconds{6};
+  for (; now < end && run.granted_ranges < target_count; now += kTick) {
+    if (!orders.empty()) {
+      assigner.OnOrderEnded({.id = orders.front(),
+                             .outcome = order_outcome::kDone,
+                             .connection_number = 1},
+                            now, actions);
+      orders.pop_front();
+      run.last_grant_answered_at = now;
+      due = std::min(due, assigner.NextDue(now));
+      take(actions);
+    }
+    if (!writes.empty() && writes.front().first <= now) {
+      const store_write write = std::move(writes.front().second);
+      writes.pop_front();
+      objects[write.name].revision = ++revision;
+      objects[write.name].item = write.content;
+      assigner.OnWriteEnded({.id = write.id,
+                             .outcome = conditional_write_outcome::kWritten,
+                             .revision = revision},
+                            now, actions);
+      EXPECT_TRUE(assigner.OnObjects(objects, now));
+      take(actions);
+    }
+    if (now >= due) {
+      assigner.OnTime(now, actions);
+      due = assigner.NextDue(now);
+      take(actions);
+    }
+    if (const key_map* map = assigner.MapOf(service.name)) {
+      run.granted_ranges = static_cast<size_t>(
+          std::count_if(map->ranges.begin(), map->ranges.end(),
+                        [](const key_range& range) { return range.granted; }));
+      run.last_grant_recorded_at = now;
+    }
+  }
+  return run;
+}
+
+// A holder that plans, and writes the whole map, for each answered grant of a
+// thousand is busy for seconds, in which grants lapse and targets answer 421.
+TEST(KeyAssignerSizeTest, FirstGrantsToThousandTargetsAreRecordedInFewWrites) {
+  const first_map_run run = GrantFirstMap(1000);
+  EXPECT_EQ(run.granted_ranges, 1000U);
+  EXPECT_LE(run.map_writes, 16U);
+}
+
+// Batching for large maps must not delay the grants of a small one.
+TEST(KeyAssignerSizeTest, FirstGrantsToTwelveTargetsAreRecordedAtOnce) {
+  const first_map_run run = GrantFirstMap(12);
+  EXPECT_EQ(run.granted_ranges, 12U);
+  EXPECT_LE(run.last_grant_recorded_at - run.last_grant_answered_at,
+            milliseconds{6});
+}
+
 }  // namespace
 }  // namespace foxtailspread
