Let no holder wait without sleep for a pass that it may not make

What could happen: a holder of more than 64 ranges loses the lease while a pass over them is due, takes it again, and its loop does not sleep until the objects of the store are read: all its processor time goes there.

Cause: the due pass was noted for the next update, and only a host that may assign keys makes it; NextDue() asked only whether the host had taken the lease.

Test: PassThatWasDueBeforeALapseWaitsForTheObjects failed before (NextDue(now) is now). MayAssign() is now what both ask.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -443,6 +443,9 @@
                         assigner_actions& out) const;
   void CancelOverdueOrders(time_point now, assigner_actions& out);
 
+  /// Returns whether this host holds the lease and knows what the holders
+  /// before it have recorded.
+  bool MayAssign(time_point now) const;
   void UpdateService(keyed_service& service, time_point now,
                      assigner_actions& out);
   /// Updates the service now, or in OnTime() if the last pass over all ranges
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -315,8 +315,7 @@
   // expiry of a target's grants is known only when all of its orders have an
   // outcome, and an order that never gets one would block its keys forever.
   CancelOverdueOrders(now, out);
-  const bool may_assign =
-      was_holder_ && IsHolder(now) && synced_since_acquired_;
+  const bool may_assign = MayAssign(now);
   if (!may_assign && now >= renewing_until_) {
     return;
   }
@@ -333,6 +332,10 @@
   }
 }
 
+bool key_assigner::MayAssign(time_point now) const {
+  return was_holder_ && IsHolder(now) && synced_since_acquired_;
+}
+
 time_point key_assigner::NextDue(time_point now) const {
   // The holder updates its ranges often enough for transfers to finish within
   // tens of milliseconds. A standby host only watches the lease.
@@ -344,10 +347,11 @@
       std::any_of(services_.begin(), services_.end(), [](const auto& entry) {
         return !entry.second.transfers.empty() || entry.second.record_write;
       });
-  time_point due = now + (transferring ? kTransferUpdatePeriod
-                                       : (was_holder_ ? kHolderUpdatePeriod
-                                                      : kStandbyUpdatePeriod));
-  if (was_holder_) {
+  const duration period = transferring  ? kTransferUpdatePeriod
+                          : was_holder_ ? kHolderUpdatePeriod
+                                        : kStandbyUpdatePeriod;
+  time_point due = now + period;
+  if (MayAssign(now)) {
     for (const auto& [name, service] : services_) {
       if (service.has_news) {
         due = std::min(due, std::max(now, NextUpdateAt(service)));
--- a/tests/assigner_lease_test.cc
+++ b/tests/assigner_lease_test.cc
@@ -322,6 +322,28 @@
   }
 }
 
+// A holder of many ranges loses the lease with a pass over them due, and takes
+// it again. Guards against a loop that never sleeps until the objects are read.
+TEST_F(AssignerLeaseTest, PassThatWasDueBeforeALapseWaitsForTheObjects) {
+  TakeLease();
+  std::vector<target_entry> targets;
+  for (int i = 0; i < 200; ++i) {
+    targets.push_back(MakeTarget("t" + std::to_string(i)));
+  }
+  assigner_.OnTargets(targets, false, now_);
+  ReportWritten(AdvanceToMapWrite(), 12);
+  ASSERT_LT(assigner_.NextDue(now_), now_ + milliseconds{20})
+      << "no pass is due";
+  now_ += seconds{6};
+  assigner_actions actions;
+  assigner_.OnTime(now_, actions);
+  const auto lease = FindLeaseWrite(actions);
+  ASSERT_TRUE(lease);
+  ReportWritten(*lease, 13);
+  ASSERT_TRUE(assigner_.IsHolder(now_));
+  EXPECT_GT(assigner_.NextDue(now_), now_);
+}
+
 // A holder is partitioned from the store and from some targets, then renews its
 // lease. Guards against it considering all targets lost whose orders failed
 // during the partition.
