Test a cut-off holder beside its successor's moves

The successor had sent the new owner no grant yet, so when that one became unusable it gave the keys to a third target without a release.

--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -472,6 +472,52 @@
   world_.Run(seconds{10});
 }
 
+// The holder is cut off from the store, but not from the other hosts, and gets
+// its successor's record by datagram. The new owner of moved keys starts to
+// drain before the successor's release is answered. Guards against two owners:
+// a grant of the former holder in the successor's move, which the successor
+// doesn't know of when it gives the keys to another target.
+TEST(KeyAssignerDatagramTest, CutOffHolderCarriesOutNoMoveOfItsSuccessor) {
+  testing::assigner_world world(
+      {.hosts = 4, .targets = 5, .seed = 108, .datagrams = true});
+  world.Run(seconds{8});
+  const size_t cut_off = world.holder().value();
+  world.host(cut_off).reaches_store = false;
+  world.host(cut_off).gets_target_list = false;
+  while (world.holder().value_or(cut_off) == cut_off) {
+    world.Run(milliseconds{10});
+  }
+  world.Run(milliseconds{1200});
+  testing::world_target& former = world.target(2);
+  for (size_t i = 0; i < world.host_count(); ++i) {
+    if (i != cut_off) {
+      former.answers_lost_to.insert(world.host(i).name);
+    }
+  }
+  former.entry.draining = true;
+  const auto new_owner = [&]() -> std::optional<std::string> {
+    const key_map recorded = world.RecordedMap().value();
+    for (const key_range& range : recorded.ranges) {
+      if (range.former_owner == former.entry.life) {
+        return range.owner.id;
+      }
+    }
+    return std::nullopt;
+  };
+  while (!new_owner()) {
+    world.Run(milliseconds{10});
+  }
+  world.Run(milliseconds{50});
+  for (size_t i = 0; i < world.target_count(); ++i) {
+    if (world.target(i).entry.life.id == new_owner()) {
+      world.target(i).entry.draining = true;
+    }
+  }
+  former.answers_lost_to.clear();
+  world.Run(seconds{2});
+  EXPECT_EQ(world.problem(), "") << world.History();
+}
+
 // Guards against keys that stay with the targets of an evacuated zone.
 TEST_F(KeyAssignerTest, EvacuatedZoneLosesItsKeysAtOnce) {
   world_.Run(kSettlingTime);
