Answer no conflict with an unreadable lease by another write at once

Evidence: TakeoverOfUnreadableLeaseWaits failed before: each conflict was answered by a write, ten of ten. It lasts until the watch brings the lease.

--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -537,7 +537,7 @@
   const bool superseded = lease_ && lease_->host != settings_.host;
   if (!written || superseded) {
     OnLeaseLost(out);
-    if (was_only_heard_of) {
+    if (was_only_heard_of && parsed) {
       // Heartbeats have told of this write, so it is no new sign of life.
       UpdateLease(now, out);
     } else {
--- a/tests/assigner_lease_test.cc
+++ b/tests/assigner_lease_test.cc
@@ -322,6 +322,32 @@
   }
 }
 
+// A lease that this host has only heard of turns out to be unreadable. Guards
+// against a write of the lease in answer to each conflict, without end.
+TEST_F(AssignerLeaseTest, TakeoverOfUnreadableLeaseWaits) {
+  ASSERT_TRUE(assigner_.OnObjects(
+      {{"assigner",
+        {.name = "assigner",
+         .revision = 11,
+         .item = FormatLease({.host = "d", .address = "3:4"})}}},
+      now_));
+  assigner_.OnHeartbeat(
+      {.host = "d", .lease_revision = 13, .successors = {"h"}, .host_count = 3},
+      now_);
+  std::optional<store_write> write = AdvanceToLeaseWrite();
+  int writes = 0;
+  for (; write && writes < 10; ++writes) {
+    assigner_actions actions;
+    assigner_.OnWriteEnded({.id = write->id,
+                            .outcome = conditional_write_outcome::kConflict,
+                            .revision = 13,
+                            .content = "{}"},
+                           now_, actions);
+    write = FindLeaseWrite(actions);
+  }
+  EXPECT_EQ(writes, 1);
+}
+
 // A holder of many ranges loses the lease with a pass over them due, and takes
 // it again. Guards against a loop that never sleeps until the objects are read.
 TEST_F(AssignerLeaseTest, PassThatWasDueBeforeALapseWaitsForTheObjects) {
