--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -336,8 +336,9 @@
     std::map<range_id, renewal_state> renewals;
     key_load load;
     time_point updated_at{};  ///< Of the last pass over all ranges.
-    /// An order or a write has ended since then: the next pass is due early.
-    bool has_news = false;
+    /// An order or a write has ended since then, so that the next pass is due
+    /// as soon as NextUpdateAt().
+    bool update_pending = false;
     time_point balanced_at{};
     time_point steady_balanced_at{};
     cold_policy cold;
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -353,7 +353,7 @@
   time_point due = now + period;
   if (MayAssign(now)) {
     for (const auto& [name, service] : services_) {
-      if (service.has_news) {
+      if (service.update_pending) {
         due = std::min(due, std::max(now, NextUpdateAt(service)));
       }
     }
@@ -373,7 +373,7 @@
   if (now >= NextUpdateAt(service)) {
     UpdateService(service, now, out);
   } else {
-    service.has_news = true;
+    service.update_pending = true;
   }
 }
 
@@ -381,7 +381,7 @@
                                    time_point now, assigner_actions& out) {
   UpdateSoon(service, now, out);
   const key_range* range = std::as_const(service.map).Find(id.second);
-  if (service.has_news && IsHolder(now) && range != nullptr &&
+  if (service.update_pending && IsHolder(now) && range != nullptr &&
       IdOf(*range) == id && !range->granted &&
       !IsBeingReplaced(service, *range)) {
     UpdateTransfer(service, *range, now, out);
@@ -394,7 +394,7 @@
     return;
   }
   service.updated_at = now;
-  service.has_news = false;
+  service.update_pending = false;
   service.load.UpdateAverages(now);
   RetryWrite(service.record_write, now, out);
   std::set<range_id> current_ranges;
