--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -186,6 +186,23 @@
     }
   }
 
+  /// Sends a request for "/a/" and answers it with `size` bytes.
+  void AnswerAtLength(const blocking_caller& caller, size_t size,
+                      std::string_view headers = {}) {
+    caller.Send(Get("/a/", headers));
+    ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
+    http_message answer;
+    answer.status = 200;
+    answer.body = std::string(size, 'x');
+    server_.Answer(*asked_, answer);
+  }
+
+  static void Wait(duration time) {
+    bool over = false;
+    const timer end = RunAfter(time, [&] { over = true; });
+    ASSERT_TRUE(RunUntil([&] { return over; }));
+  }
+
   /// Lets the loop take what has arrived.
   static void Turn() {
     while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
@@ -209,6 +226,10 @@
   }
 
   static constexpr std::chrono::milliseconds kCheckPeriod{500};
+  /// An answer that the kernel takes at once and the caller's side in parts.
+  static constexpr size_t kOneSendAnswer = 500'000;
+  /// One that waits in the server until the caller takes it.
+  static constexpr size_t kLongAnswer = 20'000'000;
 
   poller events_;
   std::optional<exchange_id> asked_;
@@ -599,20 +620,11 @@
 // caller has sent another request.
 TEST_F(CallerServerTest, ClosingAnswerOnItsWayArrivesDespiteALaterRequest) {
   blocking_caller caller(server_.port());
-  caller.Send(Get("/a/", "Connection: close\r\n"));
-  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
-  http_message answer;
-  answer.status = 200;
-  // The kernel takes all of it, and the caller's side only a part.
-  answer.body = std::string(500'000, 'x');
-  server_.Answer(*asked_, answer);
+  AnswerAtLength(caller, kOneSendAnswer, "Connection: close\r\n");
   caller.Send(Get("/b/"));
-  bool later = false;
-  const timer wait =
-      RunAfter(std::chrono::milliseconds{800}, [&] { later = true; });
-  ASSERT_TRUE(RunUntil([&] { return later; }));
+  Wait(std::chrono::milliseconds{800});
   ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
-  EXPECT_GT(caller.got().size(), answer.body.size());
+  EXPECT_GT(caller.got().size(), kOneSendAnswer);
   EXPECT_FALSE(WasAsked("/b/"));
 }
 
@@ -620,18 +632,10 @@
 // slowly.
 TEST_F(CallerServerTest, LargeClosingAnswerToASlowCallerArrivesWhole) {
   blocking_caller caller(server_.port());
-  caller.Send(Get("/a/", "Connection: close\r\n"));
-  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
-  http_message answer;
-  answer.status = 200;
-  answer.body = std::string(20'000'000, 'x');
-  server_.Answer(*asked_, answer);
-  bool later = false;
-  const timer wait =
-      RunAfter(std::chrono::milliseconds{2000}, [&] { later = true; });
-  ASSERT_TRUE(RunUntil([&] { return later; }));
+  AnswerAtLength(caller, kLongAnswer, "Connection: close\r\n");
+  Wait(std::chrono::milliseconds{2000});
   ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
-  EXPECT_GT(caller.got().size(), answer.body.size());
+  EXPECT_GT(caller.got().size(), kLongAnswer);
 }
 
 // Guards against an answer that is cut off because the idle time runs out while
@@ -639,18 +643,10 @@
 TEST_F(CallerServerTest, AnswerThatTakesLongerThanTheIdleTimeArrivesWhole) {
   server_.SetLimits({.idle_timeout = std::chrono::milliseconds{200}});
   blocking_caller caller(server_.port());
-  caller.Send(Get("/a/"));
-  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
-  http_message answer;
-  answer.status = 200;
-  answer.body = std::string(20'000'000, 'x');
-  server_.Answer(*asked_, answer);
-  bool later = false;
-  const timer wait =
-      RunAfter(std::chrono::milliseconds{2000}, [&] { later = true; });
-  ASSERT_TRUE(RunUntil([&] { return later; }));
+  AnswerAtLength(caller, kLongAnswer);
+  Wait(std::chrono::milliseconds{2000});
   ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
-  EXPECT_GT(caller.got().size(), answer.body.size());
+  EXPECT_GT(caller.got().size(), kLongAnswer);
 }
 
 // Guards against the close of a kept connection as idle right after a long
@@ -658,21 +654,11 @@
 TEST_F(CallerServerTest, ConnectionIsKeptForTheIdleTimeAfterALongAnswer) {
   server_.SetLimits({.idle_timeout = std::chrono::milliseconds{1500}});
   blocking_caller caller(server_.port());
-  caller.Send(Get("/a/"));
-  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
-  http_message answer;
-  answer.status = 200;
-  answer.body = std::string(20'000'000, 'x');
-  server_.Answer(*asked_, answer);
-  bool later = false;
-  timer wait = RunAfter(std::chrono::milliseconds{2000}, [&] { later = true; });
-  ASSERT_TRUE(RunUntil([&] { return later; }));
-  ASSERT_TRUE(RunUntil([&] {
-    return caller.HasEnded() || caller.got().size() > answer.body.size();
-  }));
-  bool checked = false;
-  wait = RunAfter(kCheckPeriod + kCheckPeriod / 5, [&] { checked = true; });
-  ASSERT_TRUE(RunUntil([&] { return checked; }));
+  AnswerAtLength(caller, kLongAnswer);
+  Wait(std::chrono::milliseconds{2000});
+  ASSERT_TRUE(RunUntil(
+      [&] { return caller.HasEnded() || caller.got().size() > kLongAnswer; }));
+  Wait(kCheckPeriod + kCheckPeriod / 5);
   ASSERT_FALSE(caller.HasEnded());
   caller.Send(Get("/b/"));
   EXPECT_TRUE(RunUntil([&] { return WasAsked("/b/") || caller.HasEnded(); }));
@@ -684,12 +670,7 @@
 TEST_F(CallerServerTest, ConnectionWhoseAnswerIsNotTakenIsGivenUp) {
   server_.SetLimits({.idle_timeout = std::chrono::milliseconds{200}});
   blocking_caller caller(server_.port());
-  caller.Send(Get("/a/"));
-  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
-  http_message answer;
-  answer.status = 200;
-  answer.body = std::string(20'000'000, 'x');
-  server_.Answer(*asked_, answer);
+  AnswerAtLength(caller, kLongAnswer);
   EXPECT_TRUE(RunUntil([&] { return server_.connections() == 0; }));
 }
 
