--- a/tests/assigner_lease_test.cc
+++ b/tests/assigner_lease_test.cc
@@ -352,8 +352,10 @@
 // it again. Guards against a loop that never sleeps until the objects are read.
 TEST_F(AssignerLeaseTest, PassThatWasDueBeforeALapseWaitsForTheObjects) {
   TakeLease();
+  constexpr size_t kTargetCount = 200;
   std::vector<target_entry> targets;
-  for (int i = 0; i < 200; ++i) {
+  targets.reserve(kTargetCount);
+  for (size_t i = 0; i < kTargetCount; ++i) {
     targets.push_back(MakeTarget("t" + std::to_string(i)));
   }
   assigner_.OnTargets(targets, false, now_);
