--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -27,6 +27,7 @@
 /// kUnboundedRanges. Ended orders ask for a pass each: without this bound, N
 /// first grants cost N passes over N ranges.
 constexpr duration kUpdateIntervalPerRange{std::chrono::microseconds{50}};
+/// Up to this many ranges a pass is cheap and follows each ended order.
 constexpr size_t kUnboundedRanges = 64;
 
 /// How long after a store outage a missing target still counts as present. Its
