Read and report the request rate that a target accepts

An answer that was overtaken changes nothing: only one whose request was sent after the last confirming answer arrived is certain to be newer. A value that cannot be parsed leaves what is known and is logged once per start of a target. No request is routed differently.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -55,6 +55,9 @@
   kOrderFailed = 327,
   kZoneEvacuated = 330,
   kZoneReturned = 331,
+  kTargetLimited = 340,
+  kTargetLimitEnded = 341,
+  kTargetLimitUnreadable = 342,
   kFaultsChanged = 800,
   kPoisonedRequest = 801,
   kWorkCancelled = 802,
@@ -183,6 +186,18 @@
      "The zone is evacuated no longer; its targets get requests when they are "
      "warm.",
      "Nothing to do."},
+    {event_id::kTargetLimited, event_level::kInfo, "target-limited",
+     "A target accepts only the rate given, in requests per second, from all "
+     "hosts together.",
+     "Look at the target, or add targets to its service."},
+    {event_id::kTargetLimitEnded, event_level::kInfo, "target-limit-ended",
+     "A target accepts requests at any rate again.", "Nothing to do."},
+    {event_id::kTargetLimitUnreadable, event_level::kWarning,
+     "target-limit-unreadable",
+     "A target states a limit that is not a number of requests per second; "
+     "what "
+     "was known of its limit stays. Logged once per start of a target.",
+     "Correct the target."},
     {event_id::kFaultsChanged, event_level::kInfo, "faults-changed",
      "A test has set the faults of a stand-in.", "Nothing to do."},
     {event_id::kPoisonedRequest, event_level::kError, "poisoned-request",
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -31,6 +31,7 @@
 #include "foxtailspread/routing_config.h"
 #include "foxtailspread/target_entry.h"
 #include "foxtailspread/target_health.h"
+#include "foxtailspread/target_limit.h"
 #include "foxtailspread/time.h"
 
 namespace foxtailspread {
@@ -122,8 +123,17 @@
   request_id id = 0;
 };
 
-using router_action = std::variant<send_action, local_reply_action,
-                                   deliver_action, cancel_action>;
+/// Reports that an answer changed what is known of a target's limit, or states
+/// one that cannot be parsed; the latter is reported once per target.
+struct limit_change_action {
+  std::string service{};
+  target_life target{};
+  limit_notice notice{};
+};
+
+using router_action =
+    std::variant<send_action, local_reply_action, deliver_action, cancel_action,
+                 limit_change_action>;
 using router_actions = std::vector<router_action>;
 
 /// How an attempt ended.
@@ -131,6 +141,8 @@
   request_id id = 0;
   attempt_verdict verdict = attempt_verdict::kBroken;
   std::optional<reported_load> load{};  ///< Reported by the target, if at all.
+  /// What the target's answer says of its limit; empty without an answer.
+  std::optional<limit_notice> limit{};
 };
 
 /// Current state of one service for the metrics.
@@ -139,6 +151,7 @@
   size_t waiting_requests = 0;  ///< Requests not sent yet.
   size_t usable_targets = 0;    ///< Listed, not draining and reachable.
   size_t cold_targets = 0;      ///< Not warmed up yet after their start.
+  size_t limited_targets = 0;   ///< Limit the rate of requests to them.
   int in_flight = 0;            ///< Attempts of this host under way.
   double retries_left = 0.0;    ///< In this host's share of the retry budget.
 };
@@ -147,6 +160,7 @@
 struct router_counts {
   uint64_t requests = 0;
   uint64_t retries = 0;
+  uint64_t limited_sends = 0;  ///< Attempts sent to targets with a limit.
 };
 
 /// Settings of a request_router.
@@ -284,6 +298,10 @@
   /// Records the load that `reporter` reported with the end of an attempt.
   static void RecordLoad(const request& ended_request, target& reporter,
                          const attempt_report& report, time_point now);
+  /// Applies what the answer of an attempt says of its target's limit.
+  static void RecordLimit(const request& ended_request, target& answering,
+                          const attempt_report& report, time_point now,
+                          router_actions& out);
   bool TryTakeRetry(request& pending_request, time_point now);
   void RetryOrRefuse(request& pending_request, refusal_reason reason_if_refused,
                      time_point now, router_actions& out);
--- /dev/null
+++ b/include/foxtailspread/target_limit.h
@@ -0,0 +1,63 @@
+#ifndef FOXTAILSPREAD_TARGET_LIMIT_H_
+#define FOXTAILSPREAD_TARGET_LIMIT_H_
+
+/// @file
+/// The request rate that a target accepts from all hosts together, as it states
+/// it in its answers.
+///
+/// Load pattern: a target in need accepts a few requests per second, fewer than
+/// there are hosts. Answers of one target overtake each other on their way to
+/// one host and to several.
+
+#include <optional>
+
+#include "foxtailspread/time.h"
+
+namespace foxtailspread {
+
+/// What one answer says of its target's limit.
+struct limit_notice {
+  /// Requests per second that the target accepts from all hosts together; empty
+  /// if it accepts any number.
+  std::optional<double> per_second{};
+  /// False if the answer states a limit that cannot be parsed, which leaves the
+  /// known limit as it is.
+  bool is_readable = true;
+
+  bool operator==(const limit_notice&) const = default;
+};
+
+/// The limit of one target as one host knows it.
+///
+/// An answer was written between the send of its request and its own arrival.
+/// Only an answer whose request was sent after the arrival of all answers that
+/// confirm the known limit is certain to be newer, so that only such an answer
+/// changes it.
+///
+/// @code
+/// if (limit.Update(notice.per_second, sent_at, now)) Share(limit);
+/// @endcode
+class target_limit {
+ public:
+  /// Applies an answer that arrived at `received_at` to a request that was sent
+  /// at `sent_at`. Returns whether the limit changed.
+  bool Update(std::optional<double> per_second, time_point sent_at,
+              time_point received_at);
+
+  /// Requests per second; empty if there is no limit.
+  const std::optional<double>& per_second() const { return per_second_; }
+  /// Whether any answer was applied.
+  bool is_known() const { return received_at_ != time_point{}; }
+  /// The latest times of an answer that confirmed the limit.
+  time_point sent_at() const { return sent_at_; }
+  time_point received_at() const { return received_at_; }
+
+ private:
+  std::optional<double> per_second_;
+  time_point sent_at_{};
+  time_point received_at_{};
+};
+
+}  // namespace foxtailspread
+
+#endif  // FOXTAILSPREAD_TARGET_LIMIT_H_
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -177,6 +177,7 @@
     pending_request.first_sent_time = now;
   }
   chosen->health.OnSent(now);
+  counts_.limited_sends += chosen->limit.per_second() ? 1 : 0;
   ++pending_request.service_state->in_flight;
   if (!pending_request.WasTried(chosen)) {
     pending_request.tried_targets.emplace_back(chosen);
@@ -240,6 +241,9 @@
   if (report.load) {
     RecordLoad(pending_request, *attempted_target, report, now);
   }
+  if (report.limit) {
+    RecordLimit(pending_request, *attempted_target, report, now, out);
+  }
   const bool shed = report.verdict == attempt_verdict::kShed;
   service_state.shed_fraction +=
       kShedWeight * ((shed ? 1.0 : 0.0) - service_state.shed_fraction);
--- a/src/core/request_router_reports.cc
+++ b/src/core/request_router_reports.cc
@@ -37,6 +37,26 @@
       ended_request.service_state->in_flight);
 }
 
+void request_router::RecordLimit(const request& ended_request,
+                                 target& answering,
+                                 const attempt_report& report, time_point now,
+                                 router_actions& out) {
+  // Most likely another target has taken over the address.
+  if (report.verdict == attempt_verdict::kMisdirected) {
+    return;
+  }
+  const limit_notice& notice = *report.limit;
+  const bool is_reported =
+      notice.is_readable ? answering.limit.Update(notice.per_second,
+                                                  ended_request.sent_time, now)
+                         : !std::exchange(answering.has_unreadable_limit, true);
+  if (is_reported) {
+    out.emplace_back(limit_change_action{.service = answering.entry.service,
+                                         .target = answering.entry.life,
+                                         .notice = notice});
+  }
+}
+
 std::vector<service_gauges> request_router::Gauges(time_point now) {
   std::vector<service_gauges> gauges;
   for (auto& [name, service_state] : services_) {
@@ -52,6 +72,7 @@
       service_gauge.usable_targets += is_usable ? 1 : 0;
       service_gauge.cold_targets +=
           known_target->availability.IsCold(now) ? 1 : 0;
+      service_gauge.limited_targets += known_target->limit.per_second() ? 1 : 0;
     }
   }
   return gauges;
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -15,6 +15,7 @@
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/service_limit.h"
 #include "foxtailspread/target_availability.h"
+#include "foxtailspread/target_limit.h"
 #include "foxtailspread/waiting_policy.h"
 
 namespace foxtailspread {
@@ -58,6 +59,8 @@
   target_health health;
   bool has_new_load = false;  ///< It reported its load since TakeLoads().
   target_availability availability;
+  target_limit limit;
+  bool has_unreadable_limit = false;  ///< It was reported.
   /// Earliest time at which it can have begun to drain.
   std::optional<time_point> draining_since;
   /// When it was first missing from the list.
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -253,9 +253,13 @@
   ended.call.reset();
   const time_point now = Now();
   const attempt_verdict verdict = platform::Judge(result);
+  const bool answered = result.end == call_end::kAnswered;
   const std::optional<reported_load> load =
-      result.end == call_end::kAnswered ? platform::ReadLoad(result.answer)
-                                        : std::nullopt;
+      answered ? platform::ReadLoad(result.answer) : std::nullopt;
+  std::optional<limit_notice> limit;
+  if (answered) {
+    limit = platform::ReadLimit(result.answer);
+  }
   if (verdict == attempt_verdict::kServed ||
       verdict == attempt_verdict::kFailed) {
     ended.answer = std::move(result.answer);
@@ -264,8 +268,9 @@
     ShareLoadsSoon();
   }
   router_actions actions;
-  router_.OnAttemptEnded({.id = id, .verdict = verdict, .load = load}, now,
-                         actions);
+  router_.OnAttemptEnded(
+      {.id = id, .verdict = verdict, .load = load, .limit = limit}, now,
+      actions);
   Carry(actions);
 }
 
@@ -339,6 +344,19 @@
   }
 }
 
+void edge_daemon::CarryOne(const limit_change_action& action) {
+  const limit_notice& notice = action.notice;
+  event_id event = event_id::kTargetLimitEnded;
+  if (!notice.is_readable) {
+    event = event_id::kTargetLimitUnreadable;
+  } else if (notice.per_second) {
+    event = event_id::kTargetLimited;
+  }
+  LogEvent(event, {{"service", action.service},
+                   {"target", action.target.id},
+                   {"per_second", notice.per_second.value_or(0.0)}});
+}
+
 void edge_daemon::Step() {
   const time_point now = Now();
   if (armed_for_ != time_point::max()) {
@@ -436,6 +454,7 @@
   const router_counts& counts = router_.counts();
   line("requests_total", static_cast<double>(counts.requests));
   line("repeats_total", static_cast<double>(counts.retries));
+  line("limited_sends_total", static_cast<double>(counts.limited_sends));
   line("requests_pending", static_cast<double>(router_.pending()));
   for (const service_gauges& each : router_.Gauges(now)) {
     const std::string labels = MetricLabel("service", each.service);
@@ -445,6 +464,8 @@
                  static_cast<double>(each.usable_targets));
     AppendMetric(text, "targets_cold", labels,
                  static_cast<double>(each.cold_targets));
+    AppendMetric(text, "targets_limited", labels,
+                 static_cast<double>(each.limited_targets));
     AppendMetric(text, "requests_in_flight", labels,
                  static_cast<double>(each.in_flight));
     AppendMetric(text, "repeats_left", labels, each.retries_left);
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -102,6 +102,7 @@
   void CarryOne(const local_reply_action& action);
   void CarryOne(const deliver_action& action);
   void CarryOne(const cancel_action& action);
+  void CarryOne(const limit_change_action& action);
   void Carry(assigner_actions& actions);
   void CarryOne(const store_write& action);
   void CarryOne(const key_order& action);
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -108,6 +108,14 @@
     return actions_;
   }
 
+  const router_actions& EndAttemptWithLimit(request_id id, limit_notice limit) {
+    actions_.clear();
+    router_.OnAttemptEnded(
+        {.id = id, .verdict = attempt_verdict::kServed, .limit = limit}, now_,
+        actions_);
+    return actions_;
+  }
+
   const router_actions& AdvanceTime(duration time) {
     actions_.clear();
     const time_point until = now_ + time;
@@ -563,5 +571,25 @@
   EXPECT_EQ(table.FindRoute("other.example", "/a/"), nullptr);
 }
 
+TEST_F(RequestRouterTest, ChangesOfATargetsLimitAreReported) {
+  SendRequest(1, "/reports/7");
+  const auto changes = ActionsOf<limit_change_action>(
+      EndAttemptWithLimit(1, {.per_second = 2.8}));
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].target.id, "r0");
+  EXPECT_EQ(changes[0].notice.per_second, 2.8);
+}
+
+// Guards against a log line for each answer of a target that states a limit
+// that cannot be parsed.
+TEST_F(RequestRouterTest, UnreadableLimitIsReportedOnce) {
+  for (request_id id = 1; id <= 3; ++id) {
+    SendRequest(id, "/reports/7");
+    const auto changes = ActionsOf<limit_change_action>(
+        EndAttemptWithLimit(id, {.is_readable = false}));
+    EXPECT_EQ(changes.size(), id == 1 ? 1U : 0U);
+  }
+}
+
 }  // namespace
 }  // namespace foxtailspread
