Hold requests to the rate that a target accepts from all hosts

Cause: nothing read what a target states in its answers but its load. The class is a limit on all hosts together that each host would have to keep blindly.

Why it works: a send to a limited target takes a permit, and one host, the holder of the assigner's lease, issues them at the limit's rate. A share per host cannot: at 2.8 requests a second twelve buckets of one request already break the rule, and 195 hosts have no use for a share. Changes of limits go to all hosts at once. Without a holder hosts send at their share of half the limit, each at its own phase; a holder issues the part of the hosts that report to it.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -15,9 +15,11 @@
 
 #include "foxtailspread/error.h"
 #include "foxtailspread/evacuations.h"
+#include "foxtailspread/permit_issuer.h"
 #include "foxtailspread/poison_guard.h"
 #include "foxtailspread/reported_load.h"
 #include "foxtailspread/target_entry.h"
+#include "foxtailspread/target_limit.h"
 #include "foxtailspread/time.h"
 
 namespace foxtailspread {
@@ -93,6 +95,8 @@
   size_t host_count = 1;
   /// Absent if the lease holder has not read the evacuated zones.
   std::optional<evacuation_view> evacuated{};
+  /// Limits of targets, for hosts that were not told of them when they changed.
+  std::vector<limit_sample> limits{};
 
   bool operator==(const assigner_heartbeat&) const = default;
 };
@@ -179,6 +183,33 @@
   bool operator==(const loads_record&) const = default;
 };
 
+/// Limits of targets that have changed: from a host to the lease holder those
+/// that targets stated to it, from the lease holder to all hosts.
+struct limits_record {
+  std::vector<limit_sample> limits;
+
+  bool operator==(const limits_record&) const = default;
+};
+
+/// Requests permits for a target with a limit from the lease holder.
+struct permit_request {
+  std::string address;  ///< Where the reply goes, "IP:port".
+  uint64_t sequence = 0;
+  limit_sample limit{};  ///< What the sender knows of the target's limit.
+  permit_demand demand{};
+
+  bool operator==(const permit_request&) const = default;
+};
+
+/// The lease holder's answer to a permit_request.
+struct permit_reply {
+  uint64_t sequence = 0;  ///< Of the request.
+  limit_sample limit{};   ///< What the lease holder knows of the limit.
+  permit_grant grant{};
+
+  bool operator==(const permit_reply&) const = default;
+};
+
 /// A datagram that its receiver handles and forwards to other hosts of its
 /// zone.
 struct relayed_message {
@@ -190,7 +221,8 @@
 
 using host_message =
     std::variant<load_report, assigner_heartbeat, owners_record, targets_record,
-                 shared_object, hosts_record, loads_record, relayed_message>;
+                 shared_object, hosts_record, loads_record, limits_record,
+                 permit_request, permit_reply, relayed_message>;
 
 /// Serialises a message as one datagram, and parses it.
 std::string FormatHostMessage(const host_message& message);
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -239,6 +239,9 @@
   /// in these zones.
   void OnEvacuations(const std::set<std::string>& zones, time_point now);
 
+  /// Sets the limits of targets on the rate of requests from all hosts.
+  void OnTargetLimits(std::span<const limit_sample> limits);
+
   /// Process messages from other hosts.
   void OnReport(const load_report& report, time_point now);
   void OnHeartbeat(const assigner_heartbeat& heartbeat, time_point now);
@@ -271,6 +274,12 @@
   }
 
   bool IsHolder(time_point now) const { return now < held_until_; }
+  /// Returns the fraction of a target's limit that this host may issue permits
+  /// for; 0 if another host issues them. It is that of the hosts that report to
+  /// this one: the rest may get permits elsewhere. A host whose lease has
+  /// lapsed goes on during a store outage.
+  double PermitFraction(time_point now) const;
+
   /// Returns the number of known hosts, at least 1.
   size_t HostCount() const;
   /// Returns the first receivers of a datagram that is to reach all hosts that
@@ -525,6 +534,8 @@
   std::set<std::string> service_names_;  ///< All, including those not keyed.
   std::set<std::string> evacuated_zones_;
   std::map<std::string, target_state> targets_;  ///< By LifeKey().
+  /// Requests per second that targets accept from all hosts, by LifeKey().
+  std::map<std::string, double> target_limits_;
   struct host_state {
     std::string zone;
     std::string address;
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -27,6 +27,7 @@
 #include "foxtailspread/crash_watch.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_map.h"
+#include "foxtailspread/permit_cache.h"
 #include "foxtailspread/retry_budget.h"
 #include "foxtailspread/routing_config.h"
 #include "foxtailspread/target_entry.h"
@@ -83,6 +84,7 @@
   kDeadline,
   kStopping,
   kCrashesTargets,
+  kTargetLimited,
 };
 
 /// Returns the name of `reason` in log and metrics. Names are stable.
@@ -123,17 +125,27 @@
   request_id id = 0;
 };
 
-/// Reports that an answer changed what is known of a target's limit, or states
-/// one that cannot be parsed; the latter is reported once per target.
+/// Reports that what is known of a target's limit has changed, or that an
+/// answer states one that cannot be parsed; the latter is reported once per
+/// target.
 struct limit_change_action {
   std::string service{};
   target_life target{};
   limit_notice notice{};
+  /// The target stated it to this host, not to another one.
+  bool is_own_answer = true;
+};
+
+/// Requests permits from the lease holder.
+struct permit_request_action {
+  uint64_t sequence = 0;
+  limit_sample limit{};
+  permit_demand demand{};
 };
 
 using router_action =
     std::variant<send_action, local_reply_action, deliver_action, cancel_action,
-                 limit_change_action>;
+                 limit_change_action, permit_request_action>;
 using router_actions = std::vector<router_action>;
 
 /// How an attempt ended.
@@ -205,8 +217,10 @@
                 router_actions& out);
 
   /// Sets the number of hosts that share the retry budgets and the targets'
-  /// connections and slots.
-  void OnHostCount(size_t hosts);
+  /// connections and slots. `is_known` is false while this host has not read
+  /// the number and assumes one; it then sends nothing to targets with a limit
+  /// without a permit.
+  void OnHostCount(size_t hosts, bool is_known = true);
 
   void OnRequest(const incoming_request& request, time_point now,
                  router_actions& out);
@@ -234,6 +248,19 @@
   /// without the targets that served nothing.
   std::vector<target_latency> TakeLatencies(const std::string& service);
 
+  /// Returns what is known of the targets' limits, for other hosts: of all that
+  /// have one, and of those whose limit ended recently.
+  std::vector<limit_sample> Limits(time_point now) const;
+  /// Returns what is known of the limit that `sample` is about, which is that
+  /// sample itself if the target is not listed.
+  limit_sample Limit(const limit_sample& sample, time_point now);
+  /// Applies what other hosts know of the targets' limits.
+  void OnLimits(std::span<const limit_sample> limits, time_point now,
+                router_actions& out);
+  /// Applies the lease holder's answer to a permit_request_action.
+  void OnPermitReply(const permit_reply& reply, time_point now,
+                     router_actions& out);
+
   const route_table* table() const { return table_.get(); }
   size_t pending() const { return requests_.size(); }
   const router_counts& counts() const { return counts_; }
@@ -286,15 +313,43 @@
                                 const target* owner, time_point now);
   bool TrySend(request& pending_request, time_point now, router_actions& out);
   target* PickTarget(service& service_state, const request& pending_request,
-                     time_point now);
+                     time_point now, router_actions& out);
   /// Returns the owner of a request's key; nullptr if there is none or the key
   /// is moving to another owner.
   static target* FindOwner(service& service_state,
                            const request& pending_request);
   target* PickOwner(service& service_state, const request& pending_request,
-                    time_point now);
+                    time_point now, router_actions& out);
   target* PickPooled(service& service_state, const request& pending_request,
-                     time_point now);
+                     time_point now, router_actions& out);
+  /// Whether the rate limit of a target, if any, allows this host to send now.
+  static bool HasPermit(const target& candidate, time_point now);
+  /// Requests the permits that `waiting` requests to a target lack.
+  void RequestPermits(target& limited, size_t waiting,
+                      const request& pending_request, time_point now,
+                      router_actions& out) const;
+  /// Requests a permit for one of the pooled targets without one, about as
+  /// often as a request would have gone there.
+  void RequestPooledPermit(std::span<target* const> without_permit,
+                           size_t usable_count, const request& pending_request,
+                           time_point now, router_actions& out);
+  /// Returns what requests without a permit can expect: of their key's owner,
+  /// or of all targets of a pooled service; empty if none is needed.
+  static std::optional<permit_cache::outlook> PermitOutlook(
+      const service& service_state, const target* owner, time_point now);
+  /// Refuses waiting requests that will get no permit in time.
+  void RefuseWithoutPermit(service& service_state, target* owner,
+                           time_point now, router_actions& out);
+  /// Keeps the limit of a target that is no longer listed but may be again.
+  void KeepLimit(const target& unlisted, time_point now);
+  /// Returns the kept limit of a target that is not listed.
+  target_limit& KeptLimit(const target_life& life, time_point now);
+  /// Sets the limit of a target that is listed again.
+  void RestoreLimit(target& listed);
+  /// Returns when this host sends, relative to others, while no host issues
+  /// permits; from 0 to 1.
+  double PermitPhase(const target_entry& entry) const;
+  target* FindTarget(const target_life& life);
   /// Records the load that `reporter` reported with the end of an attempt.
   static void RecordLoad(const request& ended_request, target& reporter,
                          const attempt_report& report, time_point now);
@@ -316,6 +371,12 @@
   std::optional<refusal_reason> RefusalReasonFor(service& service_state,
                                                  const request& pending_request,
                                                  time_point now);
+  /// Refusal of a request whose target has no permit for it in time.
+  std::optional<refusal_reason> PermitRefusalFor(service& service_state,
+                                                 const request& pending_request,
+                                                 target* owner,
+                                                 duration max_wait,
+                                                 time_point now);
   duration ExpectedWait(const service& service_state,
                         const request& pending_request, time_point now) const;
   duration RetryAfter(const request& refused_request, refusal_reason reason,
@@ -343,8 +404,15 @@
   std::unordered_map<request_id, std::unique_ptr<request>> requests_;
   std::priority_queue<timer, std::vector<timer>, std::greater<>> timers_;
   size_t host_count_ = 8;
+  bool host_count_is_known_ = false;
   crash_watch crashes_;
   router_counts counts_;
+  struct kept_limit {
+    target_limit limit;
+    time_point kept_at{};
+  };
+  /// Limits of targets that are not listed now, by id and start.
+  std::map<std::pair<std::string, uint64_t>, kept_limit> unlisted_limits_;
 };
 
 }  // namespace foxtailspread
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -60,6 +60,10 @@
 /// Hosts that have not reported for this time are no longer counted.
 constexpr duration kHostTimeout{std::chrono::seconds{4}};
 
+/// Fraction of a limit that a holder whose lease has lapsed issues permits for
+/// while another host may have taken the lease.
+constexpr double kFractionAfterLapse = 0.5;
+
 /// The longest time that a former holder can keep renewing its grants, used if
 /// it is not known when it stopped.
 constexpr duration kMaxRenewalTime = kLeaseTerm + kMaxRenewalAfterLapse;
@@ -199,6 +203,28 @@
   }
 }
 
+double key_assigner::PermitFraction(time_point now) const {
+  const bool took_lease =
+      acquired_revision_ != 0 && lease_ && lease_->host == settings_.host;
+  const bool has_successor =
+      last_heartbeat_ && last_heartbeat_->host != settings_.host &&
+      last_heartbeat_->lease_revision > lease_read_revision_;
+  if (!took_lease || has_successor || stopping_) {
+    return 0.0;
+  }
+  const size_t known = std::max(lease_->host_count, hosts_seen_.size());
+  const auto reporting = std::count_if(
+      hosts_seen_.begin(), hosts_seen_.end(), [now](const auto& name_and_host) {
+        return now - name_and_host.second.last_seen <= kRelayTimeout;
+      });
+  const double fraction =
+      static_cast<double>(reporting) / static_cast<double>(known);
+  // Hosts that do not report may have another holder by now.
+  const bool may_have_successor =
+      !IsHolder(now) && static_cast<size_t>(reporting) < known;
+  return may_have_successor ? fraction * kFractionAfterLapse : fraction;
+}
+
 size_t key_assigner::HostCount() const {
   const size_t recorded = lease_ ? lease_->host_count : 1;
   if (was_holder_) {
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -2,6 +2,7 @@
 
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <span>
 
 namespace foxtailspread {
 namespace {
@@ -16,12 +17,20 @@
 constexpr std::string_view kObjectTag = "object";
 constexpr std::string_view kHostsTag = "hosts";
 constexpr std::string_view kLoadsTag = "loads";
+constexpr std::string_view kLimitsTag = "limits";
+constexpr std::string_view kPermitRequestTag = "permit-request";
+constexpr std::string_view kPermitReplyTag = "permit-reply";
 constexpr std::string_view kRelayedTag = "relay";
 
 constexpr double kPercent = 100.0;
 /// Number of array elements that encode one load_sample.
 constexpr size_t kSampleFields = 7;
 
+/// Number of array elements that encode one limit_sample.
+constexpr size_t kLimitFields = 5;
+/// Position of the limits in a heartbeat. Earlier releases do not send them.
+constexpr size_t kHeartbeatLimits = 8;
+
 /// How long a store view is valid after it was read, as a fraction of the time
 /// that a draining target still accepts requests (2 s). Watches are renewed
 /// within a second, so two heartbeats may be lost, and a change made right
@@ -52,6 +61,43 @@
   return flat;
 }
 
+int64_t InMs(duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+/// The fields of all samples in one flat array; null for no limit.
+json ToJson(std::span<const limit_sample> limits) {
+  json flat = json::array();
+  for (const limit_sample& sample : limits) {
+    flat.push_back(sample.target.id);
+    flat.push_back(sample.target.started);
+    flat.push_back(sample.per_second ? json(*sample.per_second) : json());
+    flat.push_back(sample.sent_age_ms);
+    flat.push_back(sample.received_age_ms);
+  }
+  return flat;
+}
+
+json ToJson(const limits_record& record) {
+  return json::array({kLimitsTag, ToJson(std::span{record.limits})});
+}
+
+json ToJson(const permit_request& request) {
+  return json::array({kPermitRequestTag, request.address, request.sequence,
+                      ToJson(std::span{&request.limit, 1}),
+                      request.demand.count, InMs(request.demand.max_delay)});
+}
+
+json ToJson(const permit_reply& reply) {
+  json delays = json::array();
+  for (const duration delay : reply.grant.delays) {
+    delays.push_back(InMs(delay));
+  }
+  return json::array({kPermitReplyTag, reply.sequence,
+                      ToJson(std::span{&reply.limit, 1}), std::move(delays),
+                      InMs(reply.grant.next_delay)});
+}
+
 json ToJson(const loads_record& record) {
   return json::array({kLoadsTag, ToJson(record.loads)});
 }
@@ -91,7 +137,8 @@
   return json::array({kHeartbeatTag, heartbeat.host, heartbeat.lease_revision,
                       heartbeat.successors, std::move(view),
                       ToJson(heartbeat.crashes), heartbeat.host_count,
-                      std::move(evacuated)});
+                      std::move(evacuated),
+                      ToJson(std::span{heartbeat.limits})});
 }
 
 json ToJson(const owners_record& record) {
@@ -167,6 +214,48 @@
   return loads;
 }
 
+std::vector<limit_sample> ReadLimits(const json& flat) {
+  std::vector<limit_sample> limits;
+  for (size_t i = 0; i + kLimitFields <= flat.size(); i += kLimitFields) {
+    limit_sample& sample = limits.emplace_back();
+    sample.target = {.id = flat.at(i).get<std::string>(),
+                     .started = flat.at(i + 1).get<uint64_t>()};
+    if (!flat.at(i + 2).is_null()) {
+      sample.per_second = flat.at(i + 2).get<double>();
+    }
+    sample.sent_age_ms = flat.at(i + 3).get<uint32_t>();
+    sample.received_age_ms = flat.at(i + 4).get<uint32_t>();
+  }
+  return limits;
+}
+
+limit_sample ReadLimit(const json& flat) {
+  const std::vector<limit_sample> limits = ReadLimits(flat);
+  return limits.empty() ? limit_sample{} : limits.front();
+}
+
+duration ReadMs(const json& value) {
+  return std::chrono::milliseconds{value.get<uint32_t>()};
+}
+
+permit_request ReadPermitRequest(const json& value) {
+  return {.address = value.at(1).get<std::string>(),
+          .sequence = value.at(2).get<uint64_t>(),
+          .limit = ReadLimit(value.at(3)),
+          .demand = {.count = value.at(4).get<uint32_t>(),
+                     .max_delay = ReadMs(value.at(5))}};
+}
+
+permit_reply ReadPermitReply(const json& value) {
+  permit_reply reply{.sequence = value.at(1).get<uint64_t>(),
+                     .limit = ReadLimit(value.at(2))};
+  for (const json& delay : value.at(3)) {
+    reply.grant.delays.push_back(ReadMs(delay));
+  }
+  reply.grant.next_delay = ReadMs(value.at(4));
+  return reply;
+}
+
 load_report ReadReport(const json& value) {
   load_report report;
   report.host = value.at(1).get<std::string>();
@@ -212,6 +301,9 @@
         evacuation_view{.zones = evacuated.at(0).get<std::set<std::string>>(),
                         .age_ms = evacuated.at(1).get<uint32_t>()};
   }
+  if (value.size() > kHeartbeatLimits) {
+    heartbeat.limits = ReadLimits(value.at(kHeartbeatLimits));
+  }
   return heartbeat;
 }
 
@@ -319,6 +411,15 @@
     if (tag == kLoadsTag) {
       return host_message{loads_record{ReadLoads(value.at(1))}};
     }
+    if (tag == kLimitsTag) {
+      return host_message{limits_record{ReadLimits(value.at(1))}};
+    }
+    if (tag == kPermitRequestTag) {
+      return host_message{ReadPermitRequest(value)};
+    }
+    if (tag == kPermitReplyTag) {
+      return host_message{ReadPermitReply(value)};
+    }
     if (tag == kRelayedTag) {
       return host_message{ReadRelayed(value)};
     }
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -232,6 +232,15 @@
   return found == services_.end() ? cold_policy{} : found->second.cold;
 }
 
+void key_assigner::OnTargetLimits(std::span<const limit_sample> limits) {
+  target_limits_.clear();
+  for (const limit_sample& sample : limits) {
+    if (sample.per_second) {
+      target_limits_[LifeKey(sample.target)] = *sample.per_second;
+    }
+  }
+}
+
 void key_assigner::OnEvacuations(const std::set<std::string>& zones,
                                  time_point now) {
   evacuated_zones_ = zones;
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -61,6 +61,8 @@
       return "stopping";
     case refusal_reason::kCrashesTargets:
       return "crashes-targets";
+    case refusal_reason::kTargetLimited:
+      return "target-limited";
   }
   return "unknown";
 }
@@ -166,7 +168,7 @@
     return false;
   }
   target* chosen =
-      PickTarget(*pending_request.service_state, pending_request, now);
+      PickTarget(*pending_request.service_state, pending_request, now, out);
   if (chosen == nullptr) {
     return false;
   }
@@ -177,7 +179,10 @@
     pending_request.first_sent_time = now;
   }
   chosen->health.OnSent(now);
-  counts_.limited_sends += chosen->limit.per_second() ? 1 : 0;
+  if (chosen->limit.per_second()) {
+    chosen->permits.Use(now);
+    ++counts_.limited_sends;
+  }
   ++pending_request.service_state->in_flight;
   if (!pending_request.WasTried(chosen)) {
     pending_request.tried_targets.emplace_back(chosen);
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -58,12 +58,16 @@
 /// not known.
 constexpr duration kKeyedRetryAfter{std::chrono::milliseconds{500}};
 
+constexpr double kMicrosecondsPerSecond = 1e6;
+
 }  // namespace
 
 request_router::target* request_router::PickTarget(
-    service& service_state, const request& pending_request, time_point now) {
-  return service_state.keyed ? PickOwner(service_state, pending_request, now)
-                             : PickPooled(service_state, pending_request, now);
+    service& service_state, const request& pending_request, time_point now,
+    router_actions& out) {
+  return service_state.keyed
+             ? PickOwner(service_state, pending_request, now, out)
+             : PickPooled(service_state, pending_request, now, out);
 }
 
 request_router::target* request_router::FindOwner(
@@ -83,7 +87,8 @@
 }
 
 request_router::target* request_router::PickOwner(
-    service& service_state, const request& pending_request, time_point now) {
+    service& service_state, const request& pending_request, time_point now,
+    router_actions& out) {
   target* owner = FindOwner(service_state, pending_request);
   if (owner == nullptr) {
     return nullptr;
@@ -96,15 +101,21 @@
   const bool usable = !grace_is_over && !owner->availability.IsCold(now) &&
                       owner->health.IsReachable(now) &&
                       owner->health.HasCapacity(now);
+  if (usable && !HasPermit(*owner, now)) {
+    RequestPermits(*owner, owner->queue.Count(), pending_request, now, out);
+    return nullptr;
+  }
   return usable ? owner : nullptr;
 }
 
 request_router::target* request_router::PickPooled(
-    service& service_state, const request& pending_request, time_point now) {
+    service& service_state, const request& pending_request, time_point now,
+    router_actions& out) {
   std::array<std::vector<target*>, 2> usable;  // Own zone, other zones.
   // Used only if there is no other: a target that fails part of its requests or
   // is missing from the list.
   target* last_resort = nullptr;
+  std::vector<target*> without_permit;
   for (const auto& candidate : service_state.targets) {
     const bool is_usable = AcceptsRequests(*candidate, now) &&
                            candidate->health.IsReachable(now) &&
@@ -113,6 +124,10 @@
     if (!is_usable) {
       continue;
     }
+    if (!HasPermit(*candidate, now)) {
+      without_permit.push_back(candidate.get());
+      continue;
+    }
     if (candidate->missing_since || !candidate->health.IsHealthy(now)) {
       const bool is_better =
           last_resort == nullptr ||
@@ -120,9 +135,19 @@
       last_resort = is_better ? candidate.get() : last_resort;
       continue;
     }
+    // A permit that is not used soon is lost to all hosts.
+    if (candidate->limit.per_second() &&
+        candidate->health.ExpectedLatency(now) <=
+            pending_request.matched_route->objective) {
+      return candidate.get();
+    }
     usable[candidate->entry.zone == settings_.zone ? 0 : 1].push_back(
         candidate.get());
   }
+  if (!without_permit.empty()) {
+    RequestPooledPermit(without_permit, usable[0].size() + usable[1].size(),
+                        pending_request, now, out);
+  }
   const duration other_zone_penalty = duration{static_cast<int64_t>(
       static_cast<double>(pending_request.matched_route->objective.count()) *
       kOtherZonePenaltyFraction)};
@@ -159,6 +184,13 @@
         !candidate->health.IsReachable(now)) {
       continue;
     }
+    if (const auto limit = candidate->limit.per_second()) {
+      free_slots +=
+          static_cast<double>(candidate->permits.Outlook(now).usable_at.size());
+      throughput += SendRate(*limit) / static_cast<double>(host_count_) /
+                    kMicrosecondsPerSecond;
+      continue;
+    }
     free_slots += std::max(
         0.0, candidate->health.limit() - candidate->health.in_flight());
     throughput +=
@@ -206,7 +238,7 @@
                             now - moving_since->second > kMaxMoveTime;
       return is_stuck ? std::optional{refusal_reason::kNoOwner} : std::nullopt;
     }
-    const target* owner = service_state.FindLife(range->owner);
+    target* owner = service_state.FindLife(range->owner);
     if (owner == nullptr) {
       return refusal_reason::kNoOwner;
     }
@@ -225,6 +257,10 @@
     if (owner->health.PausedUntil() > now + max_wait) {
       return refusal_reason::kQueueFull;
     }
+    if (const auto reason = PermitRefusalFor(service_state, pending_request,
+                                             owner, max_wait, now)) {
+      return reason;
+    }
     const size_t queued_before =
         owner->queue.CountAtLeastAsUrgent(pending_request.matched_route->rank);
     const duration latency = owner->health.mean_latency();
@@ -248,6 +284,12 @@
     return FirstWarmTime(service_state, now) ? refusal_reason::kNoWarmTarget
                                              : refusal_reason::kNoTarget;
   }
+  const duration max_wait = MaxWait(pending_request.matched_route->objective,
+                                    LikelyLatency(service_state, nullptr, now));
+  if (const auto reason = PermitRefusalFor(service_state, pending_request,
+                                           nullptr, max_wait, now)) {
+    return reason;
+  }
   if (service_state.waiting_count > 0 &&
       is_too_late(ExpectedWait(service_state, pending_request, now))) {
     return refusal_reason::kQueueFull;
@@ -293,6 +335,12 @@
   if (reason == refusal_reason::kNoWarmTarget) {
     base_delay = FirstWarmTime(service_state, now).value_or(now) - now;
   }
+  if (reason == refusal_reason::kTargetLimited) {
+    const auto outlook = PermitOutlook(
+        service_state, FindOwner(service_state, refused_request), now);
+    base_delay = std::max<duration>(
+        base_delay, outlook ? outlook->next_chance - now : duration{0});
+  }
   if (QueueFor(service_state, FindOwner(service_state, refused_request))
           .IsOverloaded(now)) {
     base_delay = RetryAfterOverload(refused_request.matched_route->objective);
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -7,11 +7,13 @@
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "foxtailspread/permit_cache.h"
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/service_limit.h"
 #include "foxtailspread/target_availability.h"
@@ -30,6 +32,8 @@
   void Add(request& pending_request);
   void Remove(request& pending_request);
   void Clear();
+  /// Number of requests.
+  size_t Count() const;
   /// Number of requests that are at least as urgent as `rank`.
   size_t CountAtLeastAsUrgent(int rank) const;
   /// The requests by rank, the most urgent first; within a rank in the order in
@@ -49,10 +53,11 @@
 /// One target. Requests in flight keep it alive after it is no longer listed.
 struct request_router::target
     : boost::intrusive_ref_counter<target, boost::thread_unsafe_counter> {
-  target(target_entry listed, duration first_latency)
+  target(target_entry listed, duration first_latency, double permit_phase)
       : entry(std::move(listed)),
         short_id(ShortIdOf(entry.life.id)),
-        health(entry.slots, first_latency) {}
+        health(entry.slots, first_latency),
+        permits(permit_phase) {}
 
   target_entry entry;
   uint32_t short_id;
@@ -60,6 +65,7 @@
   bool has_new_load = false;  ///< It reported its load since TakeLoads().
   target_availability availability;
   target_limit limit;
+  permit_cache permits;               ///< For its limit.
   bool has_unreadable_limit = false;  ///< It was reported.
   /// Earliest time at which it can have begun to drain.
   std::optional<time_point> draining_since;
@@ -164,6 +170,10 @@
   }
 }
 
+inline size_t request_router::waiting_queue::Count() const {
+  return CountAtLeastAsUrgent(std::numeric_limits<int>::max());
+}
+
 inline size_t request_router::waiting_queue::CountAtLeastAsUrgent(
     int rank) const {
   size_t count = 0;
--- a/src/core/request_router_targets.cc
+++ b/src/core/request_router_targets.cc
@@ -76,7 +76,8 @@
   }
 }
 
-void request_router::OnHostCount(size_t hosts) {
+void request_router::OnHostCount(size_t hosts, bool is_known) {
+  host_count_is_known_ = is_known;
   if (hosts == host_count_) {
     return;
   }
@@ -108,8 +109,9 @@
         known_target == nullptr || known_target->entry.address != entry.address;
     if (is_new) {
       service_state.targets.push_back(
-          new target(entry, InitialLatency(service_state)));
+          new target(entry, InitialLatency(service_state), PermitPhase(entry)));
       known_target = service_state.targets.back().get();
+      RestoreLimit(*known_target);
       known_target->health.SetLimits(MaxConnections(entry.service),
                                      host_count_);
     }
@@ -144,7 +146,12 @@
       if (!known_target->missing_since) {
         known_target->missing_since = now;
       }
-      return !may_be_incomplete || IsMissingTooLong(*known_target, now);
+      const bool is_dropped =
+          !may_be_incomplete || IsMissingTooLong(*known_target, now);
+      if (is_dropped) {
+        KeepLimit(*known_target, now);
+      }
+      return is_dropped;
     });
     UpdateSlotShare(*service_state);
     RedistributeQueues(*service_state);
@@ -177,7 +184,11 @@
 void request_router::DropMissingTargets(service& service_state,
                                         time_point now) {
   std::erase_if(service_state.targets, [&](const auto& candidate) {
-    return IsMissingTooLong(*candidate, now);
+    const bool is_dropped = IsMissingTooLong(*candidate, now);
+    if (is_dropped) {
+      KeepLimit(*candidate, now);
+    }
+    return is_dropped;
   });
 }
 
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -355,6 +355,14 @@
   LogEvent(event, {{"service", action.service},
                    {"target", action.target.id},
                    {"per_second", notice.per_second.value_or(0.0)}});
+  if (!notice.is_readable) {
+    return;
+  }
+  const time_point now = Now();
+  assigner_.OnTargetLimits(router_.Limits(now));
+  if (action.is_own_answer || assigner_.IsHolder(now)) {
+    ShareLimitsSoon();
+  }
 }
 
 void edge_daemon::Step() {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -16,6 +16,7 @@
 #include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_assigner.h"
+#include "foxtailspread/permit_issuer.h"
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/targets_sharing.h"
 #include "net/caller_server.h"
@@ -95,6 +96,12 @@
   void ShareLoadsSoon();
   void ShareLoads();
   void OnLoads(const loads_record& record, time_point now);
+  void ShareLimitsSoon();
+  void ShareLimits();
+  void OnLimits(std::span<const limit_sample> limits, time_point now);
+  void OnPermitRequest(const permit_request& request, time_point now);
+  void OnPermitReply(const permit_reply& reply, time_point now);
+  void TakeHostCount();
   void ShareKeyMaps(time_point now, router_actions& out);
 
   void Carry(router_actions& actions);
@@ -103,6 +110,7 @@
   void CarryOne(const deliver_action& action);
   void CarryOne(const cancel_action& action);
   void CarryOne(const limit_change_action& action);
+  void CarryOne(const permit_request_action& action);
   void Carry(assigner_actions& actions);
   void CarryOne(const store_write& action);
   void CarryOne(const key_order& action);
@@ -142,6 +150,7 @@
   platform::store_follower<evacuation_request> evacuation_requests_;
   evacuations evacuations_;
   load_aggregator loads_;  ///< While this host holds the lease.
+  permit_issuer permits_;  ///< Likewise.
   request_router router_;
   key_assigner assigner_;
   std::unordered_map<exchange_id, flight> flights_;
@@ -161,6 +170,8 @@
   timer report_;
   timer share_loads_;
   bool loads_due_ = false;  ///< `share_loads_` is armed.
+  timer share_limits_;
+  bool limits_due_ = false;  ///< `share_limits_` is armed.
   timer leave_;
 };
 
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -25,6 +25,12 @@
 /// Contents that crash targets named in one heartbeat: some 300 bytes.
 constexpr size_t kMarksInHeartbeat = 20;
 
+/// Limits of targets named in one heartbeat: some 4 KB.
+constexpr size_t kLimitsInHeartbeat = 100;
+
+/// Changes of limits within this time are sent together.
+constexpr duration kShareLimitsDelay{milliseconds{10}};
+
 /// Bytes of an object that is sent to all hosts; with what relays add to it it
 /// still fits in a datagram.
 constexpr size_t kMostShared = 48000;
@@ -139,7 +145,7 @@
   const time_point now = Now();
   assigner_.RequestHeartbeat();
   TakeOwnObjects(now);
-  router_.OnHostCount(assigner_.HostCount());
+  TakeHostCount();
   router_actions actions;
   ShareKeyMaps(now, actions);
   Carry(actions);
@@ -238,7 +244,7 @@
   } else if (const auto* heartbeat =
                  std::get_if<assigner_heartbeat>(&message.value())) {
     assigner_.OnHeartbeat(*heartbeat, now);
-    router_.OnHostCount(assigner_.HostCount());
+    TakeHostCount();
     if (heartbeat->host != settings_.name) {
       router_.crashes().Import(heartbeat->crashes, now);
       if (heartbeat->view) {
@@ -247,6 +253,7 @@
       if (heartbeat->evacuated) {
         OnEvacuationView(*heartbeat->evacuated, now);
       }
+      OnLimits(heartbeat->limits, now);
     }
   } else if (const auto* owners =
                  std::get_if<owners_record>(&message.value())) {
@@ -262,6 +269,14 @@
     OnSharedObject(*object);
   } else if (const auto* loads = std::get_if<loads_record>(&message.value())) {
     OnLoads(*loads, now);
+  } else if (const auto* limits =
+                 std::get_if<limits_record>(&message.value())) {
+    OnLimits(limits->limits, now);
+  } else if (const auto* permits =
+                 std::get_if<permit_request>(&message.value())) {
+    OnPermitRequest(*permits, now);
+  } else if (const auto* reply = std::get_if<permit_reply>(&message.value())) {
+    OnPermitReply(*reply, now);
   } else if (auto* hosts = std::get_if<hosts_record>(&message.value())) {
     assigner_.OnHosts(std::move(*hosts), now);
   } else if (auto* targets = std::get_if<targets_record>(&message.value())) {
@@ -357,7 +372,7 @@
 }
 
 void edge_daemon::ReportLoad() {
-  router_.OnHostCount(assigner_.HostCount());
+  TakeHostCount();
   if (router_.table() == nullptr) {
     return;
   }
@@ -433,6 +448,77 @@
   }
 }
 
+void edge_daemon::ShareLimitsSoon() {
+  if (!std::exchange(limits_due_, true)) {
+    share_limits_ = RunAfter(kShareLimitsDelay, [this] { ShareLimits(); });
+  }
+}
+
+/// Tells the holder of the lease the limits that targets stated to this host.
+/// The holder tells all hosts.
+void edge_daemon::ShareLimits() {
+  limits_due_ = false;
+  const time_point now = Now();
+  const std::string bytes =
+      FormatHostMessage(limits_record{router_.Limits(now)});
+  const auto& lease = assigner_.lease();
+  if (assigner_.IsHolder(now)) {
+    SendToHosts(assigner_.OtherHosts(now), bytes);
+  } else if (lease && !lease->address.empty()) {
+    hosts_.Send(lease->address, bytes);
+  }
+}
+
+void edge_daemon::OnLimits(std::span<const limit_sample> limits,
+                           time_point now) {
+  router_actions actions;
+  router_.OnLimits(limits, now, actions);
+  Carry(actions);
+}
+
+void edge_daemon::CarryOne(const permit_request_action& action) {
+  const auto& lease = assigner_.lease();
+  if (lease && !lease->address.empty()) {
+    hosts_.Send(lease->address,
+                FormatHostMessage(permit_request{.address = settings_.hosts,
+                                                 .sequence = action.sequence,
+                                                 .limit = action.limit,
+                                                 .demand = action.demand}));
+  }
+}
+
+void edge_daemon::OnPermitRequest(const permit_request& request,
+                                  time_point now) {
+  OnLimits(std::span{&request.limit, 1}, now);
+  const double fraction = assigner_.PermitFraction(now);
+  // Without an answer the sender tries the host that holds the lease by then.
+  if (fraction <= 0.0) {
+    return;
+  }
+  permit_reply reply{.sequence = request.sequence,
+                     .limit = router_.Limit(request.limit, now)};
+  // A host that does not take this host's word for the end of a limit must get
+  // an answer of the target to see it.
+  const auto per_second = reply.limit.per_second ? reply.limit.per_second
+                                                 : request.limit.per_second;
+  if (per_second) {
+    reply.grant = permits_.Issue(request.limit.target, request.demand,
+                                 fraction * SendRate(*per_second), now);
+  }
+  hosts_.Send(request.address, FormatHostMessage(reply));
+}
+
+void edge_daemon::OnPermitReply(const permit_reply& reply, time_point now) {
+  router_actions actions;
+  router_.OnPermitReply(reply, now, actions);
+  Carry(actions);
+}
+
+/// A host that has not read the lease does not know how many hosts there are.
+void edge_daemon::TakeHostCount() {
+  router_.OnHostCount(assigner_.HostCount(), assigner_.lease().has_value());
+}
+
 void edge_daemon::Carry(assigner_actions& actions) {
   for (const assigner_action& action : actions) {
     std::visit([this](const auto& each) { CarryOne(each); }, action);
@@ -547,6 +633,10 @@
   assigner_heartbeat heartbeat = action.heartbeat;
   heartbeat.view = View(Now());
   heartbeat.evacuated = Evacuated(Now());
+  heartbeat.limits = router_.Limits(Now());
+  if (heartbeat.limits.size() > kLimitsInHeartbeat) {
+    heartbeat.limits.resize(kLimitsInHeartbeat);
+  }
   heartbeat.crashes = router_.crashes().LatestMarks(kMarksInHeartbeat, Now());
   SendToHosts(action.hops, FormatHostMessage(heartbeat));
 }
--- a/tests/assigner_lease_test.cc
+++ b/tests/assigner_lease_test.cc
@@ -466,5 +466,62 @@
   EXPECT_NE(lease_status.error().Message().find(lease), std::string::npos);
 }
 
+class PermitFractionTest : public AssignerLeaseTest {
+ protected:
+  void Report(const std::vector<std::string>& hosts) {
+    for (const std::string& host : hosts) {
+      load_report report;
+      report.host = host;
+      report.zone = "z";
+      report.address = "1:" + host;
+      assigner_.OnReport(report, now_);
+    }
+  }
+};
+
+TEST_F(PermitFractionTest, HostWithoutTheLeaseIssuesNoPermits) {
+  Report({"h", "a"});
+  EXPECT_EQ(assigner_.PermitFraction(now_), 0.0);
+}
+
+TEST_F(PermitFractionTest, HolderThatAllHostsReportToIssuesAll) {
+  TakeLease();
+  Report({"h", "a", "b", "c"});
+  EXPECT_EQ(assigner_.PermitFraction(now_), 1.0);
+}
+
+// Guards against two holders, on both sides of a cut, that each issue permits
+// for the whole limit of a target.
+TEST_F(PermitFractionTest, HolderIssuesOnlyTheFractionOfHostsThatReport) {
+  TakeLease();
+  Report({"h", "a", "b", "c"});
+  now_ += seconds{1};
+  Report({"h"});
+  EXPECT_EQ(assigner_.PermitFraction(now_), 0.25);
+}
+
+// Guards against targets whose limit is not used while the store is away, and
+// against a former holder that goes on beside its successor.
+TEST_F(PermitFractionTest, HolderWithALapsedLeaseGoesOnUntilItHasASuccessor) {
+  TakeLease();
+  now_ += seconds{8};
+  Report({"h", "a", "b", "c"});
+  ASSERT_FALSE(assigner_.IsHolder(now_));
+  EXPECT_EQ(assigner_.PermitFraction(now_), 1.0);
+  assigner_heartbeat heartbeat;
+  heartbeat.host = "a";
+  heartbeat.lease_revision = 40;
+  assigner_.OnHeartbeat(heartbeat, now_);
+  EXPECT_EQ(assigner_.PermitFraction(now_), 0.0);
+}
+
+TEST_F(PermitFractionTest, HolderThatStopsIssuesNoPermits) {
+  TakeLease();
+  Report({"h", "a"});
+  assigner_actions actions;
+  assigner_.PrepareToStop(now_, actions);
+  EXPECT_EQ(assigner_.PermitFraction(now_), 0.0);
+}
+
 }  // namespace
 }  // namespace foxtailspread
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -138,6 +138,32 @@
             host_message{record});
 }
 
+TEST_F(HostMessagesTest, LimitsAndPermitsRoundTrip) {
+  const limit_sample limited{.target = {.id = "t1", .started = 7},
+                             .per_second = 2.8,
+                             .sent_age_ms = 40,
+                             .received_age_ms = 12};
+  const limit_sample ended{.target = {.id = "t2"}};
+  assigner_heartbeat heartbeat;
+  heartbeat.limits = {limited};
+  for (const host_message& message : {
+           host_message{limits_record{{limited, ended}}},
+           host_message{permit_request{.address = "10.0.0.1:7",
+           .sequence = 9,
+           .limit = limited,
+           .demand = {.count = 3, .max_delay = milliseconds{250}}}},
+           host_message{permit_reply{.sequence = 9,
+           .limit = ended,
+           .grant = {.delays = {milliseconds{0}, milliseconds{30}},
+                    .next_delay = milliseconds{400}}}},
+           host_message{heartbeat},
+       }) {
+    const auto read = ParseHostMessage(FormatHostMessage(message));
+    ASSERT_TRUE(read);
+    EXPECT_TRUE(read.value() == message);
+  }
+}
+
 TEST_F(HostMessagesTest, ObjectsAndRelayedMessagesRoundTrip) {
   const shared_object object{.kind = shared_kind::kDeclarations,
                              .name = "main",
--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -199,11 +199,74 @@
       callers_.erase(delivered->id);
     } else if (const auto* cancelled = std::get_if<cancel_action>(&action)) {
       callers_[cancelled->id].current_attempt_id = 0;
+    } else if (const auto* change = std::get_if<limit_change_action>(&action)) {
+      if (change->is_own_answer) {
+        ShareLimits(host, change->target);
+      }
+    } else if (const auto* permits =
+                   std::get_if<permit_request_action>(&action)) {
+      OnPermitRequest(host, *permits);
     }
   }
   ScheduleTimer(host);
 }
 
+bool router_world::AreConnected(size_t host, size_t other) const {
+  const size_t first_cut_off = routers_.size() - cut_off_;
+  return (host < first_cut_off) == (other < first_cut_off);
+}
+
+void router_world::ShareLimits(size_t host, const target_life& target) {
+  // Over the holder of the lease.
+  for (size_t other = 0; other < routers_.size(); ++other) {
+    if (!AreConnected(host, issuing_host_) ||
+        !AreConnected(other, issuing_host_)) {
+      continue;
+    }
+    Schedule(now_ + 2 * kLinkDelay, [this, host, other, target] {
+      std::vector<limit_sample> limits = routers_[host]->Limits(now_);
+      std::erase_if(limits, [&](const limit_sample& sample) {
+        return sample.target != target;
+      });
+      router_actions actions;
+      routers_[other]->OnLimits(limits, now_, actions);
+      Execute(other, actions);
+    });
+  }
+}
+
+void router_world::OnPermitRequest(size_t host,
+                                   const permit_request_action& action) {
+  if (issuer_is_lost_ || !AreConnected(host, issuing_host_)) {
+    return;
+  }
+  Schedule(now_ + kLinkDelay, [this, host, action] {
+    if (issuer_is_lost_) {
+      return;
+    }
+    const double heard = static_cast<double>(routers_.size() - cut_off_) /
+                         static_cast<double>(routers_.size());
+    permit_reply reply{.sequence = action.sequence, .limit = action.limit};
+    reply.grant =
+        issuer_.Issue(action.limit.target, action.demand,
+                      heard * SendRate(*action.limit.per_second), now_);
+    Schedule(now_ + kLinkDelay, [this, host, reply] {
+      router_actions actions;
+      routers_[host]->OnPermitReply(reply, now_, actions);
+      Execute(host, actions);
+    });
+  });
+}
+
+void router_world::LoseIssuer(duration takeover_time) {
+  issuer_is_lost_ = true;
+  Schedule(now_ + takeover_time, [this] {
+    issuer_is_lost_ = false;
+    issuer_ = {};
+    ++issuing_host_;
+  });
+}
+
 void router_world::ScheduleTimer(size_t host) {
   const time_point due = routers_[host]->NextDue();
   if (due >= timer_due_[host]) {
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -87,6 +87,13 @@
   void SetLimit(size_t target, std::optional<double> per_second) {
     targets_[target].limit.OnLimit(per_second, now_);
   }
+  /// The host that issues permits is lost; its callers stay with it. After
+  /// `takeover_time` the next host issues them.
+  void LoseIssuer(duration takeover_time);
+  /// These hosts, from the last one, and the others do not reach each other
+  /// until Heal(). All of them reach the targets.
+  void CutOff(size_t hosts) { cut_off_ = hosts; }
+  void Heal() { cut_off_ = 0; }
   /// What the target got while it stated a limit.
   const stand_in::limit_rule& limit(size_t target) const {
     return targets_[target].limit;
@@ -123,6 +130,9 @@
 
   void SetUp();
   void ShareLoads();
+  bool AreConnected(size_t host, size_t other) const;
+  void ShareLimits(size_t host, const target_life& target);
+  void OnPermitRequest(size_t host, const permit_request_action& action);
   void ChangeSlowedTargets();
   void Schedule(time_point time, std::function<void()> callback);
   void ScheduleNextRequest(double rate_per_second, time_point end);
@@ -144,6 +154,10 @@
   std::vector<time_point> timer_due_;
   std::vector<target_model> targets_;
   load_aggregator loads_;
+  size_t issuing_host_ = 0;
+  bool issuer_is_lost_ = false;
+  permit_issuer issuer_;
+  size_t cut_off_ = 0;
   std::map<std::string, size_t>
       target_index_by_id_;  ///< Index in `targets_` by id.
   std::map<request_id, caller> callers_;
