Give targets keys for no more requests than they accept

Cause: the balance of keys knew slots and speed only. A limited target has little load and looked idle.

A limit is a bound on the target's fair share of the load now, 0.8 of it; the others share the rest by capacity. Test: TargetWithALimitKeepsKeysForNoMoreThanThat (the field did not exist before).

--- a/include/foxtailspread/key_balance.h
+++ b/include/foxtailspread/key_balance.h
@@ -10,6 +10,7 @@
 /// speed.
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -23,6 +24,8 @@
 struct balance_target {
   target_life life;
   double capacity = 1.0;  ///< Relative to the other targets.
+  /// The most requests per second that it accepts; empty for any number.
+  std::optional<double> max_load{};
 };
 
 /// Adjacent keys that should get a new owner.
--- a/src/core/key_assigner_moves.cc
+++ b/src/core/key_assigner_moves.cc
@@ -23,6 +23,10 @@
 /// Time between moves that balance the steady load.
 constexpr duration kSteadyBalancePeriod{std::chrono::seconds{2}};
 
+/// Fraction of a target's limit that the balance of keys plans to use. Requests
+/// come at random, and what goes beyond the limit is refused.
+constexpr double kUsedLimitFraction = 0.8;
+
 /// Bounds of a target's speed relative to the mean of all targets. Speed is
 /// estimated from mean latency, which includes queueing time; the bounds limit
 /// the resulting feedback between load and estimated speed.
@@ -231,6 +235,10 @@
     candidates.push_back(
         {.life = target->entry.life,
          .capacity = static_cast<double>(target->entry.slots)});
+    const auto limit = target_limits_.find(LifeKey(target->entry.life));
+    if (limit != target_limits_.end()) {
+      candidates.back().max_load = limit->second * kUsedLimitFraction;
+    }
     latencies_us.push_back(target->latency_us);
     latency_sum_us += target->latency_us;
     measured_count += target->latency_us > 0.0 ? 1 : 0;
--- a/src/core/key_balance.cc
+++ b/src/core/key_balance.cc
@@ -16,6 +16,9 @@
 /// this many requests per second and target.
 constexpr double kBaseLoadPerTarget = 1.0;
 
+/// Least fair share of a target, in requests per second.
+constexpr double kMinFairLoad = 0.1;
+
 /// Smallest load that one move gives to an underloaded target, such as one
 /// without keys, as a fraction of its fair share.
 constexpr double kMinUnderloadedMoveFraction = 0.05;
@@ -81,6 +84,35 @@
   double load = 0.0;
 };
 
+/// Divides `total` among the targets in proportion to their capacity, none of
+/// them above its maximum load as long as others can take the rest.
+std::vector<double> FairLoads(double total,
+                              std::span<const balance_target> targets) {
+  std::vector<double> loads(targets.size(), 0.0);
+  std::vector<bool> is_full(targets.size(), false);
+  for (bool found_full = true; found_full;) {
+    double rest = total;
+    double capacity = 0.0;
+    for (size_t i = 0; i < targets.size(); ++i) {
+      rest -= is_full[i] ? loads[i] : 0.0;
+      capacity += is_full[i] ? 0.0 : targets[i].capacity;
+    }
+    found_full = false;
+    for (size_t i = 0; i < targets.size(); ++i) {
+      if (is_full[i]) {
+        continue;
+      }
+      loads[i] = rest * targets[i].capacity / capacity;
+      if (targets[i].max_load && loads[i] > *targets[i].max_load) {
+        loads[i] = std::max(*targets[i].max_load, kMinFairLoad);
+        is_full[i] = true;
+        found_full = true;
+      }
+    }
+  }
+  return loads;
+}
+
 /// Plans moves one at a time, each based on the result of the previous ones.
 class move_planner {
  public:
@@ -92,10 +124,8 @@
         limits_(limits),
         states_(targets.size()) {
     std::unordered_map<std::string_view, size_t> index_by_id;
-    double capacity = 0.0;
     for (size_t i = 0; i < targets.size(); ++i) {
       index_by_id.emplace(targets[i].life.id, i);
-      capacity += targets[i].capacity;
     }
     double total = 0.0;
     for (const key_range& range : map.ranges) {
@@ -114,8 +144,9 @@
         states_[owner].load += load;
       }
     }
+    const std::vector<double> fair_loads = FairLoads(total, targets);
     for (size_t i = 0; i < targets.size(); ++i) {
-      states_[i].fair_load = total * targets[i].capacity / capacity;
+      states_[i].fair_load = fair_loads[i];
     }
   }
 
@@ -370,16 +401,19 @@
 const balance_target* LeastLoaded(const key_map& map, key_loads loads,
                                   std::span<const balance_target> targets) {
   const load_prefix_sums prefix_sums(loads, targets.size());
+  const std::vector<double> fair_loads =
+      FairLoads(prefix_sums.Sum(0, kLastKey), targets);
   const balance_target* least = nullptr;
   double least_ratio = 0.0;
-  for (const balance_target& target : targets) {
+  for (size_t i = 0; i < targets.size(); ++i) {
+    const balance_target& target = targets[i];
     double load = 0.0;
     for (const key_range& range : map.ranges) {
       load += range.owner == target.life
                   ? prefix_sums.Sum(range.first, range.last)
                   : 0.0;
     }
-    const double ratio = load / target.capacity;
+    const double ratio = load / fair_loads[i];
     if (least == nullptr || ratio < least_ratio) {
       least = &target;
       least_ratio = ratio;
--- a/tests/key_balance_test.cc
+++ b/tests/key_balance_test.cc
@@ -226,5 +226,34 @@
   EXPECT_FALSE(CheckKeyMap(map));
 }
 
+// Guards against keys that stay with, or move to, a target that accepts fewer
+// requests than it could serve.
+TEST_F(KeyBalanceTest, TargetWithALimitKeepsKeysForNoMoreThanThat) {
+  AddTargets(14);
+  for (double& load : loads_) {
+    load = 140.0 / kKeyCount;
+  }
+  targets_[3].max_load = 2.5;
+  MoveUntilStable();
+  EXPECT_LE(LoadByTarget()["t3"], 4.5);
+  EXPECT_GE(LoadByTarget()["t3"], 0.5);
+  targets_[3].max_load.reset();
+  MoveUntilStable();
+  EXPECT_GE(LoadByTarget()["t3"], 5.0);
+}
+
+TEST_F(KeyBalanceTest, TargetsThatAllHaveLimitsShareTheLoad) {
+  AddTargets(3);
+  for (double& load : loads_) {
+    load = 30.0 / kKeyCount;
+  }
+  for (balance_target& target : targets_) {
+    target.max_load = 2.0;
+  }
+  MoveUntilStable();
+  EXPECT_LE(MaxTargetLoad(), 13.0);
+  EXPECT_NE(LeastLoaded(map_, loads_, targets_), nullptr);
+}
+
 }  // namespace
 }  // namespace foxtailspread
