Read and report that a target leaves or asks for rest

Neither is acted on yet. Events 343 to 345 and the metrics targets_leaving and targets_resting show both. A value that cannot be parsed is logged once per start of a target and changes nothing.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -58,6 +58,9 @@
   kTargetLimited = 340,
   kTargetLimitEnded = 341,
   kTargetLimitUnreadable = 342,
+  kTargetLeaving = 343,
+  kTargetRests = 344,
+  kTargetRestUnreadable = 345,
   kFaultsChanged = 800,
   kPoisonedRequest = 801,
   kWorkCancelled = 802,
@@ -198,6 +201,17 @@
      "what "
      "was known of its limit stays. Logged once per start of a target.",
      "Correct the target."},
+    {event_id::kTargetLeaving, event_level::kInfo, "target-leaving",
+     "A target says in its answers that it shuts down.", "Nothing to do."},
+    {event_id::kTargetRests, event_level::kInfo, "target-rests",
+     "A target that rejected a request wants no more of this host for the time "
+     "given.",
+     "Look at the target, or add targets to its service, if it repeats."},
+    {event_id::kTargetRestUnreadable, event_level::kWarning,
+     "target-rest-unreadable",
+     "A target that rejected a request states a time of rest that is not a "
+     "number of seconds; it is ignored. Logged once per start of a target.",
+     "Correct the target."},
     {event_id::kFaultsChanged, event_level::kInfo, "faults-changed",
      "A test has set the faults of a stand-in.", "Nothing to do."},
     {event_id::kPoisonedRequest, event_level::kError, "poisoned-request",
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -136,6 +136,29 @@
   bool is_own_answer = true;
 };
 
+/// What an answer says of a time in which its target wants no more requests of
+/// this host.
+struct rest_notice {
+  std::optional<duration> time{};  ///< Empty if it wants none.
+  bool is_readable = true;         ///< False if the time cannot be parsed.
+
+  bool operator==(const rest_notice&) const = default;
+};
+
+/// Reports that a target shuts down, as its answers say.
+struct leaving_action {
+  std::string service{};
+  target_life target{};
+};
+
+/// Reports that a target wants no requests of this host for a time, or that it
+/// asked for one that cannot be parsed; the latter is reported once per target.
+struct rest_action {
+  std::string service{};
+  target_life target{};
+  rest_notice notice{};
+};
+
 /// Requests permits from the lease holder.
 struct permit_request_action {
   uint64_t sequence = 0;
@@ -145,7 +168,8 @@
 
 using router_action =
     std::variant<send_action, local_reply_action, deliver_action, cancel_action,
-                 limit_change_action, permit_request_action>;
+                 limit_change_action, leaving_action, rest_action,
+                 permit_request_action>;
 using router_actions = std::vector<router_action>;
 
 /// How an attempt ended.
@@ -155,6 +179,8 @@
   std::optional<reported_load> load{};  ///< Reported by the target, if at all.
   /// What the target's answer says of its limit; empty without an answer.
   std::optional<limit_notice> limit{};
+  bool leaving = false;  ///< The target's answer says that it shuts down.
+  rest_notice rest{};    ///< What the target's answer says of a rest.
 };
 
 /// Current state of one service for the metrics.
@@ -164,6 +190,8 @@
   size_t usable_targets = 0;    ///< Listed, not draining and reachable.
   size_t cold_targets = 0;      ///< Not warmed up yet after their start.
   size_t limited_targets = 0;   ///< Limit the rate of requests to them.
+  size_t leaving_targets = 0;   ///< Shut down, as their answers say.
+  size_t resting_targets = 0;   ///< Want no requests of this host now.
   int in_flight = 0;            ///< Attempts of this host under way.
   double retries_left = 0.0;    ///< In this host's share of the retry budget.
 };
@@ -357,6 +385,14 @@
   static void RecordLimit(const request& ended_request, target& answering,
                           const attempt_report& report, time_point now,
                           router_actions& out);
+  /// Applies what the answer of an attempt says of its target.
+  void RecordStatements(const request& ended_request, target& answering,
+                        const attempt_report& report, time_point now,
+                        router_actions& out);
+  static void RecordLeaving(target& answering, time_point now,
+                            router_actions& out);
+  void RecordRest(target& answering, const rest_notice& notice, time_point now,
+                  router_actions& out);
   bool TryTakeRetry(request& pending_request, time_point now);
   void RetryOrRefuse(request& pending_request, refusal_reason reason_if_refused,
                      time_point now, router_actions& out);
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -246,9 +246,7 @@
   if (report.load) {
     RecordLoad(pending_request, *attempted_target, report, now);
   }
-  if (report.limit) {
-    RecordLimit(pending_request, *attempted_target, report, now, out);
-  }
+  RecordStatements(pending_request, *attempted_target, report, now, out);
   const bool shed = report.verdict == attempt_verdict::kShed;
   service_state.shed_fraction +=
       kShedWeight * ((shed ? 1.0 : 0.0) - service_state.shed_fraction);
--- a/src/core/request_router_reports.cc
+++ b/src/core/request_router_reports.cc
@@ -37,14 +37,52 @@
       ended_request.service_state->in_flight);
 }
 
-void request_router::RecordLimit(const request& ended_request,
-                                 target& answering,
-                                 const attempt_report& report, time_point now,
-                                 router_actions& out) {
+void request_router::RecordStatements(const request& ended_request,
+                                      target& answering,
+                                      const attempt_report& report,
+                                      time_point now, router_actions& out) {
   // Most likely another target has taken over the address.
   if (report.verdict == attempt_verdict::kMisdirected) {
     return;
   }
+  if (report.limit) {
+    RecordLimit(ended_request, answering, report, now, out);
+  }
+  if (report.leaving) {
+    RecordLeaving(answering, now, out);
+  }
+  RecordRest(answering, report.rest, now, out);
+}
+
+void request_router::RecordLeaving(target& answering, time_point now,
+                                   router_actions& out) {
+  if (!answering.leaving_since) {
+    answering.leaving_since = now;
+    out.emplace_back(leaving_action{.service = answering.entry.service,
+                                    .target = answering.entry.life});
+  }
+}
+
+void request_router::RecordRest(target& answering, const rest_notice& notice,
+                                time_point now, router_actions& out) {
+  bool is_reported = false;
+  if (!notice.is_readable) {
+    is_reported = !std::exchange(answering.has_unreadable_rest, true);
+  } else if (notice.time && now + *notice.time > answering.rests_until) {
+    is_reported = now >= answering.rests_until;
+    answering.rests_until = now + *notice.time;
+  }
+  if (is_reported) {
+    out.emplace_back(rest_action{.service = answering.entry.service,
+                                 .target = answering.entry.life,
+                                 .notice = notice});
+  }
+}
+
+void request_router::RecordLimit(const request& ended_request,
+                                 target& answering,
+                                 const attempt_report& report, time_point now,
+                                 router_actions& out) {
   const limit_notice& notice = *report.limit;
   const bool is_reported =
       notice.is_readable ? answering.limit.Update(notice.per_second,
@@ -73,6 +111,8 @@
       service_gauge.cold_targets +=
           known_target->availability.IsCold(now) ? 1 : 0;
       service_gauge.limited_targets += known_target->limit.per_second() ? 1 : 0;
+      service_gauge.leaving_targets += known_target->leaving_since ? 1 : 0;
+      service_gauge.resting_targets += now < known_target->rests_until ? 1 : 0;
     }
   }
   return gauges;
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -67,6 +67,10 @@
   target_limit limit;
   permit_cache permits;               ///< For its limit.
   bool has_unreadable_limit = false;  ///< It was reported.
+  /// Since when its answers say that it shuts down.
+  std::optional<time_point> leaving_since;
+  time_point rests_until{};  ///< It wants no requests of this host before then.
+  bool has_unreadable_rest = false;  ///< It was reported.
   /// Earliest time at which it can have begun to drain.
   std::optional<time_point> draining_since;
   /// When it was first missing from the list.
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -253,24 +253,22 @@
   ended.call.reset();
   const time_point now = Now();
   const attempt_verdict verdict = platform::Judge(result);
-  const bool answered = result.end == call_end::kAnswered;
-  const std::optional<reported_load> load =
-      answered ? platform::ReadLoad(result.answer) : std::nullopt;
-  std::optional<limit_notice> limit;
-  if (answered) {
-    limit = platform::ReadLimit(result.answer);
+  attempt_report report{.id = id, .verdict = verdict};
+  if (result.end == call_end::kAnswered) {
+    report.load = platform::ReadLoad(result.answer);
+    report.limit = platform::ReadLimit(result.answer);
+    report.leaving = platform::ReadLeaving(result.answer);
+    report.rest = platform::ReadRest(result.answer);
   }
   if (verdict == attempt_verdict::kServed ||
       verdict == attempt_verdict::kFailed) {
     ended.answer = std::move(result.answer);
   }
-  if (load) {
+  if (report.load) {
     ShareLoadsSoon();
   }
   router_actions actions;
-  router_.OnAttemptEnded(
-      {.id = id, .verdict = verdict, .load = load, .limit = limit}, now,
-      actions);
+  router_.OnAttemptEnded(report, now, actions);
   Carry(actions);
 }
 
@@ -365,6 +363,20 @@
   }
 }
 
+void edge_daemon::CarryOne(const leaving_action& action) {
+  LogEvent(event_id::kTargetLeaving,
+           {{"service", action.service}, {"target", action.target.id}});
+}
+
+void edge_daemon::CarryOne(const rest_action& action) {
+  const duration rest = action.notice.time.value_or(duration{0});
+  LogEvent(action.notice.is_readable ? event_id::kTargetRests
+                                     : event_id::kTargetRestUnreadable,
+           {{"service", action.service},
+            {"target", action.target.id},
+            {"rest_ms", rest.count() / 1000}});
+}
+
 void edge_daemon::Step() {
   const time_point now = Now();
   if (armed_for_ != time_point::max()) {
@@ -474,6 +486,10 @@
                  static_cast<double>(each.cold_targets));
     AppendMetric(text, "targets_limited", labels,
                  static_cast<double>(each.limited_targets));
+    AppendMetric(text, "targets_leaving", labels,
+                 static_cast<double>(each.leaving_targets));
+    AppendMetric(text, "targets_resting", labels,
+                 static_cast<double>(each.resting_targets));
     AppendMetric(text, "requests_in_flight", labels,
                  static_cast<double>(each.in_flight));
     AppendMetric(text, "repeats_left", labels, each.retries_left);
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -591,5 +591,30 @@
   }
 }
 
+TEST_F(RequestRouterTest, LeavingTargetIsReportedOnce) {
+  for (request_id id = 1; id <= 2; ++id) {
+    SendRequest(id, "/reports/7");
+    actions_.clear();
+    router_.OnAttemptEnded(
+        {.id = id, .verdict = attempt_verdict::kServed, .leaving = true}, now_,
+        actions_);
+    EXPECT_EQ(ActionsOf<leaving_action>(actions_).size(), id == 1 ? 1U : 0U);
+  }
+}
+
+// Guards against a log line for each rejection of a target that states a rest
+// that cannot be parsed.
+TEST_F(RequestRouterTest, UnreadableRestIsReportedOnce) {
+  for (request_id id = 1; id <= 2; ++id) {
+    SendRequest(id, "/orders/7");
+    actions_.clear();
+    router_.OnAttemptEnded({.id = id,
+                            .verdict = attempt_verdict::kShed,
+                            .rest = {.is_readable = false}},
+                           now_, actions_);
+    EXPECT_LE(ActionsOf<rest_action>(actions_).size(), 1U);
+  }
+}
+
 }  // namespace
 }  // namespace foxtailspread
