Reproduce requests to a target whose answers said that it leaves

One check counts requests whose callers sent them more than 2 s after the host, or any host, was told; foxtail-fleet counts it too (--leave).

--- a/src/programs/foxtail-fleet/main.cc
+++ b/src/programs/foxtail-fleet/main.cc
@@ -52,6 +52,7 @@
   load_options options;
   int seconds = 10;
   bool kill = false;
+  bool leave = false;
   std::optional<double> limit;
   app.add_option("deployment", deployment, "vlahovic or prairie");
   app.add_option("--store", store, "Where the store listens");
@@ -63,6 +64,9 @@
   app.add_option("--seconds", seconds, "How long callers send")
       ->check(CLI::Range(1, 3600));
   app.add_flag("--kill", kill, "Kill a target of the keyed service half-way");
+  app.add_flag("--leave", leave,
+               "The third target of the keyed service says in its answers, but "
+               "not to the store, that it leaves");
   app.add_option("--limit", limit,
                  "Requests a second that the second target of the keyed "
                  "service accepts from all hosts together")
@@ -87,6 +91,9 @@
   fleet_load load(events, plan, options);
   load.Start();
   served.SetLimit(1, limit);
+  if (leave) {
+    served.Leave(2);
+  }
   RunFor(loop, std::chrono::seconds{seconds} / 2);
   if (kill) {
     std::cout << "killing " << served.target(0).options().life.id << '\n';
--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -258,6 +258,18 @@
   });
 }
 
+void router_world::ListTargets() {
+  std::vector<target_entry> entries;
+  for (const target_model& target : targets_) {
+    entries.push_back(target.entry);
+  }
+  for (size_t host = 0; host < routers_.size(); ++host) {
+    router_actions actions;
+    routers_[host]->OnTargets(entries, false, now_, now_, actions);
+    Execute(host, actions);
+  }
+}
+
 void router_world::LoseIssuer(duration takeover_time) {
   issuer_is_lost_ = true;
   Schedule(now_ + takeover_time, [this] {
@@ -302,6 +314,7 @@
 void router_world::OnAttemptArrival(size_t target, sent_attempt attempt) {
   target_model& model = targets_[target];
   model.limit.OnArrival(attempt.host, now_);
+  model.leaving.OnArrival(attempt.host, callers_[attempt.id].arrival_time);
   if (model.busy_slots < options_.slots_per_target) {
     StartWork(target, attempt);
   } else if (model.queue.size() < options_.max_queued_per_target) {
@@ -349,17 +362,23 @@
                                  attempt_verdict verdict,
                                  std::optional<reported_load> load) {
   const limit_notice stated{.per_second = targets_[target].limit.per_second()};
-  Schedule(now_ + kLinkDelay, [this, target, attempt, verdict, load, stated] {
-    if (!IsCurrent(attempt)) {
-      return;
-    }
-    targets_[target].limit.OnAnswer(attempt.host, now_);
-    router_actions actions;
-    routers_[attempt.host]->OnAttemptEnded(
-        {.id = attempt.id, .verdict = verdict, .load = load, .limit = stated},
-        now_, actions);
-    Execute(attempt.host, actions);
-  });
+  const bool leaving = targets_[target].leaving.is_leaving();
+  Schedule(now_ + kLinkDelay,
+           [this, target, attempt, verdict, load, stated, leaving] {
+             if (!IsCurrent(attempt)) {
+               return;
+             }
+             targets_[target].limit.OnAnswer(attempt.host, now_);
+             targets_[target].leaving.OnAnswer(attempt.host, now_);
+             router_actions actions;
+             routers_[attempt.host]->OnAttemptEnded({.id = attempt.id,
+                                                     .verdict = verdict,
+                                                     .load = load,
+                                                     .limit = stated,
+                                                     .leaving = leaving},
+                                                    now_, actions);
+             Execute(attempt.host, actions);
+           });
 }
 
 }  // namespace foxtailspread::testing
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -94,6 +94,15 @@
   /// until Heal(). All of them reach the targets.
   void CutOff(size_t hosts) { cut_off_ = hosts; }
   void Heal() { cut_off_ = 0; }
+  /// The target says in its answers from now on that it shuts down, and goes on
+  /// serving.
+  void Leave(size_t target) { targets_[target].leaving.OnLeaving(now_); }
+  const stand_in::leaving_rule& leaving(size_t target) const {
+    return targets_[target].leaving;
+  }
+  /// The store lists all targets as before, none of them draining.
+  void ListTargets();
+
   /// What the target got while it stated a limit.
   const stand_in::limit_rule& limit(size_t target) const {
     return targets_[target].limit;
@@ -112,6 +121,7 @@
     int busy_slots = 0;
     std::deque<sent_attempt> queue;
     stand_in::limit_rule limit;
+    stand_in::leaving_rule leaving;
   };
   struct caller {
     time_point arrival_time{};
