--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -315,6 +315,14 @@
   target_model& model = targets_[target];
   model.limit.OnArrival(attempt.host, now_);
   model.leaving.OnArrival(attempt.host, callers_[attempt.id].arrival_time);
+  model.rest.OnArrival(attempt.host, now_);
+  ++model.arrivals;
+  if (now_ < model.rejects_until) {
+    model.rest.OnRejection(attempt.host, model.asked_rest, now_);
+    ReportAttempt(target, attempt, attempt_verdict::kShed, std::nullopt,
+                  {.time = model.asked_rest});
+    return;
+  }
   if (model.busy_slots < options_.slots_per_target) {
     StartWork(target, attempt);
   } else if (model.queue.size() < options_.max_queued_per_target) {
@@ -360,11 +368,12 @@
 
 void router_world::ReportAttempt(size_t target, const sent_attempt& attempt,
                                  attempt_verdict verdict,
-                                 std::optional<reported_load> load) {
+                                 std::optional<reported_load> load,
+                                 rest_notice rest) {
   const limit_notice stated{.per_second = targets_[target].limit.per_second()};
   const bool leaving = targets_[target].leaving.is_leaving();
   Schedule(now_ + kLinkDelay,
-           [this, target, attempt, verdict, load, stated, leaving] {
+           [this, target, attempt, verdict, load, stated, leaving, rest] {
              if (!IsCurrent(attempt)) {
                return;
              }
@@ -375,7 +384,8 @@
                                                      .verdict = verdict,
                                                      .load = load,
                                                      .limit = stated,
-                                                     .leaving = leaving},
+                                                     .leaving = leaving,
+                                                     .rest = rest},
                                                     now_, actions);
              Execute(attempt.host, actions);
            });
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -100,6 +100,17 @@
   const stand_in::leaving_rule& leaving(size_t target) const {
     return targets_[target].leaving;
   }
+  /// The target rejects all requests for `time`, and asks each host for `rest`
+  /// with each rejection.
+  void Reject(size_t target, duration time, duration rest) {
+    targets_[target].rejects_until = now_ + time;
+    targets_[target].asked_rest = rest;
+  }
+  const stand_in::rest_rule& rest(size_t target) const {
+    return targets_[target].rest;
+  }
+  /// Requests that the target has got.
+  size_t Arrivals(size_t target) const { return targets_[target].arrivals; }
   /// The store lists all targets as before, none of them draining.
   void ListTargets();
 
@@ -122,6 +133,10 @@
     std::deque<sent_attempt> queue;
     stand_in::limit_rule limit;
     stand_in::leaving_rule leaving;
+    stand_in::rest_rule rest;
+    time_point rejects_until{};
+    duration asked_rest{};
+    size_t arrivals = 0;
   };
   struct caller {
     time_point arrival_time{};
@@ -153,7 +168,8 @@
   void FinishWork(size_t target, const sent_attempt& attempt);
   void ReportAttempt(size_t target, const sent_attempt& attempt,
                      attempt_verdict verdict,
-                     std::optional<reported_load> load = std::nullopt);
+                     std::optional<reported_load> load = std::nullopt,
+                     rest_notice rest = {});
   void ScheduleTimer(size_t host);
   bool IsCurrent(const sent_attempt& attempt) const;
   duration RandomWorkTime(const target_model& target);
