Leave a target alone in the rest that it asks for

Cause: Retry-After of a target was read nowhere. A rejected keyed request went to the same owner again after a fixed 40 ms.

Why it works: the end of the rest is kept with the target, and every send passes it. What cannot wait that long is refused at once, with a Retry-After beyond the rest where the caller has the time, spread in any case. Hosts return one request at a time and spread over the time in which the target serves one of each.

The load check of foxtail-fleet counts the rule too (--reject).

--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -85,6 +85,7 @@
   kStopping,
   kCrashesTargets,
   kTargetLimited,
+  kTargetRests,
 };
 
 /// Returns the name of `reason` in log and metrics. Names are stable.
@@ -389,9 +390,9 @@
   kept_statements& KeptStatements(const target_life& life, time_point now);
   /// Applies kept statements to a target that is listed again.
   void RestoreStatements(target& listed);
-  /// Returns when this host sends, relative to others, while no host issues
-  /// permits; from 0 to 1.
-  double PermitPhase(const target_entry& entry) const;
+  /// Returns when this host sends to a target, relative to other hosts, if all
+  /// would send at once; from 0 to 1.
+  double SendPhase(const target_entry& entry) const;
   target* FindTarget(const target_life& life);
   /// Records the load that `reporter` reported with the end of an attempt.
   static void RecordLoad(const request& ended_request, target& reporter,
@@ -440,8 +441,16 @@
   static bool IsLeaving(const target& candidate);
   /// Whether an owner announced that so long ago that it gets no more requests.
   bool IsDrainGraceOver(const target& owner, time_point now) const;
-  /// Whether no target can serve a request, as those that could shut down.
-  bool IsWithoutTarget(const request& pending_request, time_point now) const;
+  /// Returns why no target can serve a request until its wait ends: those that
+  /// could shut down or rest. Empty if one may.
+  std::optional<refusal_reason> NoTargetReason(const request& pending_request,
+                                               time_point now) const;
+  /// Returns when the first of the targets that could serve a request returns
+  /// from its rest.
+  static time_point FirstReturn(service& service_state,
+                                const request& pending_request, time_point now);
+  /// Returns over how long the hosts spread their return to a target.
+  duration ReturnSpread(const target& resting, duration rest) const;
   /// Whether an owner's zone was evacuated so long ago that the owner gets no
   /// more requests.
   static bool IsEvacuationGraceOver(const target& owner, time_point now);
--- a/include/foxtailspread/target_health.h
+++ b/include/foxtailspread/target_health.h
@@ -51,6 +51,10 @@
   void OnEnded(attempt_verdict verdict, time_point sent_at, duration objective,
                time_point now);
 
+  /// The target wants no requests for a time. Afterwards it gets one at a time
+  /// first.
+  void OnRest();
+
   /// Records the load that the target reported at `reported_at`, and the mean
   /// latency over all hosts, 0 if that is not known.
   void OnLoadReport(const reported_load& load, time_point reported_at,
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -63,6 +63,8 @@
       return "crashes-targets";
     case refusal_reason::kTargetLimited:
       return "target-limited";
+    case refusal_reason::kTargetRests:
+      return "target-rests";
   }
   return "unknown";
 }
@@ -216,15 +218,15 @@
 void request_router::RetryOrRefuse(request& pending_request,
                                    refusal_reason reason_if_refused,
                                    time_point now, router_actions& out) {
-  if (IsWithoutTarget(pending_request, now) ||
-      !TryTakeRetry(pending_request, now)) {
-    Refuse(pending_request, reason_if_refused, now, out);
-    return;
-  }
   pending_request.wait_deadline =
       std::max(pending_request.wait_deadline,
                std::min(now + kDelayAfterMisdirected * 2,
                         pending_request.deadline - kMinTimeToSend));
+  const auto no_target = NoTargetReason(pending_request, now);
+  if (no_target || !TryTakeRetry(pending_request, now)) {
+    Refuse(pending_request, no_target.value_or(reason_if_refused), now, out);
+    return;
+  }
   StartWaiting(pending_request, now);
 }
 
@@ -406,8 +408,8 @@
       Refuse(pending_request, refusal_reason::kWaitedTooLong, now, out);
     } else if (pending_request.is_waiting()) {
       DropMissingTargets(*pending_request.service_state, now);
-      if (IsWithoutTarget(pending_request, now)) {
-        Refuse(pending_request, refusal_reason::kNoTarget, now, out);
+      if (const auto reason = NoTargetReason(pending_request, now)) {
+        Refuse(pending_request, *reason, now, out);
         continue;
       }
       if (pending_request.earliest_send > now ||
--- a/src/core/request_router_limits.cc
+++ b/src/core/request_router_limits.cc
@@ -37,7 +37,7 @@
   return !candidate.limit.per_second() || candidate.permits.HasPermit(now);
 }
 
-double request_router::PermitPhase(const target_entry& entry) const {
+double request_router::SendPhase(const target_entry& entry) const {
   constexpr uint64_t kSteps = 1000;
   return static_cast<double>(HashParts({entry.life.id}, settings_.seed) %
                              kSteps) /
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -60,6 +60,20 @@
 
 constexpr double kMicrosecondsPerSecond = 1e6;
 
+/// Returns Retry-After of a caller whose targets rest for `rest`: spread over
+/// the time after the rest, or over the end of what the caller can wait.
+duration RetryAfterRest(duration rest, duration time_left,
+                        int64_t jitter_permille) {
+  constexpr duration kMinSpread{std::chrono::milliseconds{200}};
+  const duration spread = std::max(rest / 4, kMinSpread);
+  const duration longest =
+      std::max(time_left / kRetryAfterDivisor, duration{0});
+  const duration retry_after = rest + spread * jitter_permille / 1000;
+  return retry_after <= longest
+             ? retry_after
+             : longest / 2 + longest * jitter_permille / 2000;
+}
+
 }  // namespace
 
 request_router::target* request_router::PickTarget(
@@ -93,17 +107,54 @@
          (owner.leaving_since && now - *owner.leaving_since > grace);
 }
 
-bool request_router::IsWithoutTarget(const request& pending_request,
-                                     time_point now) const {
+std::optional<refusal_reason> request_router::NoTargetReason(
+    const request& pending_request, time_point now) const {
   service& service_state = *pending_request.service_state;
+  const time_point latest_send = pending_request.wait_deadline;
+  if (service_state.keyed) {
+    const target* owner = FindOwner(service_state, pending_request);
+    if (owner == nullptr) {
+      return std::nullopt;
+    }
+    if (IsDrainGraceOver(*owner, now)) {
+      return refusal_reason::kNoTarget;
+    }
+    return owner->returns_at > latest_send
+               ? std::optional{refusal_reason::kTargetRests}
+               : std::nullopt;
+  }
+  bool any_rests = false;
+  for (const auto& candidate : service_state.targets) {
+    if (IsLeaving(*candidate)) {
+      continue;
+    }
+    if (candidate->returns_at <= latest_send) {
+      return std::nullopt;
+    }
+    any_rests = true;
+  }
+  if (any_rests) {
+    return refusal_reason::kTargetRests;
+  }
+  return service_state.targets.empty()
+             ? std::nullopt
+             : std::optional{refusal_reason::kNoTarget};
+}
+
+time_point request_router::FirstReturn(service& service_state,
+                                       const request& pending_request,
+                                       time_point now) {
   if (service_state.keyed) {
     const target* owner = FindOwner(service_state, pending_request);
-    return owner != nullptr && IsDrainGraceOver(*owner, now);
+    return owner == nullptr ? now : std::max(owner->returns_at, now);
+  }
+  time_point first = time_point::max();
+  for (const auto& candidate : service_state.targets) {
+    if (AcceptsRequests(*candidate, now)) {
+      first = std::min(first, candidate->returns_at);
+    }
   }
-  return !service_state.targets.empty() &&
-         std::all_of(
-             service_state.targets.begin(), service_state.targets.end(),
-             [](const auto& candidate) { return IsLeaving(*candidate); });
+  return first == time_point::max() ? now : std::max(first, now);
 }
 
 request_router::target* request_router::PickOwner(
@@ -115,7 +166,8 @@
   }
   const bool grace_is_over =
       IsDrainGraceOver(*owner, now) || IsEvacuationGraceOver(*owner, now);
-  const bool usable = !grace_is_over && !owner->availability.IsCold(now) &&
+  const bool usable = !grace_is_over && now >= owner->returns_at &&
+                      !owner->availability.IsCold(now) &&
                       owner->health.IsReachable(now) &&
                       owner->health.HasCapacity(now);
   if (usable && !HasPermit(*owner, now)) {
@@ -135,6 +187,7 @@
   std::vector<target*> without_permit;
   for (const auto& candidate : service_state.targets) {
     const bool is_usable = AcceptsRequests(*candidate, now) &&
+                           now >= candidate->returns_at &&
                            candidate->health.IsReachable(now) &&
                            candidate->health.HasCapacity(now) &&
                            !pending_request.WasTried(candidate.get());
@@ -271,6 +324,9 @@
     // again only after the request's maximum wait.
     const duration max_wait = MaxWait(pending_request.matched_route->objective,
                                       owner->health.LikelyLatency());
+    if (owner->returns_at > now + max_wait) {
+      return refusal_reason::kTargetRests;
+    }
     if (owner->health.PausedUntil() > now + max_wait) {
       return refusal_reason::kQueueFull;
     }
@@ -291,11 +347,18 @@
     return std::nullopt;
   }
   bool any_usable = false;
+  bool any_rests = false;
+  const time_point soon = now + pending_request.matched_route->objective / 2;
   for (const auto& candidate : service_state.targets) {
-    any_usable =
-        any_usable || (AcceptsRequests(*candidate, now) &&
-                       candidate->health.IsReachable(
-                           now + pending_request.matched_route->objective / 2));
+    if (AcceptsRequests(*candidate, now) &&
+        candidate->health.IsReachable(soon)) {
+      const bool rests = candidate->returns_at > soon;
+      any_usable = any_usable || !rests;
+      any_rests = any_rests || rests;
+    }
+  }
+  if (!any_usable && any_rests) {
+    return refusal_reason::kTargetRests;
   }
   if (!any_usable) {
     return FirstWarmTime(service_state, now) ? refusal_reason::kNoWarmTarget
@@ -362,12 +425,17 @@
           .IsOverloaded(now)) {
     base_delay = RetryAfterOverload(refused_request.matched_route->objective);
   }
+  const duration time_left = refused_request.caller_deadline - now;
+  if (reason == refusal_reason::kTargetRests) {
+    return RetryAfterRest(
+        FirstReturn(service_state, refused_request, now) - now, time_left,
+        static_cast<int64_t>(random_() % 1000));
+  }
   base_delay = std::max(base_delay, kMinRetryAfter);
   // Jitter of 0.5 to 1.5 times the base, so that callers refused together don't
   // retry together.
   const auto jitter_permille = static_cast<int64_t>(random_() % 1000);
   duration retry_after = base_delay / 2 + base_delay * jitter_permille / 1000;
-  const duration time_left = refused_request.caller_deadline - now;
   retry_after = std::min(retry_after, time_left / kRetryAfterDivisor);
   return std::max(retry_after, duration{0});
 }
--- a/src/core/request_router_reports.cc
+++ b/src/core/request_router_reports.cc
@@ -72,6 +72,10 @@
   } else if (notice.time && now + *notice.time > answering.rests_until) {
     is_reported = now >= answering.rests_until;
     answering.rests_until = now + *notice.time;
+    answering.returns_at =
+        answering.rests_until +
+        Part(ReturnSpread(answering, *notice.time), SendPhase(answering.entry));
+    answering.health.OnRest();
   }
   if (is_reported) {
     out.emplace_back(rest_action{.service = answering.entry.service,
@@ -80,6 +84,15 @@
   }
 }
 
+duration request_router::ReturnSpread(const target& resting,
+                                      duration rest) const {
+  // The time in which the target serves one request of each host.
+  const duration one_each = resting.health.mean_latency() *
+                            static_cast<int64_t>(host_count_) /
+                            resting.entry.slots;
+  return std::min(rest / 2, one_each);
+}
+
 void request_router::RecordLimit(const request& ended_request,
                                  target& answering,
                                  const attempt_report& report, time_point now,
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -70,6 +70,9 @@
   /// Since when its answers say that it shuts down.
   std::optional<time_point> leaving_since;
   time_point rests_until{};  ///< It wants no requests of this host before then.
+  /// When this host sends to it again. Later than the end of its rest, so that
+  /// hosts that were rejected together do not return together.
+  time_point returns_at{};
   bool has_unreadable_rest = false;  ///< It was reported.
   /// Earliest time at which it can have begun to drain.
   std::optional<time_point> draining_since;
--- a/src/core/request_router_targets.cc
+++ b/src/core/request_router_targets.cc
@@ -109,7 +109,7 @@
         known_target == nullptr || known_target->entry.address != entry.address;
     if (is_new) {
       service_state.targets.push_back(
-          new target(entry, InitialLatency(service_state), PermitPhase(entry)));
+          new target(entry, InitialLatency(service_state), SendPhase(entry)));
       known_target = service_state.targets.back().get();
       RestoreStatements(*known_target);
       known_target->health.SetLimits(MaxConnections(entry.service),
--- a/src/core/target_health.cc
+++ b/src/core/target_health.cc
@@ -121,6 +121,10 @@
   }
 }
 
+void target_health::OnRest() {
+  limit_ = std::max(min_limit_, std::min(limit_, 1.0));
+}
+
 void target_health::OnSent(time_point now) {
   ++in_flight_;
   last_sent_at_ = now;
--- a/src/programs/foxtail-fleet/main.cc
+++ b/src/programs/foxtail-fleet/main.cc
@@ -53,6 +53,7 @@
   int seconds = 10;
   bool kill = false;
   bool leave = false;
+  bool reject = false;
   std::optional<double> limit;
   app.add_option("deployment", deployment, "vlahovic or prairie");
   app.add_option("--store", store, "Where the store listens");
@@ -67,6 +68,10 @@
   app.add_flag("--leave", leave,
                "The third target of the keyed service says in its answers, but "
                "not to the store, that it leaves");
+  app.add_flag(
+      "--reject", reject,
+      "The fourth target of the keyed service rejects all requests for "
+      "four seconds and asks for rest");
   app.add_option("--limit", limit,
                  "Requests a second that the second target of the keyed "
                  "service accepts from all hosts together")
@@ -91,6 +96,9 @@
   fleet_load load(events, plan, options);
   load.Start();
   served.SetLimit(1, limit);
+  if (reject) {
+    served.Reject(3, std::chrono::seconds{4});
+  }
   if (leave) {
     served.Leave(2);
   }
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace foxtailspread {
 namespace {
@@ -677,5 +678,62 @@
             1U);
 }
 
+class RestingTargetRouterTest : public RequestRouterTest {
+ protected:
+  /// Ends an attempt with a rejection that asks for `rest`.
+  const router_actions& Reject(request_id id, duration rest) {
+    actions_.clear();
+    router_.OnAttemptEnded(
+        {.id = id, .verdict = attempt_verdict::kShed, .rest = {.time = rest}},
+        now_, actions_);
+    return actions_;
+  }
+};
+
+// Guards against a rejected request that waits for, or is sent again to, an
+// owner that rests for longer than the caller can wait.
+TEST_F(RestingTargetRouterTest, RejectedRequestForItsKeysIsRefusedAtOnce) {
+  SendRequest(1, "/reports/7");
+  const auto refused = ActionsOf<local_reply_action>(Reject(1, seconds{3}));
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].reason, refusal_reason::kTargetRests);
+  EXPECT_EQ(refused[0].reply, local_reply::kNotRun);
+}
+
+// Guards against callers that all return at the same moment, or at one that
+// lies beyond what they can wait.
+TEST_F(RestingTargetRouterTest,
+       CallersAreAskedToReturnSpreadWithinAThirdOfTheirTime) {
+  SendRequest(1, "/reports/7");
+  Reject(1, milliseconds{500});
+  std::set<duration> times;
+  for (request_id id = 2; id <= 21; ++id) {
+    const auto refused =
+        ActionsOf<local_reply_action>(SendRequest(id, "/reports/7"));
+    ASSERT_EQ(refused.size(), 1U);
+    ASSERT_TRUE(refused[0].retry_after);
+    EXPECT_GE(*refused[0].retry_after, milliseconds{500});
+    EXPECT_LE(*refused[0].retry_after, seconds{1});
+    times.insert(*refused[0].retry_after);
+  }
+  EXPECT_GT(times.size(), 15U);
+}
+
+TEST_F(RestingTargetRouterTest, RequestWaitsForTheEndOfAShortRest) {
+  SendRequest(1, "/reports/7");
+  Reject(1, milliseconds{60});
+  EXPECT_TRUE(ActionsOf<local_reply_action>(actions_).empty());
+  EXPECT_TRUE(ActionsOf<send_action>(AdvanceTime(milliseconds{55})).empty());
+  EXPECT_EQ(ActionsOf<send_action>(AdvanceTime(milliseconds{100})).size(), 1U);
+}
+
+TEST_F(RestingTargetRouterTest, PooledRequestGoesToAnotherTargetAtOnce) {
+  const auto first = ActionsOf<send_action>(SendRequest(1, "/orders/7"));
+  ASSERT_EQ(first.size(), 1U);
+  const auto second = ActionsOf<send_action>(Reject(1, seconds{30}));
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_NE(second[0].target.id, first[0].target.id);
+}
+
 }  // namespace
 }  // namespace foxtailspread
