Bound how often and how much hosts tell of targets' limits

Each change of a limit was shared within 10 ms, and with it all limits known: a target that states another figure with each answer would have made the holder send a hundred datagrams a second to all hosts, and two thousand limited targets a datagram that is too long to be sent. Now only what changed is shared, at most 100 targets every 100 ms. A target that is listed at another address keeps its limit, and an answer that was spoilt on its way states nothing (BrokenAnswerChangesNoLimit; not run on the code before).

--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -282,6 +282,9 @@
   /// Returns what listed targets have stated, for other hosts: the limits of
   /// all that have one or whose limit ended recently, and those that shut down.
   target_statements Statements(time_point now) const;
+  /// Returns what `targets` have stated, as far as they are listed.
+  target_statements StatementsOf(std::span<const target_life> targets,
+                                 time_point now);
   /// Applies what targets have stated to other hosts.
   void OnStatements(const target_statements& statements, time_point now,
                     router_actions& out);
@@ -394,6 +397,8 @@
   /// would send at once; from 0 to 1.
   double SendPhase(const target_entry& entry) const;
   target* FindTarget(const target_life& life);
+  static void AddStatements(const target& stating, time_point now,
+                            target_statements& statements);
   /// Records the load that `reporter` reported with the end of an attempt.
   static void RecordLoad(const request& ended_request, target& reporter,
                          const attempt_report& report, time_point now);
--- a/src/core/request_router_limits.cc
+++ b/src/core/request_router_limits.cc
@@ -191,23 +191,38 @@
   target_statements statements;
   for (const auto& [name, service_state] : services_) {
     for (const auto& known_target : service_state->targets) {
-      const target_limit& limit = known_target->limit;
-      const bool ended_recently =
-          limit.changed_at() && now - *limit.changed_at() < kEndedLimitTtl;
-      if (limit.per_second() || ended_recently) {
-        statements.limits.push_back(
-            limit.Sample(known_target->entry.life, now));
-      }
-      if (known_target->leaving_since) {
-        statements.leaving.push_back(
-            {.target = known_target->entry.life,
-             .age_ms = AgeInMs(*known_target->leaving_since, now)});
-      }
+      AddStatements(*known_target, now, statements);
+    }
+  }
+  return statements;
+}
+
+target_statements request_router::StatementsOf(
+    std::span<const target_life> targets, time_point now) {
+  target_statements statements;
+  for (const target_life& life : targets) {
+    if (const target* stating = FindTarget(life)) {
+      AddStatements(*stating, now, statements);
     }
   }
   return statements;
 }
 
+void request_router::AddStatements(const target& stating, time_point now,
+                                   target_statements& statements) {
+  const target_limit& limit = stating.limit;
+  const bool ended_recently =
+      limit.changed_at() && now - *limit.changed_at() < kEndedLimitTtl;
+  if (limit.per_second() || ended_recently) {
+    statements.limits.push_back(limit.Sample(stating.entry.life, now));
+  }
+  if (stating.leaving_since) {
+    statements.leaving.push_back(
+        {.target = stating.entry.life,
+         .age_ms = AgeInMs(*stating.leaving_since, now)});
+  }
+}
+
 void request_router::OnStatements(const target_statements& statements,
                                   time_point now, router_actions& out) {
   OnLimits(statements.limits, now, out);
--- a/src/core/request_router_reports.cc
+++ b/src/core/request_router_reports.cc
@@ -41,8 +41,10 @@
                                       target& answering,
                                       const attempt_report& report,
                                       time_point now, router_actions& out) {
-  // Most likely another target has taken over the address.
-  if (report.verdict == attempt_verdict::kMisdirected) {
+  // Most likely another target has taken over the address, or the answer was
+  // spoilt on its way.
+  if (report.verdict == attempt_verdict::kMisdirected ||
+      report.verdict == attempt_verdict::kBroken) {
     return;
   }
   if (report.limit) {
--- a/src/core/request_router_targets.cc
+++ b/src/core/request_router_targets.cc
@@ -108,6 +108,9 @@
     const bool is_new =
         known_target == nullptr || known_target->entry.address != entry.address;
     if (is_new) {
+      if (known_target != nullptr) {
+        KeepStatements(*known_target, now);
+      }
       service_state.targets.push_back(
           new target(entry, InitialLatency(service_state), SendPhase(entry)));
       known_target = service_state.targets.back().get();
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -356,13 +356,13 @@
   if (!notice.is_readable) {
     return;
   }
-  OnStatementsChanged(action.is_own_answer);
+  OnStatementChanged(action.target, action.is_own_answer);
 }
 
 void edge_daemon::CarryOne(const leaving_action& action) {
   LogEvent(event_id::kTargetLeaving,
            {{"service", action.service}, {"target", action.target.id}});
-  OnStatementsChanged(action.is_own_answer);
+  OnStatementChanged(action.target, action.is_own_answer);
 }
 
 void edge_daemon::CarryOne(const rest_action& action) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "edge/edge_metrics.h"
 #include "foxtailspread/evacuations.h"
@@ -96,8 +97,8 @@
   void ShareLoadsSoon();
   void ShareLoads();
   void OnLoads(const loads_record& record, time_point now);
-  /// `is_own_answer`: a target told this host, not another one.
-  void OnStatementsChanged(bool is_own_answer);
+  /// `is_own_answer`: the target told this host, not another one.
+  void OnStatementChanged(const target_life& target, bool is_own_answer);
   void ShareStatementsSoon();
   void ShareStatements();
   void OnStatements(const target_statements& statements, time_point now);
@@ -177,6 +178,9 @@
   bool loads_due_ = false;  ///< `share_loads_` is armed.
   timer share_statements_;
   bool statements_due_ = false;  ///< `share_statements_` is armed.
+  time_point statements_shared_at_{};
+  /// Targets whose statements have changed since then.
+  std::vector<target_life> stating_targets_;
   timer leave_;
 };
 
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -25,12 +25,15 @@
 /// Contents that crash targets named in one heartbeat: some 300 bytes.
 constexpr size_t kMarksInHeartbeat = 20;
 
-/// Limits of targets, and targets that leave, named in one heartbeat: some 4 KB
+/// Limits of targets, and targets that leave, named in one datagram: some 4 KB
 /// each.
-constexpr size_t kStatementsInHeartbeat = 100;
+constexpr size_t kStatementsInDatagram = 100;
 
 /// Changes of targets' statements within this time are sent together.
 constexpr duration kShareStatementsDelay{milliseconds{10}};
+/// They are sent no more often than this, however often a target changes its
+/// mind.
+constexpr duration kShareStatementsPeriod{milliseconds{100}};
 
 /// Bytes of an object that is sent to all hosts; with what relays add to it it
 /// still fits in a datagram.
@@ -38,8 +41,8 @@
 
 template <typename Sample>
 void Truncate(std::vector<Sample>& samples) {
-  if (samples.size() > kStatementsInHeartbeat) {
-    samples.resize(kStatementsInHeartbeat);
+  if (samples.size() > kStatementsInDatagram) {
+    samples.resize(kStatementsInDatagram);
   }
 }
 
@@ -458,19 +461,27 @@
   }
 }
 
-void edge_daemon::OnStatementsChanged(bool is_own_answer) {
+void edge_daemon::OnStatementChanged(const target_life& target,
+                                     bool is_own_answer) {
   const time_point now = Now();
   assigner_.OnTargetStatements(router_.Statements(now));
-  if (is_own_answer || assigner_.IsHolder(now)) {
+  const bool is_known =
+      std::find(stating_targets_.begin(), stating_targets_.end(), target) !=
+      stating_targets_.end();
+  if (!is_known && (is_own_answer || assigner_.IsHolder(now))) {
+    stating_targets_.push_back(target);
     ShareStatementsSoon();
   }
 }
 
 void edge_daemon::ShareStatementsSoon() {
-  if (!std::exchange(statements_due_, true)) {
-    share_statements_ =
-        RunAfter(kShareStatementsDelay, [this] { ShareStatements(); });
+  if (std::exchange(statements_due_, true)) {
+    return;
   }
+  const duration since_last = Now() - statements_shared_at_;
+  const duration delay =
+      std::max(kShareStatementsDelay, kShareStatementsPeriod - since_last);
+  share_statements_ = RunAfter(delay, [this] { ShareStatements(); });
 }
 
 /// Tells the holder of the lease what targets stated to this host. The holder
@@ -478,8 +489,17 @@
 void edge_daemon::ShareStatements() {
   statements_due_ = false;
   const time_point now = Now();
+  statements_shared_at_ = now;
+  const size_t count = std::min(stating_targets_.size(), kStatementsInDatagram);
+  const std::span shared{stating_targets_.data(), count};
   const std::string bytes =
-      FormatHostMessage(statements_record{router_.Statements(now)});
+      FormatHostMessage(statements_record{router_.StatementsOf(shared, now)});
+  stating_targets_.erase(
+      stating_targets_.begin(),
+      stating_targets_.begin() + static_cast<std::ptrdiff_t>(count));
+  if (!stating_targets_.empty()) {
+    ShareStatementsSoon();
+  }
   const auto& lease = assigner_.lease();
   if (assigner_.IsHolder(now)) {
     SendToHosts(assigner_.OtherHosts(now), bytes);
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -735,5 +735,19 @@
   EXPECT_NE(second[0].target.id, first[0].target.id);
 }
 
+// Guards against an answer that was spoilt on its way and ends a limit.
+TEST_F(RequestRouterTest, BrokenAnswerChangesNoLimit) {
+  SendRequest(1, "/reports/7");
+  EndAttemptWithLimit(1, {.per_second = 50.0});
+  now_ += seconds{1};
+  SendRequest(2, "/orders/7");
+  actions_.clear();
+  router_.OnAttemptEnded({.id = 2,
+                          .verdict = attempt_verdict::kBroken,
+                          .limit = limit_notice{.per_second = 1.0}},
+                         now_, actions_);
+  EXPECT_TRUE(ActionsOf<limit_change_action>(actions_).empty());
+}
+
 }  // namespace
 }  // namespace foxtailspread
