--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -384,6 +384,8 @@
   struct kept_statements {
     target_limit limit;
     std::optional<time_point> leaving_since;
+    time_point rests_until{};
+    time_point returns_at{};
     time_point kept_at{};
   };
   /// Keeps the statements of a target that is no longer listed but may be
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -735,6 +735,17 @@
   EXPECT_NE(second[0].target.id, first[0].target.id);
 }
 
+// Guards against an owner that is listed again during its rest, after its entry
+// lapsed, and gets requests as if it had asked for none.
+TEST_F(RestingTargetRouterTest, ListThatOmitsItForAWhileDoesNotEndItsRest) {
+  SendRequest(1, "/reports/7");
+  Reject(1, seconds{3});
+  router_.OnTargets({}, false, now_, now_, actions_);
+  now_ += seconds{1};
+  router_.OnTargets(targets_, false, now_, now_, actions_);
+  EXPECT_TRUE(ActionsOf<send_action>(SendRequest(2, "/reports/7")).empty());
+}
+
 // Guards against an answer that was spoilt on its way and ends a limit.
 TEST_F(RequestRouterTest, BrokenAnswerChangesNoLimit) {
   SendRequest(1, "/reports/7");
