Test what targets state with whole hosts on loopback

Hosts tell each other that a target leaves, keep a limit together, and leave a target alone in its rest; keys of a target that says that it leaves move without a gap.

--- a/tests/edge_daemon_test.cc
+++ b/tests/edge_daemon_test.cc
@@ -218,6 +218,71 @@
   EXPECT_TRUE(RunUntil([&] { return Call(1, "keyed").status == 200; }));
 }
 
+class TargetStatementsTest : public EdgeDaemonTest {
+ protected:
+  /// Returns the owner of the key that Call() asks for.
+  size_t FindOwner() const {
+    size_t owner = 0;
+    while (!fleet_.target(owner).Holds(kCalledKey, Now())) {
+      ++owner;
+    }
+    return owner;
+  }
+
+  std::string Metrics(size_t host) {
+    return Exchange(hosts_[host]->readiness_port(),
+                    "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n")
+        .body;
+  }
+
+  static constexpr key_point kCalledKey = 4711;
+};
+
+// Guards against hosts that go on sending to a target because it told only
+// another host that it leaves.
+TEST_F(TargetStatementsTest, HostsTellEachOtherThatATargetLeaves) {
+  const size_t owner = FindOwner();
+  fleet_.Leave(owner);
+  ASSERT_EQ(Call(0, "keyed").status, 200);
+  EXPECT_TRUE(RunUntil([&] {
+    return Metrics(1).find("targets_leaving{service=\"keyed\"} 1.0\n") !=
+           std::string::npos;
+  }));
+  EXPECT_TRUE(
+      RunUntil([&] { return !fleet_.target(owner).Holds(kCalledKey, Now()); }));
+  EXPECT_TRUE(RunUntil([&] { return Call(1, "keyed").status == 200; }));
+}
+
+// Guards against hosts that each send a limited target as much as it accepts
+// from all of them, and against callers that are refused while other targets
+// have room.
+TEST_F(TargetStatementsTest, HostsKeepTheLimitOfATargetTogether) {
+  const size_t owner = FindOwner();
+  constexpr double kLimit = 3.0;
+  fleet_.SetLimit(owner, kLimit);
+  const time_point until = Now() + seconds{8};
+  bool served_at_end = false;
+  for (size_t call = 0; Now() < until; ++call) {
+    served_at_end = Call(call % 2, "keyed").status == 200;
+  }
+  EXPECT_EQ(fleet_.target(owner).limit().first_violation(), "");
+  EXPECT_TRUE(served_at_end);
+  EXPECT_FALSE(fleet_.target(owner).Holds(kCalledKey, Now()));
+}
+
+// Guards against requests to a target in the rest that it asked for.
+TEST_F(TargetStatementsTest, HostsLeaveATargetAloneInItsRest) {
+  const size_t owner = FindOwner();
+  fleet_.Reject(owner, seconds{2});
+  const time_point until = Now() + milliseconds{1900};
+  for (size_t call = 0; Now() < until; ++call) {
+    Call(call % 2, "keyed");
+  }
+  EXPECT_LE(fleet_.target(owner).requests_in_rest(),
+            hosts_.size() * stand_in::rest_rule::kMaxRequests);
+  EXPECT_TRUE(RunUntil([&] { return Call(0, "keyed").status == 200; }));
+}
+
 TEST_F(EdgeDaemonTest, MetricsTellOfRequestsAndCalls) {
   Call(0, "orders");
   const http_message answer = Exchange(
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -324,6 +324,20 @@
   EXPECT_EQ(world_.UnownedKeyCount(), 0U);
 }
 
+// Guards against keys that stay with an owner that says in its answers that it
+// shuts down, while the store lists it as ready.
+TEST_F(KeyAssignerTest, KeysOfTargetThatSaysThatItLeavesMoveWithoutGap) {
+  world_.Run(kSettlingTime);
+  target_statements statements;
+  statements.leaving.push_back({.target = world_.target(3).entry.life});
+  for (size_t i = 0; i < world_.host_count(); ++i) {
+    world_.host(i).assigner->OnTargetStatements(statements);
+  }
+  world_.Run(milliseconds{600});
+  EXPECT_EQ(world_.HeldKeyCount(3), 0U);
+  EXPECT_EQ(world_.UnownedKeyCount(), 0U);
+}
+
 // The store is unavailable for longer than a grant lasts. If grants were not
 // renewed during the outage, every key would lose its owner and every request
 // would be refused.
