Call what a target asks for after a rejection a backoff

The field's term, in names, events, metrics and comments; nothing else changes. RestingTargetTest is BackoffTargetTest, its cases as before.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -59,8 +59,8 @@
   kTargetLimitEnded = 341,
   kTargetLimitUnreadable = 342,
   kTargetLeaving = 343,
-  kTargetRests = 344,
-  kTargetRestUnreadable = 345,
+  kTargetBackoff = 344,
+  kTargetBackoffUnreadable = 345,
   kFaultsChanged = 800,
   kPoisonedRequest = 801,
   kWorkCancelled = 802,
@@ -203,13 +203,13 @@
      "Correct the target."},
     {event_id::kTargetLeaving, event_level::kInfo, "target-leaving",
      "A target says in its answers that it shuts down.", "Nothing to do."},
-    {event_id::kTargetRests, event_level::kInfo, "target-rests",
+    {event_id::kTargetBackoff, event_level::kInfo, "target-backoff",
      "A target that rejected a request wants no more of this host for the time "
      "given.",
      "Look at the target, or add targets to its service, if it repeats."},
-    {event_id::kTargetRestUnreadable, event_level::kWarning,
-     "target-rest-unreadable",
-     "A target that rejected a request states a time of rest that is not a "
+    {event_id::kTargetBackoffUnreadable, event_level::kWarning,
+     "target-backoff-unreadable",
+     "A target that rejected a request states a backoff that is not a "
      "number of seconds; it is ignored. Logged once per start of a target.",
      "Correct the target."},
     {event_id::kFaultsChanged, event_level::kInfo, "faults-changed",
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -85,7 +85,7 @@
   kStopping,
   kCrashesTargets,
   kTargetLimited,
-  kTargetRests,
+  kTargetBackoff,
 };
 
 /// Returns the name of `reason` in log and metrics. Names are stable.
@@ -139,11 +139,11 @@
 
 /// What an answer says of a time in which its target wants no more requests of
 /// this host.
-struct rest_notice {
+struct backoff_notice {
   std::optional<duration> time{};  ///< Empty if it wants none.
   bool is_readable = true;         ///< False if the time cannot be parsed.
 
-  bool operator==(const rest_notice&) const = default;
+  bool operator==(const backoff_notice&) const = default;
 };
 
 /// Reports that a target shuts down, as its answers say.
@@ -156,10 +156,10 @@
 
 /// Reports that a target wants no requests of this host for a time, or that it
 /// asked for one that cannot be parsed; the latter is reported once per target.
-struct rest_action {
+struct backoff_action {
   std::string service{};
   target_life target{};
-  rest_notice notice{};
+  backoff_notice notice{};
 };
 
 /// Requests permits from the lease holder.
@@ -171,7 +171,7 @@
 
 using router_action =
     std::variant<send_action, local_reply_action, deliver_action, cancel_action,
-                 limit_change_action, leaving_action, rest_action,
+                 limit_change_action, leaving_action, backoff_action,
                  permit_request_action>;
 using router_actions = std::vector<router_action>;
 
@@ -182,8 +182,8 @@
   std::optional<reported_load> load{};  ///< Reported by the target, if at all.
   /// What the target's answer says of its limit; empty without an answer.
   std::optional<limit_notice> limit{};
-  bool leaving = false;  ///< The target's answer says that it shuts down.
-  rest_notice rest{};    ///< What the target's answer says of a rest.
+  bool leaving = false;      ///< The target's answer says that it shuts down.
+  backoff_notice backoff{};  ///< What the target's answer says of a backoff.
 };
 
 /// Current state of one service for the metrics.
@@ -194,7 +194,7 @@
   size_t cold_targets = 0;      ///< Not warmed up yet after their start.
   size_t limited_targets = 0;   ///< Limit the rate of requests to them.
   size_t leaving_targets = 0;   ///< Shut down, as their answers say.
-  size_t resting_targets = 0;   ///< Want no requests of this host now.
+  size_t backoff_targets = 0;   ///< Want no requests of this host now.
   int in_flight = 0;            ///< Attempts of this host under way.
   double retries_left = 0.0;    ///< In this host's share of the retry budget.
 };
@@ -384,8 +384,8 @@
   struct kept_statements {
     target_limit limit;
     std::optional<time_point> leaving_since;
-    time_point rests_until{};
-    time_point returns_at{};
+    time_point backoff_until{};
+    time_point resumes_at{};
     time_point kept_at{};
   };
   /// Keeps the statements of a target that is no longer listed but may be
@@ -414,8 +414,8 @@
                         router_actions& out);
   static void RecordLeaving(target& leaving, time_point since,
                             bool is_own_answer, router_actions& out);
-  void RecordRest(target& answering, const rest_notice& notice, time_point now,
-                  router_actions& out);
+  void RecordBackoff(target& answering, const backoff_notice& notice,
+                     time_point now, router_actions& out);
   bool TryTakeRetry(request& pending_request, time_point now);
   void RetryOrRefuse(request& pending_request, refusal_reason reason_if_refused,
                      time_point now, router_actions& out);
@@ -449,15 +449,16 @@
   /// Whether an owner announced that so long ago that it gets no more requests.
   bool IsDrainGraceOver(const target& owner, time_point now) const;
   /// Returns why no target can serve a request until its wait ends: those that
-  /// could shut down or rest. Empty if one may.
+  /// could shut down or back off. Empty if one may.
   std::optional<refusal_reason> NoTargetReason(const request& pending_request,
                                                time_point now) const;
   /// Returns when the first of the targets that could serve a request returns
-  /// from its rest.
-  static time_point FirstReturn(service& service_state,
+  /// from its backoff.
+  static time_point FirstResume(service& service_state,
                                 const request& pending_request, time_point now);
-  /// Returns over how long the hosts spread their return to a target.
-  duration ReturnSpread(const target& resting, duration rest) const;
+  /// Returns over how long the hosts spread their first requests after a
+  /// backoff.
+  duration ResumeSpread(const target& rejecting, duration backoff) const;
   /// Whether an owner's zone was evacuated so long ago that the owner gets no
   /// more requests.
   static bool IsEvacuationGraceOver(const target& owner, time_point now);
--- a/include/foxtailspread/target_health.h
+++ b/include/foxtailspread/target_health.h
@@ -53,7 +53,7 @@
 
   /// The target wants no requests for a time. Afterwards it gets one at a time
   /// first.
-  void OnRest();
+  void OnBackoff();
 
   /// Records the load that the target reported at `reported_at`, and the mean
   /// latency over all hosts, 0 if that is not known.
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -63,8 +63,8 @@
       return "crashes-targets";
     case refusal_reason::kTargetLimited:
       return "target-limited";
-    case refusal_reason::kTargetRests:
-      return "target-rests";
+    case refusal_reason::kTargetBackoff:
+      return "target-backoff";
   }
   return "unknown";
 }
--- a/src/core/request_router_limits.cc
+++ b/src/core/request_router_limits.cc
@@ -274,12 +274,12 @@
 
 void request_router::KeepStatements(const target& unlisted, time_point now) {
   if (unlisted.limit.per_second() || unlisted.leaving_since ||
-      unlisted.returns_at > now) {
+      unlisted.resumes_at > now) {
     kept_statements& kept = KeptStatements(unlisted.entry.life, now);
     kept.limit = unlisted.limit;
     kept.leaving_since = unlisted.leaving_since;
-    kept.rests_until = unlisted.rests_until;
-    kept.returns_at = unlisted.returns_at;
+    kept.backoff_until = unlisted.backoff_until;
+    kept.resumes_at = unlisted.resumes_at;
   }
 }
 
@@ -298,8 +298,8 @@
   if (kept != unlisted_statements_.end()) {
     listed.limit = kept->second.limit;
     listed.leaving_since = kept->second.leaving_since;
-    listed.rests_until = kept->second.rests_until;
-    listed.returns_at = kept->second.returns_at;
+    listed.backoff_until = kept->second.backoff_until;
+    listed.resumes_at = kept->second.resumes_at;
     unlisted_statements_.erase(kept);
   }
 }
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -60,15 +60,16 @@
 
 constexpr double kMicrosecondsPerSecond = 1e6;
 
-/// Returns Retry-After of a caller whose targets rest for `rest`: spread over
-/// the time after the rest, or over the end of what the caller can wait.
-duration RetryAfterRest(duration rest, duration time_left,
-                        int64_t jitter_permille) {
+/// Returns Retry-After of a caller whose targets back off for `backoff`: spread
+/// over the time after the backoff, or over the end of what the caller can
+/// wait.
+duration RetryAfterBackoff(duration backoff, duration time_left,
+                           int64_t jitter_permille) {
   constexpr duration kMinSpread{std::chrono::milliseconds{200}};
-  const duration spread = std::max(rest / 4, kMinSpread);
+  const duration spread = std::max(backoff / 4, kMinSpread);
   const duration longest =
       std::max(time_left / kRetryAfterDivisor, duration{0});
-  const duration retry_after = rest + spread * jitter_permille / 1000;
+  const duration retry_after = backoff + spread * jitter_permille / 1000;
   return retry_after <= longest
              ? retry_after
              : longest / 2 + longest * jitter_permille / 2000;
@@ -119,39 +120,39 @@
     if (IsDrainGraceOver(*owner, now)) {
       return refusal_reason::kNoTarget;
     }
-    return owner->returns_at > latest_send
-               ? std::optional{refusal_reason::kTargetRests}
+    return owner->resumes_at > latest_send
+               ? std::optional{refusal_reason::kTargetBackoff}
                : std::nullopt;
   }
-  bool any_rests = false;
+  bool any_backs_off = false;
   for (const auto& candidate : service_state.targets) {
     if (IsLeaving(*candidate)) {
       continue;
     }
-    if (candidate->returns_at <= latest_send) {
+    if (candidate->resumes_at <= latest_send) {
       return std::nullopt;
     }
-    any_rests = true;
+    any_backs_off = true;
   }
-  if (any_rests) {
-    return refusal_reason::kTargetRests;
+  if (any_backs_off) {
+    return refusal_reason::kTargetBackoff;
   }
   return service_state.targets.empty()
              ? std::nullopt
              : std::optional{refusal_reason::kNoTarget};
 }
 
-time_point request_router::FirstReturn(service& service_state,
+time_point request_router::FirstResume(service& service_state,
                                        const request& pending_request,
                                        time_point now) {
   if (service_state.keyed) {
     const target* owner = FindOwner(service_state, pending_request);
-    return owner == nullptr ? now : std::max(owner->returns_at, now);
+    return owner == nullptr ? now : std::max(owner->resumes_at, now);
   }
   time_point first = time_point::max();
   for (const auto& candidate : service_state.targets) {
     if (AcceptsRequests(*candidate, now)) {
-      first = std::min(first, candidate->returns_at);
+      first = std::min(first, candidate->resumes_at);
     }
   }
   return first == time_point::max() ? now : std::max(first, now);
@@ -166,7 +167,7 @@
   }
   const bool grace_is_over =
       IsDrainGraceOver(*owner, now) || IsEvacuationGraceOver(*owner, now);
-  const bool usable = !grace_is_over && now >= owner->returns_at &&
+  const bool usable = !grace_is_over && now >= owner->resumes_at &&
                       !owner->availability.IsCold(now) &&
                       owner->health.IsReachable(now) &&
                       owner->health.HasCapacity(now);
@@ -187,7 +188,7 @@
   std::vector<target*> without_permit;
   for (const auto& candidate : service_state.targets) {
     const bool is_usable = AcceptsRequests(*candidate, now) &&
-                           now >= candidate->returns_at &&
+                           now >= candidate->resumes_at &&
                            candidate->health.IsReachable(now) &&
                            candidate->health.HasCapacity(now) &&
                            !pending_request.WasTried(candidate.get());
@@ -324,8 +325,8 @@
     // again only after the request's maximum wait.
     const duration max_wait = MaxWait(pending_request.matched_route->objective,
                                       owner->health.LikelyLatency());
-    if (owner->returns_at > now + max_wait) {
-      return refusal_reason::kTargetRests;
+    if (owner->resumes_at > now + max_wait) {
+      return refusal_reason::kTargetBackoff;
     }
     if (owner->health.PausedUntil() > now + max_wait) {
       return refusal_reason::kQueueFull;
@@ -347,18 +348,18 @@
     return std::nullopt;
   }
   bool any_usable = false;
-  bool any_rests = false;
+  bool any_backs_off = false;
   const time_point soon = now + pending_request.matched_route->objective / 2;
   for (const auto& candidate : service_state.targets) {
     if (AcceptsRequests(*candidate, now) &&
         candidate->health.IsReachable(soon)) {
-      const bool rests = candidate->returns_at > soon;
-      any_usable = any_usable || !rests;
-      any_rests = any_rests || rests;
+      const bool backs_off = candidate->resumes_at > soon;
+      any_usable = any_usable || !backs_off;
+      any_backs_off = any_backs_off || backs_off;
     }
   }
-  if (!any_usable && any_rests) {
-    return refusal_reason::kTargetRests;
+  if (!any_usable && any_backs_off) {
+    return refusal_reason::kTargetBackoff;
   }
   if (!any_usable) {
     return FirstWarmTime(service_state, now) ? refusal_reason::kNoWarmTarget
@@ -426,9 +427,9 @@
     base_delay = RetryAfterOverload(refused_request.matched_route->objective);
   }
   const duration time_left = refused_request.caller_deadline - now;
-  if (reason == refusal_reason::kTargetRests) {
-    return RetryAfterRest(
-        FirstReturn(service_state, refused_request, now) - now, time_left,
+  if (reason == refusal_reason::kTargetBackoff) {
+    return RetryAfterBackoff(
+        FirstResume(service_state, refused_request, now) - now, time_left,
         static_cast<int64_t>(random_() % 1000));
   }
   base_delay = std::max(base_delay, kMinRetryAfter);
--- a/src/core/request_router_reports.cc
+++ b/src/core/request_router_reports.cc
@@ -53,7 +53,7 @@
   if (report.leaving) {
     RecordLeaving(answering, now, true, out);
   }
-  RecordRest(answering, report.rest, now, out);
+  RecordBackoff(answering, report.backoff, now, out);
 }
 
 void request_router::RecordLeaving(target& leaving, time_point since,
@@ -66,33 +66,34 @@
   }
 }
 
-void request_router::RecordRest(target& answering, const rest_notice& notice,
-                                time_point now, router_actions& out) {
+void request_router::RecordBackoff(target& answering,
+                                   const backoff_notice& notice, time_point now,
+                                   router_actions& out) {
   bool is_reported = false;
   if (!notice.is_readable) {
-    is_reported = !std::exchange(answering.has_unreadable_rest, true);
-  } else if (notice.time && now + *notice.time > answering.rests_until) {
-    is_reported = now >= answering.rests_until;
-    answering.rests_until = now + *notice.time;
-    answering.returns_at =
-        answering.rests_until +
-        Part(ReturnSpread(answering, *notice.time), SendPhase(answering.entry));
-    answering.health.OnRest();
+    is_reported = !std::exchange(answering.has_unreadable_backoff, true);
+  } else if (notice.time && now + *notice.time > answering.backoff_until) {
+    is_reported = now >= answering.backoff_until;
+    answering.backoff_until = now + *notice.time;
+    answering.resumes_at =
+        answering.backoff_until +
+        Part(ResumeSpread(answering, *notice.time), SendPhase(answering.entry));
+    answering.health.OnBackoff();
   }
   if (is_reported) {
-    out.emplace_back(rest_action{.service = answering.entry.service,
-                                 .target = answering.entry.life,
-                                 .notice = notice});
+    out.emplace_back(backoff_action{.service = answering.entry.service,
+                                    .target = answering.entry.life,
+                                    .notice = notice});
   }
 }
 
-duration request_router::ReturnSpread(const target& resting,
-                                      duration rest) const {
+duration request_router::ResumeSpread(const target& rejecting,
+                                      duration backoff) const {
   // The time in which the target serves one request of each host.
-  const duration one_each = resting.health.mean_latency() *
+  const duration one_each = rejecting.health.mean_latency() *
                             static_cast<int64_t>(host_count_) /
-                            resting.entry.slots;
-  return std::min(rest / 2, one_each);
+                            rejecting.entry.slots;
+  return std::min(backoff / 2, one_each);
 }
 
 void request_router::RecordLimit(const request& ended_request,
@@ -128,7 +129,8 @@
           known_target->availability.IsCold(now) ? 1 : 0;
       service_gauge.limited_targets += known_target->limit.per_second() ? 1 : 0;
       service_gauge.leaving_targets += known_target->leaving_since ? 1 : 0;
-      service_gauge.resting_targets += now < known_target->rests_until ? 1 : 0;
+      service_gauge.backoff_targets +=
+          now < known_target->backoff_until ? 1 : 0;
     }
   }
   return gauges;
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -69,11 +69,12 @@
   bool has_unreadable_limit = false;  ///< It was reported.
   /// Since when its answers say that it shuts down.
   std::optional<time_point> leaving_since;
-  time_point rests_until{};  ///< It wants no requests of this host before then.
-  /// When this host sends to it again. Later than the end of its rest, so that
-  /// hosts that were rejected together do not return together.
-  time_point returns_at{};
-  bool has_unreadable_rest = false;  ///< It was reported.
+  time_point
+      backoff_until{};  ///< It wants no requests of this host before then.
+  /// When this host sends to it again. Later than the end of its backoff, so
+  /// that hosts that were rejected together do not return together.
+  time_point resumes_at{};
+  bool has_unreadable_backoff = false;  ///< It was reported.
   /// Earliest time at which it can have begun to drain.
   std::optional<time_point> draining_since;
   /// When it was first missing from the list.
--- a/src/core/target_health.cc
+++ b/src/core/target_health.cc
@@ -121,7 +121,7 @@
   }
 }
 
-void target_health::OnRest() {
+void target_health::OnBackoff() {
   limit_ = std::max(min_limit_, std::min(limit_, 1.0));
 }
 
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -258,7 +258,7 @@
     report.load = platform::ReadLoad(result.answer);
     report.limit = platform::ReadLimit(result.answer);
     report.leaving = platform::ReadLeaving(result.answer);
-    report.rest = platform::ReadRest(result.answer);
+    report.backoff = platform::ReadBackoff(result.answer);
   }
   if (verdict == attempt_verdict::kServed ||
       verdict == attempt_verdict::kFailed) {
@@ -365,13 +365,13 @@
   OnStatementChanged(action.target, action.is_own_answer);
 }
 
-void edge_daemon::CarryOne(const rest_action& action) {
-  const duration rest = action.notice.time.value_or(duration{0});
-  LogEvent(action.notice.is_readable ? event_id::kTargetRests
-                                     : event_id::kTargetRestUnreadable,
+void edge_daemon::CarryOne(const backoff_action& action) {
+  const duration backoff = action.notice.time.value_or(duration{0});
+  LogEvent(action.notice.is_readable ? event_id::kTargetBackoff
+                                     : event_id::kTargetBackoffUnreadable,
            {{"service", action.service},
             {"target", action.target.id},
-            {"rest_ms", rest.count() / 1000}});
+            {"backoff_ms", backoff.count() / 1000}});
 }
 
 void edge_daemon::Step() {
@@ -485,8 +485,8 @@
                  static_cast<double>(each.limited_targets));
     AppendMetric(text, "targets_leaving", labels,
                  static_cast<double>(each.leaving_targets));
-    AppendMetric(text, "targets_resting", labels,
-                 static_cast<double>(each.resting_targets));
+    AppendMetric(text, "targets_backoff", labels,
+                 static_cast<double>(each.backoff_targets));
     AppendMetric(text, "requests_in_flight", labels,
                  static_cast<double>(each.in_flight));
     AppendMetric(text, "repeats_left", labels, each.retries_left);
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -115,7 +115,7 @@
   void CarryOne(const cancel_action& action);
   void CarryOne(const limit_change_action& action);
   void CarryOne(const leaving_action& action);
-  void CarryOne(const rest_action& action);
+  void CarryOne(const backoff_action& action);
   void CarryOne(const permit_request_action& action);
   void Carry(assigner_actions& actions);
   void CarryOne(const store_write& action);
--- a/src/programs/foxtail-fleet/main.cc
+++ b/src/programs/foxtail-fleet/main.cc
@@ -71,7 +71,7 @@
   app.add_flag(
       "--reject", reject,
       "The fourth target of the keyed service rejects all requests for "
-      "four seconds and asks for rest");
+      "four seconds and asks for a backoff");
   app.add_option("--limit", limit,
                  "Requests a second that the second target of the keyed "
                  "service accepts from all hosts together")
--- a/tests/resting_target_test.cc
+++ b/tests/backoff_target_test.cc
@@ -10,24 +10,24 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-struct rest_case {
+struct backoff_case {
   const char* name = "";
   size_t hosts = 12;
   bool keyed = true;
   size_t rejecting_targets = 1;
 };
 
-void PrintTo(const rest_case& parameter, std::ostream* out) {
+void PrintTo(const backoff_case& parameter, std::ostream* out) {
   *out << parameter.name;
 }
 
 /// Targets that reject all requests for some seconds and ask each host that
-/// sends one for three seconds of rest.
-class RestingTargetTest : public ::testing::TestWithParam<rest_case> {
+/// sends one for a backoff of three seconds.
+class BackoffTargetTest : public ::testing::TestWithParam<backoff_case> {
  protected:
   static constexpr size_t kTargets = 14;
 
-  RestingTargetTest()
+  BackoffTargetTest()
       : world_({.hosts = GetParam().hosts,
                 .targets = kTargets,
                 .keyed = GetParam().keyed,
@@ -45,23 +45,23 @@
   caller_results results_;
 };
 
-// Guards against requests to a target in the time of rest that it asked for.
-TEST_P(RestingTargetTest, GetsNoMoreThanTwoRequestsOfAHostInItsRest) {
+// Guards against requests to a target during the backoff that it asked for.
+TEST_P(BackoffTargetTest, GetsNoMoreThanTwoRequestsOfAHostDuringABackoff) {
   for (size_t i = 0; i < GetParam().rejecting_targets; ++i) {
-    EXPECT_EQ(world_.rest(i).excess(), 0U);
+    EXPECT_EQ(world_.backoff(i).excess(), 0U);
   }
 }
 
 // Guards against callers that are held while no target will serve them.
-TEST_P(RestingTargetTest, CallersWithoutAnotherTargetAreRefusedSoon) {
+TEST_P(BackoffTargetTest, CallersWithoutAnotherTargetAreRefusedSoon) {
   if (results_.refused > 0) {
     EXPECT_LE(results_.MeanTimeToRefusal(), milliseconds{15});
   }
 }
 
-// Guards against all hosts that send what they have at the end of a rest that
-// began at the same moment for all.
-TEST_P(RestingTargetTest, GetsAFewRequestsFirstAfterItsRest) {
+// Guards against all hosts that send what they have at the end of a backoff
+// that began at the same moment for all.
+TEST_P(BackoffTargetTest, GetsAFewRequestsFirstAfterABackoff) {
   const double usual = rate_ / kTargets;
   size_t arrivals = world_.Arrivals(0);
   for (int i = 0; i < 40; ++i) {
@@ -72,8 +72,8 @@
   }
 }
 
-// Guards against hosts that stay away from a target after its rest.
-TEST_P(RestingTargetTest, IsUsedAgainAfterItsRest) {
+// Guards against hosts that stay away from a target after its backoff.
+TEST_P(BackoffTargetTest, IsUsedAgainAfterItsBackoff) {
   world_.Run(rate_, seconds{5});
   const size_t before = world_.Arrivals(0);
   const caller_results results = world_.Run(rate_, seconds{5});
@@ -83,13 +83,13 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Resting, RestingTargetTest,
-    ::testing::Values(rest_case{.name = "KeyedOwner"},
-                      rest_case{.name = "KeyedOwnerTwoHosts", .hosts = 2},
-                      rest_case{.name = "OnePooledTarget", .keyed = false},
-                      rest_case{.name = "AllPooledTargets",
-                                .keyed = false,
-                                .rejecting_targets = 14}),
+    Backoffs, BackoffTargetTest,
+    ::testing::Values(backoff_case{.name = "KeyedOwner"},
+                      backoff_case{.name = "KeyedOwnerTwoHosts", .hosts = 2},
+                      backoff_case{.name = "OnePooledTarget", .keyed = false},
+                      backoff_case{.name = "AllPooledTargets",
+                                   .keyed = false,
+                                   .rejecting_targets = 14}),
     [](const auto& parameter) { return std::string{parameter.param.name}; });
 
 }  // namespace
--- a/tests/edge_daemon_test.cc
+++ b/tests/edge_daemon_test.cc
@@ -270,16 +270,16 @@
   EXPECT_FALSE(fleet_.target(owner).Holds(kCalledKey, Now()));
 }
 
-// Guards against requests to a target in the rest that it asked for.
-TEST_F(TargetStatementsTest, HostsLeaveATargetAloneInItsRest) {
+// Guards against requests to a target during the backoff that it asked for.
+TEST_F(TargetStatementsTest, HostsSendNothingDuringABackoff) {
   const size_t owner = FindOwner();
   fleet_.Reject(owner, seconds{2});
   const time_point until = Now() + milliseconds{1900};
   for (size_t call = 0; Now() < until; ++call) {
     Call(call % 2, "keyed");
   }
-  EXPECT_LE(fleet_.target(owner).requests_in_rest(),
-            hosts_.size() * stand_in::rest_rule::kMaxRequests);
+  EXPECT_LE(fleet_.target(owner).requests_in_backoff(),
+            hosts_.size() * stand_in::backoff_rule::kMaxRequests);
   EXPECT_TRUE(RunUntil([&] { return Call(0, "keyed").status == 200; }));
 }
 
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -603,17 +603,17 @@
   }
 }
 
-// Guards against a log line for each rejection of a target that states a rest
-// that cannot be parsed.
-TEST_F(RequestRouterTest, UnreadableRestIsReportedOnce) {
+// Guards against a log line for each rejection of a target that states a
+// backoff that cannot be parsed.
+TEST_F(RequestRouterTest, UnreadableBackoffIsReportedOnce) {
   for (request_id id = 1; id <= 2; ++id) {
     SendRequest(id, "/orders/7");
     actions_.clear();
     router_.OnAttemptEnded({.id = id,
                             .verdict = attempt_verdict::kShed,
-                            .rest = {.is_readable = false}},
+                            .backoff = {.is_readable = false}},
                            now_, actions_);
-    EXPECT_LE(ActionsOf<rest_action>(actions_).size(), 1U);
+    EXPECT_LE(ActionsOf<backoff_action>(actions_).size(), 1U);
   }
 }
 
@@ -678,32 +678,33 @@
             1U);
 }
 
-class RestingTargetRouterTest : public RequestRouterTest {
+class BackoffTargetRouterTest : public RequestRouterTest {
  protected:
-  /// Ends an attempt with a rejection that asks for `rest`.
-  const router_actions& Reject(request_id id, duration rest) {
+  /// Ends an attempt with a rejection that asks for `backoff`.
+  const router_actions& Reject(request_id id, duration backoff) {
     actions_.clear();
-    router_.OnAttemptEnded(
-        {.id = id, .verdict = attempt_verdict::kShed, .rest = {.time = rest}},
-        now_, actions_);
+    router_.OnAttemptEnded({.id = id,
+                            .verdict = attempt_verdict::kShed,
+                            .backoff = {.time = backoff}},
+                           now_, actions_);
     return actions_;
   }
 };
 
 // Guards against a rejected request that waits for, or is sent again to, an
-// owner that rests for longer than the caller can wait.
-TEST_F(RestingTargetRouterTest, RejectedRequestForItsKeysIsRefusedAtOnce) {
+// owner that backs off for longer than the caller can wait.
+TEST_F(BackoffTargetRouterTest, RejectedRequestForItsKeysIsRefusedAtOnce) {
   SendRequest(1, "/reports/7");
   const auto refused = ActionsOf<local_reply_action>(Reject(1, seconds{3}));
   ASSERT_EQ(refused.size(), 1U);
-  EXPECT_EQ(refused[0].reason, refusal_reason::kTargetRests);
+  EXPECT_EQ(refused[0].reason, refusal_reason::kTargetBackoff);
   EXPECT_EQ(refused[0].reply, local_reply::kNotRun);
 }
 
 // Guards against callers that all return at the same moment, or at one that
 // lies beyond what they can wait.
-TEST_F(RestingTargetRouterTest,
-       CallersAreAskedToReturnSpreadWithinAThirdOfTheirTime) {
+TEST_F(BackoffTargetRouterTest,
+       CallersAreAskedToRetrySpreadWithinAThirdOfTheirTime) {
   SendRequest(1, "/reports/7");
   Reject(1, milliseconds{500});
   std::set<duration> times;
@@ -719,7 +720,7 @@
   EXPECT_GT(times.size(), 15U);
 }
 
-TEST_F(RestingTargetRouterTest, RequestWaitsForTheEndOfAShortRest) {
+TEST_F(BackoffTargetRouterTest, RequestWaitsForTheEndOfAShortBackoff) {
   SendRequest(1, "/reports/7");
   Reject(1, milliseconds{60});
   EXPECT_TRUE(ActionsOf<local_reply_action>(actions_).empty());
@@ -727,7 +728,7 @@
   EXPECT_EQ(ActionsOf<send_action>(AdvanceTime(milliseconds{100})).size(), 1U);
 }
 
-TEST_F(RestingTargetRouterTest, PooledRequestGoesToAnotherTargetAtOnce) {
+TEST_F(BackoffTargetRouterTest, PooledRequestGoesToAnotherTargetAtOnce) {
   const auto first = ActionsOf<send_action>(SendRequest(1, "/orders/7"));
   ASSERT_EQ(first.size(), 1U);
   const auto second = ActionsOf<send_action>(Reject(1, seconds{30}));
@@ -735,9 +736,9 @@
   EXPECT_NE(second[0].target.id, first[0].target.id);
 }
 
-// Guards against an owner that is listed again during its rest, after its entry
-// lapsed, and gets requests as if it had asked for none.
-TEST_F(RestingTargetRouterTest, ListThatOmitsItForAWhileDoesNotEndItsRest) {
+// Guards against an owner that is listed again during its backoff, after its
+// entry lapsed, and gets requests as if it had asked for none.
+TEST_F(BackoffTargetRouterTest, ListThatOmitsItForAWhileDoesNotEndItsBackoff) {
   SendRequest(1, "/reports/7");
   Reject(1, seconds{3});
   router_.OnTargets({}, false, now_, now_, actions_);
--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -320,12 +320,12 @@
   target_model& model = targets_[target];
   model.limit.OnArrival(attempt.host, now_);
   model.leaving.OnArrival(attempt.host, callers_[attempt.id].arrival_time);
-  model.rest.OnArrival(attempt.host, now_);
+  model.backoff.OnArrival(attempt.host, now_);
   ++model.arrivals;
   if (now_ < model.rejects_until) {
-    model.rest.OnRejection(attempt.host, model.asked_rest, now_);
+    model.backoff.OnRejection(attempt.host, model.asked_backoff, now_);
     ReportAttempt(target, attempt, attempt_verdict::kShed, std::nullopt,
-                  {.time = model.asked_rest});
+                  {.time = model.asked_backoff});
     return;
   }
   if (model.busy_slots < options_.slots_per_target) {
@@ -374,11 +374,11 @@
 void router_world::ReportAttempt(size_t target, const sent_attempt& attempt,
                                  attempt_verdict verdict,
                                  std::optional<reported_load> load,
-                                 rest_notice rest) {
+                                 backoff_notice backoff) {
   const limit_notice stated{.per_second = targets_[target].limit.per_second()};
   const bool leaving = targets_[target].leaving.is_leaving();
   Schedule(now_ + kLinkDelay,
-           [this, target, attempt, verdict, load, stated, leaving, rest] {
+           [this, target, attempt, verdict, load, stated, leaving, backoff] {
              if (!IsCurrent(attempt)) {
                return;
              }
@@ -390,7 +390,7 @@
                                                      .load = load,
                                                      .limit = stated,
                                                      .leaving = leaving,
-                                                     .rest = rest},
+                                                     .backoff = backoff},
                                                     now_, actions);
              Execute(attempt.host, actions);
            });
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -103,14 +103,14 @@
   const stand_in::leaving_rule& leaving(size_t target) const {
     return targets_[target].leaving;
   }
-  /// The target rejects all requests for `time`, and asks each host for `rest`
-  /// with each rejection.
-  void Reject(size_t target, duration time, duration rest) {
+  /// The target rejects all requests for `time`, and asks each host for
+  /// `backoff` with each rejection.
+  void Reject(size_t target, duration time, duration backoff) {
     targets_[target].rejects_until = now_ + time;
-    targets_[target].asked_rest = rest;
+    targets_[target].asked_backoff = backoff;
   }
-  const stand_in::rest_rule& rest(size_t target) const {
-    return targets_[target].rest;
+  const stand_in::backoff_rule& backoff(size_t target) const {
+    return targets_[target].backoff;
   }
   /// Requests that the target has got.
   size_t Arrivals(size_t target) const { return targets_[target].arrivals; }
@@ -136,9 +136,9 @@
     std::deque<sent_attempt> queue;
     stand_in::limit_rule limit;
     stand_in::leaving_rule leaving;
-    stand_in::rest_rule rest;
+    stand_in::backoff_rule backoff;
     time_point rejects_until{};
-    duration asked_rest{};
+    duration asked_backoff{};
     size_t arrivals = 0;
   };
   struct caller {
@@ -172,7 +172,7 @@
   void ReportAttempt(size_t target, const sent_attempt& attempt,
                      attempt_verdict verdict,
                      std::optional<reported_load> load = std::nullopt,
-                     rest_notice rest = {});
+                     backoff_notice backoff = {});
   void ScheduleTimer(size_t host);
   bool IsCurrent(const sent_attempt& attempt) const;
   duration RandomWorkTime(const target_model& target);
