Tell the lease holder again what it does not know of targets

A host told the holder of the lease of a target's limit or shutdown by one datagram; if it was lost, or the holder changed, other hosts heard of it only by answers of their own. Each heartbeat says what the holder knows, so that a host now sends again what is missing there or older (StatementThatAnotherHostMissesIsFound; not run on the code before). The wait that permits are compared with is computed for limited targets only.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -198,8 +198,7 @@
     {event_id::kTargetLimitUnreadable, event_level::kWarning,
      "target-limit-unreadable",
      "A target states a limit that is not a number of requests per second; "
-     "what "
-     "was known of its limit stays. Logged once per start of a target.",
+     "what was known of its limit stays. Logged once per start of a target.",
      "Correct the target."},
     {event_id::kTargetLeaving, event_level::kInfo, "target-leaving",
      "A target says in its answers that it shuts down.", "Nothing to do."},
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -285,6 +285,10 @@
   /// Returns what `targets` have stated, as far as they are listed.
   target_statements StatementsOf(std::span<const target_life> targets,
                                  time_point now);
+  /// Returns the targets of which this host knows statements that are missing
+  /// in, or newer than, those that another host knows.
+  std::vector<target_life> StatingTargetsMissingIn(
+      const target_statements& known_elsewhere, time_point now) const;
   /// Applies what targets have stated to other hosts.
   void OnStatements(const target_statements& statements, time_point now,
                     router_actions& out);
@@ -433,9 +437,7 @@
   /// Refusal of a request whose target has no permit for it in time.
   std::optional<refusal_reason> PermitRefusalFor(service& service_state,
                                                  const request& pending_request,
-                                                 target* owner,
-                                                 duration max_wait,
-                                                 time_point now);
+                                                 target* owner, time_point now);
   duration ExpectedWait(const service& service_state,
                         const request& pending_request, time_point now) const;
   duration RetryAfter(const request& refused_request, refusal_reason reason,
@@ -452,8 +454,8 @@
   /// could shut down or back off. Empty if one may.
   std::optional<refusal_reason> NoTargetReason(const request& pending_request,
                                                time_point now) const;
-  /// Returns when the first of the targets that could serve a request returns
-  /// from its backoff.
+  /// Returns when the backoff of the first of the targets that could serve a
+  /// request ends.
   static time_point FirstResume(service& service_state,
                                 const request& pending_request, time_point now);
   /// Returns over how long the hosts spread their first requests after a
--- a/include/foxtailspread/target_limit.h
+++ b/include/foxtailspread/target_limit.h
@@ -67,6 +67,8 @@
               time_point received_at);
   /// Applies what another host knows. Returns whether the limit changed.
   bool Update(const limit_sample& sample, time_point now);
+  /// Whether an answer confirmed the limit later than the one of `sample`.
+  bool IsNewerThan(const limit_sample& sample, time_point now) const;
   /// Returns the limit for other hosts.
   limit_sample Sample(const target_life& target, time_point now) const;
 
--- a/src/core/request_router_limits.cc
+++ b/src/core/request_router_limits.cc
@@ -10,6 +10,7 @@
 
 #include "foxtailspread/hash.h"
 #include "foxtailspread/request_router.h"
+#include "foxtailspread/waiting_policy.h"
 #include "request_router_state.h"
 
 namespace foxtailspread {
@@ -118,7 +119,7 @@
 
 std::optional<refusal_reason> request_router::PermitRefusalFor(
     service& service_state, const request& pending_request, target* owner,
-    duration max_wait, time_point now) {
+    time_point now) {
   const auto outlook = PermitOutlook(service_state, owner, now);
   if (!outlook) {
     return std::nullopt;
@@ -126,6 +127,8 @@
   const size_t ahead =
       QueueFor(service_state, owner)
           .CountAtLeastAsUrgent(pending_request.matched_route->rank);
+  const duration max_wait = MaxWait(pending_request.matched_route->objective,
+                                    LikelyLatency(service_state, owner, now));
   const bool may_get_permit = outlook->IsPossible(ahead, now + max_wait);
   return may_get_permit ? std::nullopt
                         : std::optional{refusal_reason::kTargetLimited};
@@ -223,6 +226,33 @@
   }
 }
 
+std::vector<target_life> request_router::StatingTargetsMissingIn(
+    const target_statements& known_elsewhere, time_point now) const {
+  std::vector<target_life> missing;
+  for (const auto& [name, service_state] : services_) {
+    for (const auto& known_target : service_state->targets) {
+      const target_life& life = known_target->entry.life;
+      const target_limit& limit = known_target->limit;
+      const auto limit_elsewhere = std::ranges::find(
+          known_elsewhere.limits, life, &limit_sample::target);
+      const bool is_limit_missing =
+          limit_elsewhere == known_elsewhere.limits.end()
+              ? limit.per_second().has_value()
+              : limit_elsewhere->per_second != limit.per_second() &&
+                    limit.IsNewerThan(*limit_elsewhere, now);
+      const bool is_leaving_missing =
+          known_target->leaving_since &&
+          std::ranges::find(known_elsewhere.leaving, life,
+                            &leaving_sample::target) ==
+              known_elsewhere.leaving.end();
+      if (is_limit_missing || is_leaving_missing) {
+        missing.push_back(life);
+      }
+    }
+  }
+  return missing;
+}
+
 void request_router::OnStatements(const target_statements& statements,
                                   time_point now, router_actions& out) {
   OnLimits(statements.limits, now, out);
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -331,8 +331,8 @@
     if (owner->health.PausedUntil() > now + max_wait) {
       return refusal_reason::kQueueFull;
     }
-    if (const auto reason = PermitRefusalFor(service_state, pending_request,
-                                             owner, max_wait, now)) {
+    if (const auto reason =
+            PermitRefusalFor(service_state, pending_request, owner, now)) {
       return reason;
     }
     const size_t queued_before =
@@ -365,10 +365,8 @@
     return FirstWarmTime(service_state, now) ? refusal_reason::kNoWarmTarget
                                              : refusal_reason::kNoTarget;
   }
-  const duration max_wait = MaxWait(pending_request.matched_route->objective,
-                                    LikelyLatency(service_state, nullptr, now));
-  if (const auto reason = PermitRefusalFor(service_state, pending_request,
-                                           nullptr, max_wait, now)) {
+  if (const auto reason =
+          PermitRefusalFor(service_state, pending_request, nullptr, now)) {
     return reason;
   }
   if (service_state.waiting_count > 0 &&
--- a/src/core/target_limit.cc
+++ b/src/core/target_limit.cc
@@ -44,6 +44,11 @@
                 now - milliseconds{sample.received_age_ms});
 }
 
+bool target_limit::IsNewerThan(const limit_sample& sample,
+                               time_point now) const {
+  return received_at_ > now - milliseconds{sample.received_age_ms};
+}
+
 limit_sample target_limit::Sample(const target_life& target,
                                   time_point now) const {
   return {.target = target,
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -102,6 +102,9 @@
   void ShareStatementsSoon();
   void ShareStatements();
   void OnStatements(const target_statements& statements, time_point now);
+  void OnHeartbeatStatements(const target_statements& statements,
+                             time_point now);
+  void ShareStatementOf(const target_life& target);
   void OnLimits(std::span<const limit_sample> limits, time_point now);
   void OnPermitRequest(const permit_request& request, time_point now);
   void OnPermitReply(const permit_reply& reply, time_point now);
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -266,7 +266,7 @@
       if (heartbeat->evacuated) {
         OnEvacuationView(*heartbeat->evacuated, now);
       }
-      OnStatements(heartbeat->statements, now);
+      OnHeartbeatStatements(heartbeat->statements, now);
     }
   } else if (const auto* owners =
                  std::get_if<owners_record>(&message.value())) {
@@ -465,15 +465,34 @@
                                      bool is_own_answer) {
   const time_point now = Now();
   assigner_.OnTargetStatements(router_.Statements(now));
-  const bool is_known =
-      std::find(stating_targets_.begin(), stating_targets_.end(), target) !=
-      stating_targets_.end();
-  if (!is_known && (is_own_answer || assigner_.IsHolder(now))) {
+  if (is_own_answer || assigner_.IsHolder(now)) {
+    ShareStatementOf(target);
+  }
+}
+
+void edge_daemon::ShareStatementOf(const target_life& target) {
+  if (std::ranges::find(stating_targets_, target) == stating_targets_.end()) {
     stating_targets_.push_back(target);
     ShareStatementsSoon();
   }
 }
 
+/// Tells the holder of the lease again what it does not know: the datagram that
+/// told it may have been lost, or the holder may be a new one.
+void edge_daemon::OnHeartbeatStatements(const target_statements& statements,
+                                        time_point now) {
+  OnStatements(statements, now);
+  const bool is_complete = statements.limits.size() < kStatementsInDatagram &&
+                           statements.leaving.size() < kStatementsInDatagram;
+  if (!is_complete) {
+    return;
+  }
+  for (const target_life& target :
+       router_.StatingTargetsMissingIn(statements, now)) {
+    ShareStatementOf(target);
+  }
+}
+
 void edge_daemon::ShareStatementsSoon() {
   if (std::exchange(statements_due_, true)) {
     return;
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -761,5 +761,17 @@
   EXPECT_TRUE(ActionsOf<limit_change_action>(actions_).empty());
 }
 
+// Guards against hosts that never hear of a target's statement because the
+// datagram that told the lease holder was lost.
+TEST_F(LeavingTargetRouterTest, StatementThatAnotherHostMissesIsFound) {
+  TellThatItLeaves("o1");
+  SendRequest(1, "/reports/7");
+  EndAttemptWithLimit(1, {.per_second = 2.8});
+  const auto missing = router_.StatingTargetsMissingIn({}, now_);
+  EXPECT_EQ(missing.size(), 2U);
+  EXPECT_TRUE(
+      router_.StatingTargetsMissingIn(router_.Statements(now_), now_).empty());
+}
+
 }  // namespace
 }  // namespace foxtailspread
