Log and report which request contents are suspected to crash targets

Events 346 to 349 say so with the content, the target and the number of crashes; the gauge contents_refused counts the contents that are refused. Notes are bounded to 256 between two loops. No decision changes.

--- a/include/foxtailspread/crash_watch.h
+++ b/include/foxtailspread/crash_watch.h
@@ -9,6 +9,8 @@
 #include <deque>
 #include <functional>
 #include <span>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "foxtailspread/key_map.h"
@@ -17,6 +19,20 @@
 
 namespace foxtailspread {
 
+/// What a crash_watch has concluded, for the log.
+struct crash_note {
+  enum class kind {
+    kSuspected,  ///< The target's answer broke off.
+    kCounted,    ///< The target ended under the content.
+    kRefused,    ///< The content is refused from now on.
+    kCleared,    ///< The content is no longer refused.
+  };
+  kind note_kind = kind::kSuspected;
+  uint64_t content_hash = 0;
+  std::string target{};  ///< Empty unless the note is about one target.
+  int crashes = 0;       ///< Known crashes under the content.
+};
+
 /// Detects request contents that crash targets, from what one host observes and
 /// what the other hosts report.
 ///
@@ -42,7 +58,7 @@
   void OnBrokenResponse(uint64_t content_hash, const target_life& target,
                         time_point now);
   /// Records that a target answered the content, which is therefore harmless.
-  void OnResponse(uint64_t content_hash);
+  void OnResponse(uint64_t content_hash, time_point now);
   /// Counts a crash for each suspect whose target is missing from the store's
   /// list. Call it only with a list that is reliable.
   void OnTargetList(const std::function<bool(const target_life&)>& is_listed,
@@ -56,6 +72,11 @@
   std::vector<poison_mark> TakeNewMarks(time_point now);
   /// Returns the latest `max_count` marks of all hosts, newest last.
   std::vector<poison_mark> LatestMarks(size_t max_count, time_point now) const;
+  /// Returns what was concluded since the last call.
+  std::vector<crash_note> TakeNotes() { return std::exchange(notes_, {}); }
+  /// Number of contents that are refused.
+  size_t QuarantinedCount(time_point now) const;
+
   /// Merges the marks of other hosts.
   void Import(std::span<const poison_mark> marks, time_point now);
 
@@ -67,6 +88,11 @@
     time_point broken_at{};
   };
 
+  void AddNote(crash_note note);
+  /// Notes that a content is refused from now on, if it was not `before`.
+  void NoteRefusal(uint64_t content_hash, bool before, time_point now);
+
+  std::vector<crash_note> notes_;
   poison_guard guard_;
   std::deque<suspect> suspects_;  ///< Oldest first.
 };
--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -61,6 +61,10 @@
   kTargetLeaving = 343,
   kTargetBackoff = 344,
   kTargetBackoffUnreadable = 345,
+  kCrashSuspected = 346,
+  kCrashCounted = 347,
+  kContentRefused = 348,
+  kContentCleared = 349,
   kFaultsChanged = 800,
   kPoisonedRequest = 801,
   kWorkCancelled = 802,
@@ -211,6 +215,20 @@
      "A target that rejected a request states a backoff that is not a "
      "number of seconds; it is ignored. Logged once per start of a target.",
      "Correct the target."},
+    {event_id::kCrashSuspected, event_level::kInfo, "crash-suspected",
+     "The answer of the target given broke off; the request with the content "
+     "given may have crashed it.",
+     "Look at the target, or at the links to it, if it repeats."},
+    {event_id::kCrashCounted, event_level::kWarning, "crash-counted",
+     "The target given ended while it ran a request with the content given.",
+     "Look at the target's own logs."},
+    {event_id::kContentRefused, event_level::kWarning, "content-refused",
+     "Requests with the content given are refused from now on, as the number "
+     "of targets given ended under them.",
+     "Find the request by event 310 with the reason crashes-targets; correct "
+     "the target's program."},
+    {event_id::kContentCleared, event_level::kInfo, "content-cleared",
+     "Requests with the content given are served again.", "Nothing to do."},
     {event_id::kFaultsChanged, event_level::kInfo, "faults-changed",
      "A test has set the faults of a stand-in.", "Nothing to do."},
     {event_id::kPoisonedRequest, event_level::kError, "poisoned-request",
--- a/src/core/crash_watch.cc
+++ b/src/core/crash_watch.cc
@@ -22,6 +22,9 @@
 constexpr size_t kMaxContents = 256;
 constexpr duration kMarkTtl{std::chrono::minutes{2}};
 
+/// Notes kept until they are taken.
+constexpr size_t kMaxNotes = 256;
+
 }  // namespace
 
 crash_watch::crash_watch() : guard_(kMaxContents, kMarkTtl) {}
@@ -41,9 +44,16 @@
   }
   suspects_.push_back(
       {.content_hash = content_hash, .target = target, .broken_at = now});
+  AddNote({.note_kind = crash_note::kind::kSuspected,
+           .content_hash = content_hash,
+           .target = target.id});
 }
 
-void crash_watch::OnResponse(uint64_t content_hash) {
+void crash_watch::OnResponse(uint64_t content_hash, time_point now) {
+  if (guard_.IsQuarantined(content_hash, now)) {
+    AddNote({.note_kind = crash_note::kind::kCleared,
+             .content_hash = content_hash});
+  }
   guard_.Clear(content_hash);
   if (!suspects_.empty()) {
     std::erase_if(suspects_, [&](const suspect& candidate) {
@@ -61,7 +71,13 @@
     if (is_listed(candidate.target)) {
       return false;
     }
+    const bool was_refused = IsQuarantined(candidate.content_hash, now);
     guard_.CountCrash(candidate.content_hash, now);
+    AddNote({.note_kind = crash_note::kind::kCounted,
+             .content_hash = candidate.content_hash,
+             .target = candidate.target.id,
+             .crashes = guard_.CrashCount(candidate.content_hash, now)});
+    NoteRefusal(candidate.content_hash, was_refused, now);
     return true;
   });
 }
@@ -85,7 +101,34 @@
 }
 
 void crash_watch::Import(std::span<const poison_mark> marks, time_point now) {
-  guard_.Import(marks, now);
+  for (const poison_mark& mark : marks) {
+    const bool was_refused = IsQuarantined(mark.content_hash, now);
+    guard_.Import(std::span{&mark, 1}, now);
+    NoteRefusal(mark.content_hash, was_refused, now);
+  }
+}
+
+size_t crash_watch::QuarantinedCount(time_point now) const {
+  const std::vector<poison_mark> marks = guard_.Export(now);
+  return static_cast<size_t>(
+      std::ranges::count_if(marks, [&](const poison_mark& mark) {
+        return guard_.IsQuarantined(mark.content_hash, now);
+      }));
+}
+
+void crash_watch::AddNote(crash_note note) {
+  if (notes_.size() < kMaxNotes) {
+    notes_.push_back(std::move(note));
+  }
+}
+
+void crash_watch::NoteRefusal(uint64_t content_hash, bool before,
+                              time_point now) {
+  if (!before && IsQuarantined(content_hash, now)) {
+    AddNote({.note_kind = crash_note::kind::kRefused,
+             .content_hash = content_hash,
+             .crashes = guard_.CrashCount(content_hash, now)});
+  }
 }
 
 }  // namespace foxtailspread
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -257,13 +257,13 @@
       pending_request.matched_route->retry == retry_rule::kIdempotent;
   switch (report.verdict) {
     case attempt_verdict::kServed:
-      crashes_.OnResponse(pending_request.content_hash);
+      crashes_.OnResponse(pending_request.content_hash, now);
       out.emplace_back(deliver_action{.id = pending_request.id,
                                       .summary = pending_request.Summary(now)});
       RemoveRequest(pending_request);
       break;
     case attempt_verdict::kFailed:
-      crashes_.OnResponse(pending_request.content_hash);
+      crashes_.OnResponse(pending_request.content_hash, now);
       pending_request.may_have_run = true;
       pending_request.has_answer = true;
       if (idempotent) {
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -276,9 +276,33 @@
   for (const router_action& action : actions) {
     std::visit([this](const auto& each) { CarryOne(each); }, action);
   }
+  LogCrashes();
   Arm();
 }
 
+void edge_daemon::LogCrashes() {
+  using kind = crash_note::kind;
+  for (const crash_note& note : router_.crashes().TakeNotes()) {
+    event_id event = event_id::kCrashSuspected;
+    switch (note.note_kind) {
+      case kind::kSuspected:
+        break;
+      case kind::kCounted:
+        event = event_id::kCrashCounted;
+        break;
+      case kind::kRefused:
+        event = event_id::kContentRefused;
+        break;
+      case kind::kCleared:
+        event = event_id::kContentCleared;
+        break;
+    }
+    LogEvent(event, {{"content", std::to_string(note.content_hash)},
+                     {"target", note.target},
+                     {"crashes", int64_t{note.crashes}}});
+  }
+}
+
 void edge_daemon::CarryOne(const send_action& action) {
   const auto found = flights_.find(action.id);
   if (found == flights_.end()) {
@@ -491,6 +515,8 @@
                  static_cast<double>(each.in_flight));
     AppendMetric(text, "repeats_left", labels, each.retries_left);
   }
+  line("contents_refused",
+       static_cast<double>(router_.crashes().QuarantinedCount(now)));
   line("zones_evacuated", static_cast<double>(evacuations_.zones().size()));
   line("store_calls_total", static_cast<double>(store_.calls()));
   line("target_connections_total",
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -111,6 +111,8 @@
   void TakeHostCount();
   void ShareKeyMaps(time_point now, router_actions& out);
 
+  void LogCrashes();
+
   void Carry(router_actions& actions);
   void CarryOne(const send_action& action);
   void CarryOne(const local_reply_action& action);
--- a/tests/crash_watch_test.cc
+++ b/tests/crash_watch_test.cc
@@ -83,7 +83,7 @@
 
 TEST_F(CrashWatchTest, ResponseClearsTheContent) {
   CrashTarget("a");
-  watch_.OnResponse(kContentHash);
+  watch_.OnResponse(kContentHash, now_);
   CrashTarget("b");
   EXPECT_FALSE(watch_.IsQuarantined(kContentHash, now_));
 }
