Reproduce a content that crashes targets through many hosts

Virtual hosts, targets and callers: a content crashes each target that begins to run it, its caller sends it again through other hosts, entries lapse after three heartbeats of 870 or 1500 ms, hosts tell each other over the lease holder.

--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -1,6 +1,8 @@
 #include "support/router_world.h"
 
+#include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 #include <variant>
 
@@ -24,6 +26,24 @@
 constexpr duration kNoisePeriod{std::chrono::milliseconds{400}};
 constexpr double kNoiseSlowdown = 3.0;
 
+/// Content of the requests that crash targets, and of those that all callers
+/// send after SendOneContent().
+constexpr uint64_t kCrashingContent = std::numeric_limits<uint64_t>::max();
+constexpr uint64_t kCommonContent = kCrashingContent - 1;
+constexpr key_point kCrashingKey = 4711;
+/// Work of a target on a request until it crashes, and time until it is back.
+constexpr duration kTimeToCrash{std::chrono::milliseconds{30}};
+constexpr duration kRestartTime{std::chrono::milliseconds{2800}};
+/// Heartbeats that a target misses before its entry lapses.
+constexpr int kMissedHeartbeats = 3;
+/// Longest time until a host has read a change in the store.
+constexpr duration kMaxListLag{std::chrono::milliseconds{800}};
+/// Period at which hosts report to the lease holder, and at which that sends
+/// heartbeats.
+constexpr duration kHeartbeatPeriod{std::chrono::milliseconds{250}};
+/// Time in which entries that lapsed while the store was away may be back.
+constexpr duration kStoreEcho{std::chrono::milliseconds{2500}};
+
 }  // namespace
 
 double caller_results::InTimeFraction() const {
@@ -75,7 +95,6 @@
 }
 
 void router_world::SetUp() {
-  std::vector<target_entry> entries;
   std::vector<balance_target> owners;
   for (size_t i = 0; i < options_.targets; ++i) {
     target_model target;
@@ -86,41 +105,49 @@
     target.entry.zone = "zone";
     target.entry.slots = options_.slots_per_target;
     target_index_by_id_[target.entry.life.id] = i;
-    entries.push_back(target.entry);
+    target.last_heartbeat = now_ + options_.target_heartbeat *
+                                       static_cast<int64_t>(i) /
+                                       static_cast<int64_t>(options_.targets);
+    listed_[target.entry.life.id] = target.entry;
     owners.push_back({.life = target.entry.life, .capacity = target.speed});
     targets_.push_back(std::move(target));
   }
-  key_map map = MakeInitialKeyMap(owners, 1);
-  for (key_range& range : map.ranges) {
+  key_map_ = MakeInitialKeyMap(owners, 1);
+  for (key_range& range : key_map_.ranges) {
     range.granted = true;
   }
-  routing_config config;
   service_settings service;
   service.name = kService;
   service.keyed = options_.keyed;
-  config.services.push_back(service);
+  config_.services.push_back(service);
   route lookup_route;
   lookup_route.name = "lookup";
   lookup_route.host = "shop.example";
   lookup_route.prefix = "/";
-  lookup_route.retry = retry_rule::kIdempotent;
+  lookup_route.retry = options_.retry;
   lookup_route.objective = options_.objective;
   lookup_route.timeout = options_.caller_timeout;
   lookup_route.max_attempts = 2;
   lookup_route.services = {{.service = kService}};
-  config.routes.push_back(lookup_route);
-  const route_table_ptr table{new route_table(config)};
+  config_.routes.push_back(lookup_route);
+  routers_.resize(options_.hosts);
+  timer_due_.resize(options_.hosts);
   for (size_t i = 0; i < options_.hosts; ++i) {
-    routers_.push_back(std::make_unique<request_router>(router_settings{
-        .zone = "zone", .retries = {}, .seed = options_.seed * 100 + i}));
-    timer_due_.push_back(time_point::max());
-    router_actions ignored_actions;
-    routers_[i]->OnHostCount(options_.hosts);
-    routers_[i]->OnConfig(table, now_, ignored_actions);
-    routers_[i]->OnTargets(entries, false, now_, now_, ignored_actions);
-    if (options_.keyed) {
-      routers_[i]->OnKeyMap(kService, map, now_, ignored_actions);
-    }
+    AddHost(i);
+  }
+}
+
+void router_world::AddHost(size_t host) {
+  routers_[host] = std::make_unique<request_router>(router_settings{
+      .zone = "zone", .retries = {}, .seed = options_.seed * 100 + host});
+  timer_due_[host] = time_point::max();
+  router_actions ignored_actions;
+  routers_[host]->OnHostCount(options_.hosts);
+  routers_[host]->OnConfig(route_table_ptr{new route_table(config_)}, now_,
+                           ignored_actions);
+  ListTargets(host);
+  if (options_.keyed) {
+    routers_[host]->OnKeyMap(kService, key_map_, now_, ignored_actions);
   }
 }
 
@@ -163,29 +190,42 @@
     return;
   }
   Schedule(arrival, [this, rate_per_second, end] {
-    const request_id id = ++last_request_id_;
     const size_t host = random_() % routers_.size();
-    callers_[id].arrival_time = now_;
+    const auto key = static_cast<key_point>(random_());
+    const uint64_t content =
+        sends_one_content_ ? kCommonContent : last_request_id_ + 1;
     ++results_.requests;
-    router_actions actions;
-    routers_[host]->OnRequest({.id = id,
-                               .host = "shop.example",
-                               .path = "/1",
-                               .key = static_cast<key_point>(random_()),
-                               .caller_timeout = options_.caller_timeout,
-                               .content_hash = id},
-                              now_, actions);
-    Execute(host, actions);
+    Admit(host, {.content_hash = content}, key);
     ScheduleNextRequest(rate_per_second, end);
   });
 }
 
+void router_world::Admit(size_t host, caller new_caller, key_point key) {
+  const request_id id = ++last_request_id_;
+  new_caller.arrival_time = now_;
+  new_caller.host = host;
+  callers_[id] = new_caller;
+  router_actions actions;
+  routers_[host]->OnRequest({.id = id,
+                             .host = "shop.example",
+                             .path = "/1",
+                             .key = key,
+                             .caller_timeout = options_.caller_timeout,
+                             .content_hash = new_caller.content_hash},
+                            now_, actions);
+  Execute(host, actions);
+}
+
 void router_world::Execute(size_t host, const router_actions& actions) {
   for (const router_action& action : actions) {
     if (const auto* send = std::get_if<send_action>(&action)) {
       Send(host, *send);
     } else if (const auto* reply = std::get_if<local_reply_action>(&action)) {
       const caller& answered_caller = callers_[reply->id];
+      if (answered_caller.content_hash == kCrashingContent) {
+        OnNotServed(reply->id);
+        continue;
+      }
       const bool refused = reply->reply == local_reply::kNotRun;
       results_.refused += refused ? 1 : 0;
       results_.failed += refused ? 0 : 1;
@@ -264,15 +304,178 @@
 }
 
 void router_world::ListTargets() {
+  for (size_t host = 0; host < routers_.size(); ++host) {
+    ListTargets(host);
+  }
+}
+
+void router_world::ListTargets(size_t host) {
+  if (now_ < store_back_at_) {
+    return;
+  }
   std::vector<target_entry> entries;
+  for (const auto& [id, entry] : listed_) {
+    entries.push_back(entry);
+  }
+  const bool may_be_incomplete =
+      store_back_at_ != time_point{} && now_ < store_back_at_ + kStoreEcho;
+  router_actions actions;
+  routers_[host]->OnTargets(entries, may_be_incomplete, now_, now_, actions);
+  Execute(host, actions);
+}
+
+void router_world::ListLater() {
+  for (size_t host = 0; host < routers_.size(); ++host) {
+    const auto lag = duration{
+        static_cast<int64_t>(random_() % uint64_t{kMaxListLag.count()})};
+    Schedule(now_ + lag, [this, host] { ListTargets(host); });
+  }
+}
+
+void router_world::LoseStore(duration length) {
+  store_back_at_ = now_ + length;
+  Schedule(store_back_at_, [this] { ListLater(); });
+  Schedule(store_back_at_ + kStoreEcho, [this] { ListLater(); });
+}
+
+void router_world::RestartHost(size_t host) {
+  std::erase_if(callers_, [host](const auto& id_and_caller) {
+    return id_and_caller.second.host == host;
+  });
+  AddHost(host);
+}
+
+void router_world::SendCrashingRequests(duration period, duration length,
+                                        int max_retries) {
+  if (!std::exchange(shares_crashes_, true)) {
+    ShareCrashes();
+  }
+  for (duration at{0}; at < length; at += period) {
+    Schedule(now_ + at,
+             [this, max_retries] { SendCrashingRequest(max_retries); });
+  }
+}
+
+void router_world::SendCrashingRequest(int retries_left) {
+  Admit(random_() % routers_.size(),
+        {.content_hash = kCrashingContent, .retries_left = retries_left},
+        kCrashingKey);
+}
+
+void router_world::OnNotServed(request_id id) {
+  const caller gone = callers_[id];
+  callers_.erase(id);
+  if (gone.retries_left > 0) {
+    Schedule(now_ + kLinkDelay,
+             [this, gone] { SendCrashingRequest(gone.retries_left - 1); });
+  }
+}
+
+void router_world::ResetConnections(duration period, duration length) {
+  if (!std::exchange(shares_crashes_, true)) {
+    ShareCrashes();
+  }
+  for (duration at{0}; at < length; at += period) {
+    Schedule(now_ + at, [this] {
+      const size_t host = random_() % routers_.size();
+      for (size_t target = 0; target < targets_.size(); ++target) {
+        BreakAttempts(target, host);
+      }
+    });
+  }
+}
+
+/// Breaks the attempts at a target, of one host or of all.
+void router_world::BreakAttempts(size_t target, std::optional<size_t> host) {
+  target_model& model = targets_[target];
+  const auto is_broken = [&](const sent_attempt& attempt) {
+    return !host || attempt.host == *host;
+  };
+  std::vector<sent_attempt> broken;
+  std::ranges::copy_if(model.at_work, std::back_inserter(broken), is_broken);
+  std::ranges::copy_if(model.queue, std::back_inserter(broken), is_broken);
+  for (const sent_attempt& attempt : broken) {
+    ReportAttempt(target, attempt, attempt_verdict::kBroken);
+  }
+  std::erase_if(model.queue, is_broken);
+}
+
+void router_world::Crash(size_t target) {
+  target_model& model = targets_[target];
+  const target_life life = model.entry.life;
+  crash_rule_.OnCrash(now_);
+  BreakAttempts(target, std::nullopt);
+  model.is_running = false;
+  model.at_work.clear();
+  model.queue.clear();
+  model.busy_slots = 0;
+  const duration since_heartbeat =
+      (now_ - model.last_heartbeat) % options_.target_heartbeat;
+  const time_point lapses_at =
+      now_ - since_heartbeat + kMissedHeartbeats * options_.target_heartbeat;
+  Schedule(lapses_at, [this, life] { Lapse(life); });
+  Schedule(now_ + kRestartTime, [this, target] { Restart(target); });
+}
+
+void router_world::Restart(size_t target) {
+  target_model& model = targets_[target];
+  model.is_running = true;
+  model.last_heartbeat = now_;
+  ++model.entry.life.started;
+  model.entry.life.id = "t" + std::to_string(target) + "." +
+                        std::to_string(model.entry.life.started);
+  target_index_by_id_[model.entry.life.id] = target;
+  listed_[model.entry.life.id] = model.entry;
+  ListLater();
+}
+
+void router_world::Lapse(const target_life& life) {
+  listed_.erase(life.id);
+  if (now_ >= store_back_at_ && options_.keyed) {
+    ReassignKeys(life);
+  }
+  ListLater();
+}
+
+/// Gives the keys of a lost target to running ones.
+void router_world::ReassignKeys(const target_life& lost) {
+  std::vector<target_life> running;
   for (const target_model& target : targets_) {
-    entries.push_back(target.entry);
+    if (target.is_running && listed_.contains(target.entry.life.id)) {
+      running.push_back(target.entry.life);
+    }
+  }
+  for (key_range& range : key_map_.ranges) {
+    if (range.owner == lost && !running.empty()) {
+      range.owner = running[random_() % running.size()];
+      range.fence = ++key_map_.last_fence;
+    }
   }
   for (size_t host = 0; host < routers_.size(); ++host) {
-    router_actions actions;
-    routers_[host]->OnTargets(entries, false, now_, now_, actions);
-    Execute(host, actions);
+    Schedule(now_ + kLinkDelay, [this, host] {
+      router_actions actions;
+      routers_[host]->OnKeyMap(kService, key_map_, now_, actions);
+      Execute(host, actions);
+    });
+  }
+}
+
+/// Passes the crashes that hosts know of on, over the holder of the lease.
+void router_world::ShareCrashes() {
+  crash_watch& holder = routers_[issuing_host_]->crashes();
+  for (size_t host = 0; host < routers_.size(); ++host) {
+    if (host != issuing_host_ && AreConnected(host, issuing_host_)) {
+      holder.Import(routers_[host]->crashes().TakeNewMarks(now_), now_);
+    }
+  }
+  constexpr size_t kMarksInHeartbeat = 20;
+  const auto marks = holder.LatestMarks(kMarksInHeartbeat, now_);
+  for (size_t host = 0; host < routers_.size(); ++host) {
+    if (host != issuing_host_ && AreConnected(host, issuing_host_)) {
+      routers_[host]->crashes().Import(marks, now_);
+    }
   }
+  Schedule(now_ + kHeartbeatPeriod, [this] { ShareCrashes(); });
 }
 
 void router_world::LoseIssuer(duration takeover_time) {
@@ -302,8 +505,11 @@
 }
 
 void router_world::Send(size_t host, const send_action& action) {
-  const sent_attempt sent{
-      .host = host, .id = action.id, .attempt_id = ++last_attempt_id_};
+  const sent_attempt sent{.host = host,
+                          .id = action.id,
+                          .attempt_id = ++last_attempt_id_,
+                          .content_hash = callers_[action.id].content_hash,
+                          .target = action.target};
   callers_[action.id].current_attempt_id = sent.attempt_id;
   const size_t target = target_index_by_id_.at(action.target.id);
   Schedule(now_ + kLinkDelay,
@@ -318,6 +524,17 @@
 
 void router_world::OnAttemptArrival(size_t target, sent_attempt attempt) {
   target_model& model = targets_[target];
+  if (!model.is_running) {
+    ReportAttempt(target, attempt, attempt_verdict::kUnreachable);
+    return;
+  }
+  if (attempt.content_hash == kCrashingContent) {
+    crash_rule_.OnArrival(now_);
+  }
+  if (attempt.target != model.entry.life) {
+    ReportAttempt(target, attempt, attempt_verdict::kMisdirected);
+    return;
+  }
   model.limit.OnArrival(attempt.host, now_);
   model.leaving.OnArrival(attempt.host, callers_[attempt.id].arrival_time);
   model.backoff.OnArrival(attempt.host, now_);
@@ -348,12 +565,28 @@
 void router_world::StartWork(size_t target, sent_attempt attempt) {
   target_model& model = targets_[target];
   ++model.busy_slots;
+  model.at_work.push_back(attempt);
+  if (attempt.content_hash == kCrashingContent) {
+    Schedule(now_ + kTimeToCrash, [this, target, attempt] {
+      if (targets_[target].entry.life == attempt.target &&
+          targets_[target].is_running) {
+        Crash(target);
+      }
+    });
+    return;
+  }
   Schedule(now_ + RandomWorkTime(model),
            [this, target, attempt] { FinishWork(target, attempt); });
 }
 
 void router_world::FinishWork(size_t target, const sent_attempt& attempt) {
   target_model& model = targets_[target];
+  const auto found = std::ranges::find(model.at_work, attempt.attempt_id,
+                                       &sent_attempt::attempt_id);
+  if (found == model.at_work.end()) {
+    return;  // The target has crashed meanwhile.
+  }
+  model.at_work.erase(found);
   --model.busy_slots;
   std::optional<reported_load> load;
   if (options_.reports_load) {
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -41,7 +41,8 @@
   duration MeanTimeToRefusal() const;
 };
 
-/// The hosts, the service and its callers. Callers don't retry.
+/// The hosts, the service and its callers. Callers don't retry, but for
+/// requests that crash targets.
 struct router_world_options {
   size_t hosts = 9;
   size_t targets = 12;
@@ -63,6 +64,10 @@
   /// Fraction of the time in which another tenant of its machine slows a target
   /// down threefold.
   double slowed_fraction = 0.0;
+  /// Period at which targets write to the store. The entry of a target that has
+  /// crashed is removed after three periods without a write.
+  duration target_heartbeat{std::chrono::milliseconds{870}};
+  retry_rule retry = retry_rule::kIdempotent;
 };
 
 /// Simulates hosts, targets and callers.
@@ -79,6 +84,23 @@
   /// Requests per second that all targets together can answer.
   double Capacity() const;
 
+  /// Sends a request that crashes each target that begins to run it, each
+  /// `period` until `length` from now, to a random host. Its caller sends it
+  /// again at once, to another host, whenever it isn't served, up to
+  /// `max_retries` times. Hosts tell each other of crashes from now on.
+  void SendCrashingRequests(duration period, duration length, int max_retries);
+  /// Resets all connections between a host and the targets each `period`, a
+  /// random host each time, until `length` from now. Hosts tell each other of
+  /// crashes from now on.
+  void ResetConnections(duration period, duration length);
+  /// All requests of Run() have the same content from now on.
+  void SendOneContent() { sends_one_content_ = true; }
+  /// The store doesn't answer for `length`. Entries lapse meanwhile.
+  void LoseStore(duration length);
+  /// The host starts again without a memory.
+  void RestartHost(size_t host);
+  const stand_in::crash_rule& crash() const { return crash_rule_; }
+
   /// Simulates requests at `rate_per_second` for `length`, spread evenly over
   /// the hosts and the keys; a target's share of the keys follows its capacity.
   caller_results Run(double rate_per_second, duration length);
@@ -127,6 +149,8 @@
     size_t host = 0;
     request_id id = 0;
     uint64_t attempt_id = 0;
+    uint64_t content_hash = 0;
+    target_life target{};
   };
   struct target_model {
     target_entry entry;
@@ -140,11 +164,17 @@
     time_point rejects_until{};
     duration asked_backoff{};
     size_t arrivals = 0;
+    bool is_running = true;
+    std::vector<sent_attempt> at_work;
+    time_point last_heartbeat{};
   };
   struct caller {
     time_point arrival_time{};
     uint64_t current_attempt_id =
         0;  ///< Attempt under way; 0 if there is none.
+    size_t host = 0;
+    uint64_t content_hash = 0;
+    int retries_left = 0;  ///< Of a request that crashes targets.
   };
   struct event {
     time_point time;
@@ -162,6 +192,18 @@
   void ShareStatements(size_t host);
   void OnPermitRequest(size_t host, const permit_request_action& action);
   void ChangeSlowedTargets();
+  void SendCrashingRequest(int retries_left);
+  void Admit(size_t host, caller new_caller, key_point key);
+  void OnNotServed(request_id id);
+  void Crash(size_t target);
+  void Restart(size_t target);
+  void BreakAttempts(size_t target, std::optional<size_t> host);
+  void Lapse(const target_life& life);
+  void ReassignKeys(const target_life& lost);
+  void ListLater();
+  void ListTargets(size_t host);
+  void ShareCrashes();
+  void AddHost(size_t host);
   void Schedule(time_point time, std::function<void()> callback);
   void ScheduleNextRequest(double rate_per_second, time_point end);
   void Execute(size_t host, const router_actions& actions);
@@ -197,6 +239,13 @@
   uint64_t last_attempt_id_ = 0;
   request_id last_request_id_ = 0;
   double slowness_ = 1.0;
+  routing_config config_;
+  key_map key_map_;
+  std::map<std::string, target_entry> listed_;  ///< The store's list, by id.
+  time_point store_back_at_{};
+  bool shares_crashes_ = false;
+  bool sends_one_content_ = false;
+  stand_in::crash_rule crash_rule_;
 };
 
 }  // namespace foxtailspread::testing
