Add up the crashes that different hosts have seen

Callers saw one content end many targets, each seen by another host. The class: a count that several hosts merge loses what each of them adds. Hosts now exchange marks, each a content and a life of a target, and merge them as a set: late, twice or over several hosts counts once, and different targets add up. Releases of before get an empty list in the old place, so that they go on to read heartbeats and reports.

--- a/include/foxtailspread/crash_watch.h
+++ b/include/foxtailspread/crash_watch.h
@@ -8,13 +8,12 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "foxtailspread/crash_mark.h"
 #include "foxtailspread/key_map.h"
-#include "foxtailspread/poison_guard.h"
 #include "foxtailspread/time.h"
 
 namespace foxtailspread {
@@ -51,8 +50,6 @@
 /// @endcode
 class crash_watch {
  public:
-  crash_watch();
-
   /// Records that a request with this content got no complete response. A hash
   /// of 0 stands for no content and is ignored.
   void OnBrokenResponse(uint64_t content_hash, const target_life& target,
@@ -66,19 +63,20 @@
 
   /// Returns whether requests with this content are to be refused.
   bool IsQuarantined(uint64_t content_hash, time_point now) const;
+  /// Returns the number of targets that ended under the content.
+  int CrashCount(uint64_t content_hash, time_point now) const;
+  /// Number of contents that are refused.
+  size_t QuarantinedCount(time_point now) const;
 
-  /// Returns the marks of crashes that this host counted since the last call,
-  /// to be sent to the other hosts.
-  std::vector<poison_mark> TakeNewMarks(time_point now);
+  /// Returns what this host has learnt itself since the last call.
+  crash_evidence TakeNews(time_point now);
   /// Returns the latest `max_count` marks of all hosts, newest last.
-  std::vector<poison_mark> LatestMarks(size_t max_count, time_point now) const;
+  crash_evidence Latest(size_t max_count, time_point now) const;
+  /// Merges what another host knows.
+  void Import(const crash_evidence& evidence, time_point now);
+
   /// Returns what was concluded since the last call.
   std::vector<crash_note> TakeNotes() { return std::exchange(notes_, {}); }
-  /// Number of contents that are refused.
-  size_t QuarantinedCount(time_point now) const;
-
-  /// Merges the marks of other hosts.
-  void Import(std::span<const poison_mark> marks, time_point now);
 
  private:
   /// A request that got no complete response and may have crashed its target.
@@ -87,14 +85,23 @@
     target_life target;
     time_point broken_at{};
   };
+  /// A target that ended under a content.
+  struct mark {
+    uint64_t content_hash = 0;
+    target_life target;
+    time_point broken_at{};
+    bool is_unsent = false;  ///< Learnt here and not yet taken for sending.
+  };
 
+  void Add(mark added, time_point now);
+  void DropExpired(time_point now);
   void AddNote(crash_note note);
   /// Notes that a content is refused from now on, if it was not `before`.
   void NoteRefusal(uint64_t content_hash, bool before, time_point now);
 
-  std::vector<crash_note> notes_;
-  poison_guard guard_;
   std::deque<suspect> suspects_;  ///< Oldest first.
+  std::vector<mark> marks_;       ///< In the order in which they were learnt.
+  std::vector<crash_note> notes_;
 };
 
 }  // namespace foxtailspread
--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -13,10 +13,10 @@
 #include <variant>
 #include <vector>
 
+#include "foxtailspread/crash_mark.h"
 #include "foxtailspread/error.h"
 #include "foxtailspread/evacuations.h"
 #include "foxtailspread/permit_issuer.h"
-#include "foxtailspread/poison_guard.h"
 #include "foxtailspread/reported_load.h"
 #include "foxtailspread/target_entry.h"
 #include "foxtailspread/target_statements.h"
@@ -54,8 +54,8 @@
   uint64_t lease_revision = 0;
   std::vector<service_load> services;
   std::vector<target_latency> targets;
-  /// Request contents that it has seen crash targets since its last report.
-  std::vector<poison_mark> crashes{};
+  /// Crashes of targets that it has seen since its last report.
+  crash_evidence crashes{};
 
   bool operator==(const load_report&) const = default;
 };
@@ -88,7 +88,7 @@
   uint64_t lease_revision = 0;
   std::vector<std::string> successors;  ///< In order of succession.
   std::optional<store_view> view{};     ///< Absent if its copy is outdated.
-  std::vector<poison_mark> crashes{};  ///< Request contents that crash targets.
+  crash_evidence crashes{};  ///< Request contents that crash targets.
   /// Number of hosts that share the limits for all hosts together. The lease
   /// holds this number as well, but hosts do not read it while heartbeats
   /// arrive.
--- a/src/core/crash_watch.cc
+++ b/src/core/crash_watch.cc
@@ -1,6 +1,7 @@
 #include "foxtailspread/crash_watch.h"
 
 #include <algorithm>
+#include <set>
 
 namespace foxtailspread {
 namespace {
@@ -11,15 +12,19 @@
 /// reading of it (1.5 s).
 constexpr duration kCrashDetectionWindow{std::chrono::seconds{5}};
 
+/// Contents under which this many targets ended are refused.
+constexpr int kQuarantineCrashCount = 2;
+
 /// Maximum number of suspects. A crash breaks about a dozen requests at once;
 /// larger numbers come from failing links and say little about contents.
 constexpr size_t kMaxSuspects = 256;
 
-/// Maximum number of marked contents, and how long a mark lasts after the
-/// latest crash. A longer time would punish a content that merely ran when two
-/// targets crashed for another reason; a shorter one would let a harmful
-/// content crash two targets each time its mark expires.
-constexpr size_t kMaxContents = 256;
+/// Maximum number of marks, in all and of one content, and how long a mark
+/// lasts. A longer time would punish a content that merely ran when two targets
+/// crashed for another reason; a shorter one would let a harmful content crash
+/// two targets each time its marks expire.
+constexpr size_t kMaxMarks = 512;
+constexpr size_t kMaxMarksPerContent = 8;
 constexpr duration kMarkTtl{std::chrono::minutes{2}};
 
 /// Notes kept until they are taken.
@@ -27,8 +32,6 @@
 
 }  // namespace
 
-crash_watch::crash_watch() : guard_(kMaxContents, kMarkTtl) {}
-
 void crash_watch::OnBrokenResponse(uint64_t content_hash,
                                    const target_life& target, time_point now) {
   const bool known = std::any_of(
@@ -50,16 +53,15 @@
 }
 
 void crash_watch::OnResponse(uint64_t content_hash, time_point now) {
-  if (guard_.IsQuarantined(content_hash, now)) {
+  if (IsQuarantined(content_hash, now)) {
     AddNote({.note_kind = crash_note::kind::kCleared,
              .content_hash = content_hash});
   }
-  guard_.Clear(content_hash);
-  if (!suspects_.empty()) {
-    std::erase_if(suspects_, [&](const suspect& candidate) {
-      return candidate.content_hash == content_hash;
-    });
-  }
+  const auto is_of_content = [content_hash](const auto& known) {
+    return known.content_hash == content_hash;
+  };
+  std::erase_if(marks_, is_of_content);
+  std::erase_if(suspects_, is_of_content);
 }
 
 void crash_watch::OnTargetList(
@@ -71,49 +73,102 @@
     if (is_listed(candidate.target)) {
       return false;
     }
-    const bool was_refused = IsQuarantined(candidate.content_hash, now);
-    guard_.CountCrash(candidate.content_hash, now);
-    AddNote({.note_kind = crash_note::kind::kCounted,
-             .content_hash = candidate.content_hash,
-             .target = candidate.target.id,
-             .crashes = guard_.CrashCount(candidate.content_hash, now)});
-    NoteRefusal(candidate.content_hash, was_refused, now);
+    Add({.content_hash = candidate.content_hash,
+         .target = candidate.target,
+         .broken_at = candidate.broken_at,
+         .is_unsent = true},
+        now);
     return true;
   });
 }
 
+void crash_watch::Add(mark added, time_point now) {
+  DropExpired(now);
+  const bool is_known = std::ranges::any_of(marks_, [&](const mark& known) {
+    return known.content_hash == added.content_hash &&
+           known.target == added.target;
+  });
+  const uint64_t content_hash = added.content_hash;
+  const int crashes = CrashCount(content_hash, now);
+  if (is_known || crashes >= static_cast<int>(kMaxMarksPerContent)) {
+    return;
+  }
+  if (marks_.size() >= kMaxMarks) {
+    marks_.erase(marks_.begin());
+  }
+  const bool was_refused = IsQuarantined(content_hash, now);
+  AddNote({.note_kind = crash_note::kind::kCounted,
+           .content_hash = content_hash,
+           .target = added.target.id,
+           .crashes = crashes + 1});
+  marks_.push_back(std::move(added));
+  NoteRefusal(content_hash, was_refused, now);
+}
+
+void crash_watch::DropExpired(time_point now) {
+  std::erase_if(marks_, [now](const mark& known) {
+    return now - known.broken_at >= kMarkTtl;
+  });
+}
+
+int crash_watch::CrashCount(uint64_t content_hash, time_point now) const {
+  return static_cast<int>(std::ranges::count_if(marks_, [&](const mark& known) {
+    return known.content_hash == content_hash &&
+           now - known.broken_at < kMarkTtl;
+  }));
+}
+
 bool crash_watch::IsQuarantined(uint64_t content_hash, time_point now) const {
-  return guard_.IsQuarantined(content_hash, now);
+  return !marks_.empty() &&
+         CrashCount(content_hash, now) >= kQuarantineCrashCount;
 }
 
-std::vector<poison_mark> crash_watch::TakeNewMarks(time_point now) {
-  return guard_.TakeNewMarks(now);
+size_t crash_watch::QuarantinedCount(time_point now) const {
+  std::set<uint64_t> refused;
+  for (const mark& known : marks_) {
+    if (IsQuarantined(known.content_hash, now)) {
+      refused.insert(known.content_hash);
+    }
+  }
+  return refused.size();
 }
 
-std::vector<poison_mark> crash_watch::LatestMarks(size_t max_count,
-                                                  time_point now) const {
-  std::vector<poison_mark> marks = guard_.Export(now);
-  if (marks.size() > max_count) {
-    marks.erase(marks.begin(),
-                marks.end() - static_cast<std::ptrdiff_t>(max_count));
+crash_evidence crash_watch::TakeNews(time_point now) {
+  crash_evidence news;
+  for (mark& known : marks_) {
+    if (std::exchange(known.is_unsent, false)) {
+      news.marks.push_back(
+          {known.content_hash, known.target, now - known.broken_at});
+    }
   }
-  return marks;
+  return news;
 }
 
-void crash_watch::Import(std::span<const poison_mark> marks, time_point now) {
-  for (const poison_mark& mark : marks) {
-    const bool was_refused = IsQuarantined(mark.content_hash, now);
-    guard_.Import(std::span{&mark, 1}, now);
-    NoteRefusal(mark.content_hash, was_refused, now);
+crash_evidence crash_watch::Latest(size_t max_count, time_point now) const {
+  crash_evidence latest;
+  for (const mark& known : marks_) {
+    if (now - known.broken_at < kMarkTtl) {
+      latest.marks.push_back(
+          {known.content_hash, known.target, now - known.broken_at});
+    }
+  }
+  if (latest.marks.size() > max_count) {
+    latest.marks.erase(
+        latest.marks.begin(),
+        latest.marks.end() - static_cast<std::ptrdiff_t>(max_count));
   }
+  return latest;
 }
 
-size_t crash_watch::QuarantinedCount(time_point now) const {
-  const std::vector<poison_mark> marks = guard_.Export(now);
-  return static_cast<size_t>(
-      std::ranges::count_if(marks, [&](const poison_mark& mark) {
-        return guard_.IsQuarantined(mark.content_hash, now);
-      }));
+void crash_watch::Import(const crash_evidence& evidence, time_point now) {
+  for (const crash_mark& told : evidence.marks) {
+    if (told.content_hash != 0 && told.age < kMarkTtl) {
+      Add({.content_hash = told.content_hash,
+           .target = told.target,
+           .broken_at = now - told.age},
+          now);
+    }
+  }
 }
 
 void crash_watch::AddNote(crash_note note) {
@@ -127,7 +182,7 @@
   if (!before && IsQuarantined(content_hash, now)) {
     AddNote({.note_kind = crash_note::kind::kRefused,
              .content_hash = content_hash,
-             .crashes = guard_.CrashCount(content_hash, now)});
+             .crashes = CrashCount(content_hash, now)});
   }
 }
 
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -30,8 +30,12 @@
 constexpr size_t kLimitFields = 5;
 /// Number of array elements that encode one leaving_sample.
 constexpr size_t kLeavingFields = 3;
-/// Position of the statements in a heartbeat. Earlier releases send none.
+/// Number of array elements that encode one crash_mark.
+constexpr size_t kMarkFields = 4;
+/// Positions of fields that earlier releases do not send.
 constexpr size_t kHeartbeatStatements = 8;
+constexpr size_t kHeartbeatCrashes = 9;
+constexpr size_t kReportCrashes = 9;
 
 /// How long a store view is valid after it was read, as a fraction of the time
 /// that a draining target still accepts requests (2 s). Watches are renewed
@@ -39,13 +43,22 @@
 /// after the view was read is still known to all hosts in time.
 constexpr double kViewValidFraction = 0.8;
 
-/// Each mark as content hash, number of crashes and age in milliseconds.
-json ToJson(const std::vector<poison_mark>& marks) {
-  json array = json::array();
-  for (const poison_mark& mark : marks) {
-    array.push_back({mark.content_hash, mark.crashes, mark.age.count() / 1000});
+int64_t InMs(duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+/// Earlier releases expect a list of another form here.
+json NoPoisonMarks() { return json::array(); }
+
+json ToJson(const crash_evidence& evidence) {
+  json marks = json::array();
+  for (const crash_mark& mark : evidence.marks) {
+    marks.push_back(mark.content_hash);
+    marks.push_back(mark.target.id);
+    marks.push_back(mark.target.started);
+    marks.push_back(InMs(mark.age));
   }
-  return array;
+  return json::array({std::move(marks)});
 }
 
 /// The fields of all samples in one flat array; the slowness in percent.
@@ -63,10 +76,6 @@
   return flat;
 }
 
-int64_t InMs(duration time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 /// The fields of all samples in one flat array; null for no limit.
 json ToJson(std::span<const limit_sample> limits) {
   json flat = json::array();
@@ -131,8 +140,8 @@
   }
   return json::array({kReportTag, report.host, report.zone, report.address,
                       report.lease_revision, std::move(services),
-                      std::move(targets), ToJson(report.crashes),
-                      report.link_mbps});
+                      std::move(targets), NoPoisonMarks(), report.link_mbps,
+                      ToJson(report.crashes)});
 }
 
 json ToJson(const assigner_heartbeat& heartbeat) {
@@ -148,9 +157,9 @@
         json::array({heartbeat.evacuated->zones, heartbeat.evacuated->age_ms});
   }
   return json::array({kHeartbeatTag, heartbeat.host, heartbeat.lease_revision,
-                      heartbeat.successors, std::move(view),
-                      ToJson(heartbeat.crashes), heartbeat.host_count,
-                      std::move(evacuated), ToJson(heartbeat.statements)});
+                      heartbeat.successors, std::move(view), NoPoisonMarks(),
+                      heartbeat.host_count, std::move(evacuated),
+                      ToJson(heartbeat.statements), ToJson(heartbeat.crashes)});
 }
 
 json ToJson(const owners_record& record) {
@@ -201,15 +210,17 @@
 // The Read functions use the checked accessors of the JSON library, which throw
 // on malformed input. ParseHostMessage turns the exception into an error.
 
-std::vector<poison_mark> ReadMarks(const json& array) {
-  std::vector<poison_mark> marks;
-  for (const json& mark : array) {
-    marks.push_back(
-        {.content_hash = mark.at(0).get<uint64_t>(),
-         .crashes = mark.at(1).get<int>(),
-         .age = std::chrono::milliseconds{mark.at(2).get<int64_t>()}});
+crash_evidence ReadCrashes(const json& value) {
+  crash_evidence evidence;
+  const json& marks = value.at(0);
+  for (size_t i = 0; i + kMarkFields <= marks.size(); i += kMarkFields) {
+    evidence.marks.push_back(
+        {.content_hash = marks.at(i).get<uint64_t>(),
+         .target = {.id = marks.at(i + 1).get<std::string>(),
+                    .started = marks.at(i + 2).get<uint64_t>()},
+         .age = std::chrono::milliseconds{marks.at(i + 3).get<uint32_t>()}});
   }
-  return marks;
+  return evidence;
 }
 
 std::vector<load_sample> ReadLoads(const json& flat) {
@@ -301,8 +312,10 @@
                               .latency_us = target.at(1).get<uint32_t>(),
                               .served = target.at(2).get<uint32_t>()});
   }
-  report.crashes = ReadMarks(value.at(7));
   report.link_mbps = value.at(8).get<double>();
+  if (value.size() > kReportCrashes) {
+    report.crashes = ReadCrashes(value.at(kReportCrashes));
+  }
   return report;
 }
 
@@ -318,7 +331,6 @@
                                 .owners_digest = view.at(2).get<uint64_t>(),
                                 .age_ms = view.at(3).get<uint32_t>()};
   }
-  heartbeat.crashes = ReadMarks(value.at(5));
   heartbeat.host_count = value.at(6).get<size_t>();
   const json& evacuated = value.at(7);
   if (!evacuated.is_null()) {
@@ -329,6 +341,9 @@
   if (value.size() > kHeartbeatStatements) {
     heartbeat.statements = ReadStatements(value.at(kHeartbeatStatements));
   }
+  if (value.size() > kHeartbeatCrashes) {
+    heartbeat.crashes = ReadCrashes(value.at(kHeartbeatCrashes));
+  }
   return heartbeat;
 }
 
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -22,8 +22,8 @@
 /// time within which an evacuation must be in force.
 constexpr duration kEvacuationsVouched{milliseconds{2500}};
 
-/// Contents that crash targets named in one heartbeat: some 300 bytes.
-constexpr size_t kMarksInHeartbeat = 20;
+/// Crashes of targets named in one heartbeat: some 3 KB.
+constexpr size_t kMarksInHeartbeat = 60;
 
 /// Limits of targets, and targets that leave, named in one datagram: some 4 KB
 /// each.
@@ -396,7 +396,7 @@
                      .lease_revision = assigner_.lease_revision(),
                      .services = {},
                      .targets = {},
-                     .crashes = router_.crashes().TakeNewMarks(Now())};
+                     .crashes = router_.crashes().TakeNews(Now())};
   for (const service_settings& each : router_.table()->config().services) {
     service_load load{.service = each.name,
                       .keys = router_.TakeKeyLoad(each.name)};
@@ -707,7 +707,7 @@
   heartbeat.statements = router_.Statements(Now());
   Truncate(heartbeat.statements.limits);
   Truncate(heartbeat.statements.leaving);
-  heartbeat.crashes = router_.crashes().LatestMarks(kMarksInHeartbeat, Now());
+  heartbeat.crashes = router_.crashes().Latest(kMarksInHeartbeat, Now());
   SendToHosts(action.hops, FormatHostMessage(heartbeat));
 }
 
--- a/tests/crash_watch_test.cc
+++ b/tests/crash_watch_test.cc
@@ -94,11 +94,35 @@
   crash_watch other_host;
   CrashTarget("a");
   CrashTarget("b");
-  other_host.Import(watch_.TakeNewMarks(now_), now_);
+  other_host.Import(watch_.TakeNews(now_), now_);
   EXPECT_TRUE(other_host.IsQuarantined(kContentHash, now_));
-  EXPECT_TRUE(watch_.TakeNewMarks(now_).empty())
+  EXPECT_TRUE(watch_.TakeNews(now_).empty())
       << "new marks must be returned only once";
-  EXPECT_EQ(other_host.LatestMarks(20, now_).size(), 1U);
+  EXPECT_EQ(other_host.Latest(20, now_).marks.size(), 2U);
+}
+
+// Guards against hosts that each know of one crash, of different targets, and
+// still count one after they have told each other.
+TEST_F(CrashWatchTest, CrashesSeenByDifferentHostsAddUp) {
+  crash_watch other_host;
+  CrashTarget("a");
+  other_host.OnBrokenResponse(kContentHash, {.id = "b", .started = 1}, now_);
+  now_ += seconds{2};
+  other_host.OnTargetList([](const target_life&) { return false; }, now_);
+  const crash_evidence told = other_host.TakeNews(now_);
+  watch_.Import(told, now_);
+  EXPECT_TRUE(watch_.IsQuarantined(kContentHash, now_));
+}
+
+TEST_F(CrashWatchTest, CrashToldTwiceCountsOnce) {
+  CrashTarget("a");
+  const crash_evidence told = watch_.TakeNews(now_);
+  crash_watch other_host;
+  other_host.Import(told, now_);
+  other_host.Import(told, now_);
+  watch_.Import(told, now_);
+  EXPECT_FALSE(other_host.IsQuarantined(kContentHash, now_));
+  EXPECT_FALSE(watch_.IsQuarantined(kContentHash, now_));
 }
 
 TEST_F(CrashWatchTest, MarkExpiresAfterAFewMinutes) {
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -97,14 +97,15 @@
 class HostMessagesTest : public ::testing::Test {};
 
 TEST_F(HostMessagesTest, MessagesRoundTrip) {
-  const load_report report{.host = "a",
-                           .zone = "z",
-                           .address = "10.0.0.1:7000",
-                           .link_mbps = 12.5,
-                           .lease_revision = 77,
-                           .services = {{"keyed", {{3, 1}, {4095, 200}}}},
-                           .targets = {{"t", 90000, 12}},
-                           .crashes = {{81, 2, seconds{3}}}};
+  const load_report report{
+      .host = "a",
+      .zone = "z",
+      .address = "10.0.0.1:7000",
+      .link_mbps = 12.5,
+      .lease_revision = 77,
+      .services = {{"keyed", {{3, 1}, {4095, 200}}}},
+      .targets = {{"t", 90000, 12}},
+      .crashes = {.marks = {{81, {.id = "t-1", .started = 5}, seconds{3}}}}};
   const assigner_heartbeat heartbeat{
       .host = "a",
       .lease_revision = 78,
@@ -112,7 +113,7 @@
       .view =
           store_view{
               .config_revision = 5, .targets_digest = 1, .owners_digest = 2},
-      .crashes = {{81, 2, seconds{3}}},
+      .crashes = {.marks = {{81, {.id = "t-1", .started = 5}, seconds{3}}}},
       .host_count = 12,
       .evacuated = evacuation_view{.zones = {"east", "west"}, .age_ms = 40}};
   EXPECT_EQ(ParseHostMessage(FormatHostMessage(report)).value(),
--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -465,14 +465,14 @@
   crash_watch& holder = routers_[issuing_host_]->crashes();
   for (size_t host = 0; host < routers_.size(); ++host) {
     if (host != issuing_host_ && AreConnected(host, issuing_host_)) {
-      holder.Import(routers_[host]->crashes().TakeNewMarks(now_), now_);
+      holder.Import(routers_[host]->crashes().TakeNews(now_), now_);
     }
   }
-  constexpr size_t kMarksInHeartbeat = 20;
-  const auto marks = holder.LatestMarks(kMarksInHeartbeat, now_);
+  constexpr size_t kMarksInHeartbeat = 60;
+  const crash_evidence evidence = holder.Latest(kMarksInHeartbeat, now_);
   for (size_t host = 0; host < routers_.size(); ++host) {
     if (host != issuing_host_ && AreConnected(host, issuing_host_)) {
-      routers_[host]->crashes().Import(marks, now_);
+      routers_[host]->crashes().Import(evidence, now_);
     }
   }
   Schedule(now_ + kHeartbeatPeriod, [this] { ShareCrashes(); });
