Refuse waiting requests once their content is known to crash targets

Cause: the check stood at the admission and before a retry only; a request that waited for a target or for its key's owner was sent when one was free. The class: a verdict that arrives while work waits must reach what waits. It is checked before each send from a queue, and each 40 ms for what waits. A retry that it stops is refused with the reason crashes-targets, not with that of the attempt before. Four tests (CrashingContentRouterTest) failed before and pass.

--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -337,6 +337,10 @@
   void Admit(request& new_request, time_point now, router_actions& out);
   void Refuse(request& pending_request, refusal_reason reason, time_point now,
               router_actions& out);
+  /// Refuses a request whose content has come to be known to crash targets;
+  /// returns whether it did.
+  bool RefuseIfItCrashesTargets(request& pending_request, time_point now,
+                                router_actions& out);
   int MaxConnections(const std::string& service) const;
   /// The latency assumed of a target that is new to this host: the mean of the
   /// others, so that it gets its share of the requests at once.
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -201,9 +201,6 @@
 bool request_router::TryTakeRetry(request& pending_request, time_point now) {
   const int max_attempts =
       std::max(pending_request.matched_route->max_attempts, 1);
-  if (crashes_.IsQuarantined(pending_request.content_hash, now)) {
-    return false;
-  }
   if (pending_request.attempt_count >= max_attempts ||
       pending_request.service_state->shed_fraction > kMaxShedFraction ||
       pending_request.deadline - now < kMinTimeToSend) {
@@ -223,6 +220,9 @@
       std::max(pending_request.wait_deadline,
                std::min(now + kDelayAfterMisdirected * 2,
                         pending_request.deadline - kMinTimeToSend));
+  if (RefuseIfItCrashesTargets(pending_request, now, out)) {
+    return;
+  }
   const auto no_target = NoTargetReason(pending_request, now);
   if (no_target || !TryTakeRetry(pending_request, now)) {
     Refuse(pending_request, no_target.value_or(reason_if_refused), now, out);
@@ -231,6 +231,16 @@
   StartWaiting(pending_request, now);
 }
 
+bool request_router::RefuseIfItCrashesTargets(request& pending_request,
+                                              time_point now,
+                                              router_actions& out) {
+  if (!crashes_.ShouldRefuse(pending_request.content_hash, now)) {
+    return false;
+  }
+  Refuse(pending_request, refusal_reason::kCrashesTargets, now, out);
+  return true;
+}
+
 void request_router::OnAttemptEnded(const attempt_report& report,
                                     time_point now, router_actions& out) {
   const auto found = requests_.find(report.id);
@@ -411,7 +421,8 @@
         pending_request.queue->RecordRefusal(pending_request, now);
       }
       Refuse(pending_request, refusal_reason::kWaitedTooLong, now, out);
-    } else if (pending_request.is_waiting()) {
+    } else if (pending_request.is_waiting() &&
+               !RefuseIfItCrashesTargets(pending_request, now, out)) {
       DropMissingTargets(*pending_request.service_state, now);
       if (const auto reason = NoTargetReason(pending_request, now)) {
         Refuse(pending_request, *reason, now, out);
--- a/src/core/request_router_waiting.cc
+++ b/src/core/request_router_waiting.cc
@@ -102,7 +102,8 @@
       std::reverse(send_order.begin(), send_order.end());
     }
     for (request* next : send_order) {
-      if (next->earliest_send > now) {
+      if (RefuseIfItCrashesTargets(*next, now, out) ||
+          next->earliest_send > now) {
         continue;
       }
       const bool sent = TrySend(*next, now, out);
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -422,6 +422,73 @@
   EXPECT_EQ(ActionsOf<send_action>(SendRequest(4, "/orders/8")).size(), 1U);
 }
 
+/// A content of which other hosts tell that two targets ended under it.
+class CrashingContentRouterTest : public RequestRouterTest {
+ protected:
+  static constexpr uint64_t kContent = 77;
+
+  CrashingContentRouterTest() { content_ = kContent; }
+
+  void TellOfCrashes() {
+    crash_evidence evidence;
+    for (const char* target : {"gone-1", "gone-2"}) {
+      const duration age = milliseconds{1000 + 300 * evidence.marks.size()};
+      evidence.marks.push_back({kContent, {target, 1}, age, true});
+    }
+    router_.crashes().Import(evidence, false, now_);
+  }
+
+  std::vector<refusal_reason> RefusalReasons() const {
+    std::vector<refusal_reason> reasons;
+    for (const auto& reply : ActionsOf<local_reply_action>(actions_)) {
+      reasons.push_back(reply.reason);
+    }
+    return reasons;
+  }
+};
+
+// Guards against a request that waits for a target while its content comes to
+// be refused, and then crashes the first target that is free.
+TEST_F(CrashingContentRouterTest, WaitingRequestIsRefusedInsteadOfSent) {
+  SetKeyOwner("r0", false);
+  SendRequest(1, "/reports/1");
+  ASSERT_TRUE(actions_.empty());
+  TellOfCrashes();
+  SetKeyOwner("r0", true);
+  EXPECT_TRUE(ActionsOf<send_action>(actions_).empty());
+  EXPECT_EQ(RefusalReasons(), std::vector{refusal_reason::kCrashesTargets});
+}
+
+// Guards against holding such a request until its maximum wait is over.
+TEST_F(CrashingContentRouterTest, WaitingRequestIsRefusedSoon) {
+  SetKeyOwner("r0", false);
+  SendRequest(1, "/reports/1");
+  TellOfCrashes();
+  AdvanceTime(milliseconds{50});
+  EXPECT_EQ(RefusalReasons(), std::vector{refusal_reason::kCrashesTargets});
+}
+
+TEST_F(CrashingContentRouterTest, OtherWaitingRequestsAreSent) {
+  SetKeyOwner("r0", false);
+  SendRequest(1, "/reports/1");
+  content_ = kContent + 1;
+  SendRequest(2, "/reports/2");
+  TellOfCrashes();
+  SetKeyOwner("r0", true);
+  const auto sent = ActionsOf<send_action>(actions_);
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent[0].id, 2U);
+}
+
+// Guards against a retry that is refused for a wrong reason, which would bring
+// its caller back.
+TEST_F(CrashingContentRouterTest, RetryIsRefusedForItsContent) {
+  SendRequest(1, "/looks/1");
+  TellOfCrashes();
+  EndAttempt(1, attempt_verdict::kMisdirected);
+  EXPECT_EQ(RefusalReasons(), std::vector{refusal_reason::kCrashesTargets});
+}
+
 // A key has moved to another owner, and the host's map is out of date. The
 // former owner refuses that request, but must still get requests for its other
 // keys.
