Tell callers of a refused content when it may be served again

A request whose content crashes targets was refused with the Retry-After of a busy service, 79 ms in the test, so that its caller came back within its time to be refused again at another host. It now gets the time until the last mark expires. RefusalAsksForNoReturnWhileItLasts failed before.

--- a/include/foxtailspread/crash_watch.h
+++ b/include/foxtailspread/crash_watch.h
@@ -86,6 +86,9 @@
   /// As IsQuarantined(), for a request that is then refused: the first refusal
   /// of a content leaves a note.
   bool ShouldRefuse(uint64_t content_hash, time_point now);
+  /// Returns how long the content will still be refused if nothing more becomes
+  /// known of it; 0 if it is not.
+  duration RefusedFor(uint64_t content_hash, time_point now) const;
   /// Number of contents that are refused.
   size_t QuarantinedCount(time_point now) const;
 
--- a/src/core/crash_watch.cc
+++ b/src/core/crash_watch.cc
@@ -333,6 +333,16 @@
   return true;
 }
 
+duration crash_watch::RefusedFor(uint64_t content_hash, time_point now) const {
+  duration longest{0};
+  for (const mark& known : marks_) {
+    if (known.content_hash == content_hash) {
+      longest = std::max(longest, known.broken_at + kMarkTtl - now);
+    }
+  }
+  return IsQuarantined(content_hash, now) ? longest : duration{0};
+}
+
 size_t crash_watch::QuarantinedCount(time_point now) const {
   std::set<uint64_t> contents;
   for (const mark& known : marks_) {
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -407,6 +407,10 @@
 
 duration request_router::RetryAfter(const request& refused_request,
                                     refusal_reason reason, time_point now) {
+  // The caller gains nothing by returning sooner.
+  if (reason == refusal_reason::kCrashesTargets) {
+    return crashes_.RefusedFor(refused_request.content_hash, now);
+  }
   service& service_state = *refused_request.service_state;
   duration base_delay = service_state.keyed
                             ? kKeyedRetryAfter
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -489,6 +489,16 @@
   EXPECT_EQ(RefusalReasons(), std::vector{refusal_reason::kCrashesTargets});
 }
 
+// Guards against asking callers to return while their request is refused.
+TEST_F(CrashingContentRouterTest, RefusalAsksForNoReturnWhileItLasts) {
+  TellOfCrashes();
+  const auto replies =
+      ActionsOf<local_reply_action>(SendRequest(1, "/looks/1"));
+  ASSERT_EQ(replies.size(), 1U);
+  ASSERT_TRUE(replies[0].retry_after);
+  EXPECT_GT(*replies[0].retry_after, seconds{60});
+}
+
 // A key has moved to another owner, and the host's map is out of date. The
 // former owner refuses that request, but must still get requests for its other
 // keys.
