Tell all hosts of crashes at once, also while the store is away

The class: news that rides on a message whose sender may have a reason to be silent. A host sends what it learns within 100 ms to the host that the lease names, which passes it on to all, with or without the store; reports and that host repeat for a second what is new. Heartbeats go on to tell hosts that start.

--- a/include/foxtailspread/crash_watch.h
+++ b/include/foxtailspread/crash_watch.h
@@ -92,9 +92,14 @@
   /// Number of contents that are refused.
   size_t QuarantinedCount(time_point now) const;
 
-  /// Returns what is to be sent to the other hosts: what this host has learnt
-  /// itself since the last call, and what it was told to pass on.
+  /// Returns what is to be sent to the other hosts at once: what this host has
+  /// learnt itself since the last call, and what it was told to pass on.
   crash_evidence TakeNews(time_point now);
+  /// Whether TakeNews() will return anything, now or soon.
+  bool HasNews() const;
+  /// Returns what was learnt in the last second, which is sent repeatedly as
+  /// datagrams get lost.
+  crash_evidence Recent(time_point now) const;
   /// Returns the latest `max_count` items of each kind that any host knows,
   /// newest last.
   crash_evidence Latest(size_t max_count, time_point now) const;
@@ -110,6 +115,7 @@
     uint64_t content_hash = 0;
     target_life target;
     time_point broken_at{};
+    time_point learnt_at{};
     bool is_confirmed = false;
     bool is_own = false;   ///< The response broke off at this host.
     bool is_news = false;  ///< To be returned by TakeNews().
@@ -137,6 +143,10 @@
   void AddSurvivor(const target_life& target, const voiding& survived);
   void AddServed(uint64_t content_hash, const voiding& served);
   void DropExpired(time_point now);
+  /// Returns marks learnt from `marks_since` on, and what voids marks and was
+  /// learnt from `voidings_since` on; the newest `max_count` of each kind.
+  crash_evidence Select(time_point marks_since, time_point voidings_since,
+                        size_t max_count, time_point now) const;
   size_t MarkCount(uint64_t content_hash) const;
   /// Whether another content explains the end of the mark's target better.
   bool IsExplained(const mark& candidate, size_t mark_count) const;
--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -54,7 +54,7 @@
   uint64_t lease_revision = 0;
   std::vector<service_load> services;
   std::vector<target_latency> targets;
-  /// Crashes of targets that it has seen since its last report.
+  /// Crashes of targets that it has learnt of lately.
   crash_evidence crashes{};
 
   bool operator==(const load_report&) const = default;
@@ -191,6 +191,14 @@
   bool operator==(const statements_record&) const = default;
 };
 
+/// Crashes of targets: from a host to the lease holder those that it has seen,
+/// from the lease holder to all hosts.
+struct crashes_record {
+  crash_evidence evidence;
+
+  bool operator==(const crashes_record&) const = default;
+};
+
 /// Requests permits for a target with a limit from the lease holder.
 struct permit_request {
   std::string address;  ///< Where the reply goes, "IP:port".
@@ -222,7 +230,7 @@
 using host_message =
     std::variant<load_report, assigner_heartbeat, owners_record, targets_record,
                  shared_object, hosts_record, loads_record, statements_record,
-                 permit_request, permit_reply, relayed_message>;
+                 crashes_record, permit_request, permit_reply, relayed_message>;
 
 /// Serialises a message as one datagram, and parses it.
 std::string FormatHostMessage(const host_message& message);
--- a/src/core/crash_watch.cc
+++ b/src/core/crash_watch.cc
@@ -52,6 +52,10 @@
 /// How long hosts tell each other that marks are void.
 constexpr duration kVoidingSharedFor{std::chrono::seconds{10}};
 
+/// What was learnt in this time is sent repeatedly, and how much of each kind.
+constexpr duration kRecentTime{std::chrono::seconds{1}};
+constexpr size_t kMaxRecent = 60;
+
 /// Contents whose refusal has been noted.
 constexpr size_t kMaxRefused = 64;
 
@@ -70,7 +74,7 @@
 template <typename Map, typename Key, typename Voiding>
 bool RecordLater(Map& map, const Key& key, const Voiding& later) {
   const auto found = map.find(key);
-  if (found != map.end() && found->second.at >= later.at) {
+  if (found != map.end() && found->second.at + kReportingJitter >= later.at) {
     return false;
   }
   if (found == map.end() && map.size() >= kMaxVoidings) {
@@ -170,6 +174,7 @@
       }
     } else if (!known.is_confirmed && age <= entry_lifetime_) {
       known.is_confirmed = true;
+      known.learnt_at = now;
       known.is_news = true;
       AddNote({.note_kind = crash_note::kind::kCounted,
                .content_hash = known.content_hash,
@@ -190,8 +195,11 @@
   });
   if (found != marks_.end()) {
     const bool is_first_proof = added.is_confirmed && !found->is_confirmed;
-    found->is_confirmed = found->is_confirmed || added.is_confirmed;
-    found->is_news = found->is_news || (is_first_proof && added.is_news);
+    if (is_first_proof) {
+      found->is_confirmed = true;
+      found->learnt_at = now;
+      found->is_news = added.is_news;
+    }
     return;
   }
   DropExpired(now);
@@ -212,6 +220,7 @@
              .target = added.target.id,
              .crashes = static_cast<int>(MarkCount(added.content_hash)) + 1});
   }
+  added.learnt_at = now;
   marks_.push_back(std::move(added));
 }
 
@@ -250,7 +259,8 @@
     return true;
   }
   const auto served = served_.find(candidate.content_hash);
-  return served != served_.end() && candidate.broken_at <= served->second.at;
+  return served != served_.end() &&
+         candidate.broken_at <= served->second.at + kReportingJitter;
 }
 
 void crash_watch::DropExpired(time_point now) {
@@ -377,34 +387,53 @@
   return news;
 }
 
+bool crash_watch::HasNews() const {
+  const auto is_news = [](const auto& entry) { return entry.second.is_news; };
+  return std::ranges::any_of(marks_, &mark::is_news) ||
+         std::ranges::any_of(survivors_, is_news) ||
+         std::ranges::any_of(served_, is_news);
+}
+
+crash_evidence crash_watch::Recent(time_point now) const {
+  return Select(now - kRecentTime, now - kRecentTime, kMaxRecent, now);
+}
+
 crash_evidence crash_watch::Latest(size_t max_count, time_point now) const {
-  crash_evidence latest;
+  return Select(now - kMarkTtl, now - kVoidingSharedFor, max_count, now);
+}
+
+crash_evidence crash_watch::Select(time_point marks_since,
+                                   time_point voidings_since, size_t max_count,
+                                   time_point now) const {
+  crash_evidence selected;
   for (const mark& known : marks_) {
-    if (now - known.broken_at < kMarkTtl) {
-      latest.marks.push_back({known.content_hash, known.target,
-                              now - known.broken_at, known.is_confirmed});
+    const duration age = now - known.broken_at;
+    if (known.learnt_at >= marks_since && age >= kSameMoment &&
+        age < kMarkTtl) {
+      selected.marks.push_back(
+          {known.content_hash, known.target, age, known.is_confirmed});
     }
   }
   for (const auto& [target, survived] : survivors_) {
-    if (now - survived.learnt_at < kVoidingSharedFor) {
-      latest.survivors.push_back(
+    if (survived.learnt_at >= voidings_since) {
+      selected.survivors.push_back(
           {{target.first, target.second}, now - survived.at});
     }
   }
   for (const auto& [content_hash, served] : served_) {
-    if (now - served.learnt_at < kVoidingSharedFor) {
-      latest.served.push_back({content_hash, now - served.at});
+    if (served.learnt_at >= voidings_since) {
+      selected.served.push_back({content_hash, now - served.at});
     }
   }
   const auto oldest_first = [](const auto& a, const auto& b) {
     return a.age > b.age;
   };
-  std::ranges::sort(latest.survivors, oldest_first);
-  std::ranges::sort(latest.served, oldest_first);
-  KeepLast(latest.marks, max_count);
-  KeepLast(latest.survivors, max_count);
-  KeepLast(latest.served, max_count);
-  return latest;
+  std::ranges::sort(selected.survivors, oldest_first);
+  std::ranges::sort(selected.served, oldest_first);
+  KeepLast(selected.marks, max_count);
+  KeepLast(selected.survivors, max_count);
+  KeepLast(selected.served, max_count);
+  return selected;
 }
 
 void crash_watch::Import(const crash_evidence& evidence, bool passes_on,
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -18,6 +18,7 @@
 constexpr std::string_view kHostsTag = "hosts";
 constexpr std::string_view kLoadsTag = "loads";
 constexpr std::string_view kStatementsTag = "statements";
+constexpr std::string_view kCrashesTag = "crashes";
 constexpr std::string_view kPermitRequestTag = "permit-request";
 constexpr std::string_view kPermitReplyTag = "permit-reply";
 constexpr std::string_view kRelayedTag = "relay";
@@ -137,6 +138,10 @@
                       InMs(reply.grant.next_delay)});
 }
 
+json ToJson(const crashes_record& record) {
+  return json::array({kCrashesTag, ToJson(record.evidence)});
+}
+
 json ToJson(const loads_record& record) {
   return json::array({kLoadsTag, ToJson(record.loads)});
 }
@@ -485,6 +490,9 @@
     if (tag == kStatementsTag) {
       return host_message{statements_record{ReadStatements(value.at(1))}};
     }
+    if (tag == kCrashesTag) {
+      return host_message{crashes_record{ReadCrashes(value.at(1))}};
+    }
     if (tag == kPermitRequestTag) {
       return host_message{ReadPermitRequest(value)};
     }
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -274,6 +274,7 @@
   router_actions actions;
   router_.OnAttemptEnded(report, now, actions);
   Carry(actions);
+  ShareCrashesSoon();
 }
 
 void edge_daemon::Carry(router_actions& actions) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -105,6 +105,12 @@
   void OnHeartbeatStatements(const target_statements& statements,
                              time_point now);
   void ShareStatementOf(const target_life& target);
+  /// Whether this host passes on what the others report: all reports go to the
+  /// host that the lease names, also while the store is away.
+  bool PassesOnReports() const;
+  void OnCrashes(const crash_evidence& evidence, time_point now);
+  void ShareCrashesSoon();
+  void ShareCrashes();
   void OnLimits(std::span<const limit_sample> limits, time_point now);
   void OnPermitRequest(const permit_request& request, time_point now);
   void OnPermitReply(const permit_reply& reply, time_point now);
@@ -186,6 +192,8 @@
   time_point statements_shared_at_{};
   /// Targets whose statements have changed since then.
   std::vector<target_life> stating_targets_;
+  timer share_crashes_;
+  bool crashes_due_ = false;  ///< `share_crashes_` is armed.
   timer leave_;
 };
 
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -35,6 +35,9 @@
 /// mind.
 constexpr duration kShareStatementsPeriod{milliseconds{100}};
 
+/// Crashes of targets are sent no more often than this.
+constexpr duration kShareCrashesPeriod{milliseconds{100}};
+
 /// Bytes of an object that is sent to all hosts; with what relays add to it it
 /// still fits in a datagram.
 constexpr size_t kMostShared = 48000;
@@ -253,13 +256,13 @@
   const time_point now = Now();
   if (const auto* report = std::get_if<load_report>(&message.value())) {
     assigner_.OnReport(*report, now);
-    router_.crashes().Import(report->crashes, assigner_.IsHolder(now), now);
+    OnCrashes(report->crashes, now);
   } else if (const auto* heartbeat =
                  std::get_if<assigner_heartbeat>(&message.value())) {
     assigner_.OnHeartbeat(*heartbeat, now);
     TakeHostCount();
     if (heartbeat->host != settings_.name) {
-      router_.crashes().Import(heartbeat->crashes, false, now);
+      OnCrashes(heartbeat->crashes, now);
       if (heartbeat->view) {
         OnView(*heartbeat->view, now);
       }
@@ -285,6 +288,9 @@
   } else if (const auto* record =
                  std::get_if<statements_record>(&message.value())) {
     OnStatements(record->statements, now);
+  } else if (const auto* crashes =
+                 std::get_if<crashes_record>(&message.value())) {
+    OnCrashes(crashes->evidence, now);
   } else if (const auto* permits =
                  std::get_if<permit_request>(&message.value())) {
     OnPermitRequest(*permits, now);
@@ -396,7 +402,7 @@
                      .lease_revision = assigner_.lease_revision(),
                      .services = {},
                      .targets = {},
-                     .crashes = router_.crashes().TakeNews(Now())};
+                     .crashes = router_.crashes().Recent(Now())};
   for (const service_settings& each : router_.table()->config().services) {
     service_load load{.service = each.name,
                       .keys = router_.TakeKeyLoad(each.name)};
@@ -409,11 +415,48 @@
     }
   }
   const auto& lease = assigner_.lease();
+  if (PassesOnReports() && !report.crashes.empty()) {
+    SendToHosts(assigner_.OtherHosts(Now()),
+                FormatHostMessage(crashes_record{report.crashes}));
+  }
   if (lease && !lease->address.empty()) {
     hosts_.Send(lease->address, FormatHostMessage(report));
   }
 }
 
+bool edge_daemon::PassesOnReports() const {
+  const auto& lease = assigner_.lease();
+  return lease && lease->address == settings_.hosts;
+}
+
+void edge_daemon::OnCrashes(const crash_evidence& evidence, time_point now) {
+  if (!evidence.empty()) {
+    router_.crashes().Import(evidence, PassesOnReports(), now);
+    ShareCrashesSoon();
+  }
+}
+
+void edge_daemon::ShareCrashesSoon() {
+  if (router_.crashes().HasNews() && !std::exchange(crashes_due_, true)) {
+    share_crashes_ = RunAfter(kShareCrashesPeriod, [this] { ShareCrashes(); });
+  }
+}
+
+/// Tells the holder of the lease which targets may have crashed under which
+/// contents. The holder tells all hosts.
+void edge_daemon::ShareCrashes() {
+  crashes_due_ = false;
+  const time_point now = Now();
+  const crashes_record record{router_.crashes().TakeNews(now)};
+  const auto& lease = assigner_.lease();
+  if (!record.evidence.empty() && PassesOnReports()) {
+    SendToHosts(assigner_.OtherHosts(now), FormatHostMessage(record));
+  } else if (!record.evidence.empty() && lease && !lease->address.empty()) {
+    hosts_.Send(lease->address, FormatHostMessage(record));
+  }
+  ShareCrashesSoon();
+}
+
 /// Lets loads be shared soon. Nothing is armed where targets tell none.
 void edge_daemon::ShareLoadsSoon() {
   if (!std::exchange(loads_due_, true)) {
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -128,6 +128,16 @@
             host_message{owners});
 }
 
+TEST_F(HostMessagesTest, CrashesRoundTrip) {
+  const target_life target{.id = "t-1", .started = 5};
+  const crashes_record record{
+      {.marks = {{.content_hash = 81, .target = target, .is_confirmed = true}},
+       .survivors = {{.target = target, .age = milliseconds{70}}},
+       .served = {{.content_hash = 82, .age = seconds{2}}}}};
+  EXPECT_EQ(ParseHostMessage(FormatHostMessage(record)).value(),
+            host_message{record});
+}
+
 TEST_F(HostMessagesTest, LoadsRoundTrip) {
   const loads_record record{{{.target = 4'000'000'000,
                               .load = {.running = 6, .waiting = 2},
--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -38,8 +38,9 @@
 constexpr int kMissedHeartbeats = 3;
 /// Longest time until a host has read a change in the store.
 constexpr duration kMaxListLag{std::chrono::milliseconds{800}};
-/// Period at which hosts report to the lease holder, and at which that sends
+/// Periods at which hosts tell of crashes and the lease holder sends
 /// heartbeats.
+constexpr duration kShareCrashesPeriod{std::chrono::milliseconds{100}};
 constexpr duration kHeartbeatPeriod{std::chrono::milliseconds{250}};
 /// Time in which entries that lapsed while the store was away may be back.
 constexpr duration kStoreEcho{std::chrono::milliseconds{2500}};
@@ -349,15 +350,20 @@
 
 void router_world::SendCrashingRequests(duration period, duration length,
                                         int max_retries) {
-  if (!std::exchange(shares_crashes_, true)) {
-    ShareCrashes();
-  }
+  StartSharingCrashes();
   for (duration at{0}; at < length; at += period) {
     Schedule(now_ + at,
              [this, max_retries] { SendCrashingRequest(max_retries); });
   }
 }
 
+void router_world::StartSharingCrashes() {
+  if (!std::exchange(shares_crashes_, true)) {
+    ShareCrashes();
+    SendHeartbeats();
+  }
+}
+
 void router_world::SendCrashingRequest(int retries_left) {
   Admit(random_() % routers_.size(),
         {.content_hash = kCrashingContent, .retries_left = retries_left},
@@ -374,9 +380,7 @@
 }
 
 void router_world::ResetConnections(duration period, duration length) {
-  if (!std::exchange(shares_crashes_, true)) {
-    ShareCrashes();
-  }
+  StartSharingCrashes();
   for (duration at{0}; at < length; at += period) {
     Schedule(now_ + at, [this] {
       const size_t host = random_() % routers_.size();
@@ -462,24 +466,42 @@
   }
 }
 
-/// Hosts report the crashes that they know of to the lease holder, whose
-/// heartbeats tell all of them. It sends none while the store is away.
+/// Hosts tell the lease holder of crashes, and it tells all hosts, also while
+/// the store is away.
 void router_world::ShareCrashes() {
   crash_watch& holder = routers_[issuing_host_]->crashes();
-  for (size_t host = 0; host < routers_.size(); ++host) {
-    if (host != issuing_host_ && AreConnected(host, issuing_host_)) {
-      holder.Import(routers_[host]->crashes().TakeNews(now_), true, now_);
-    }
+  for (const size_t host : HostsOfHolder()) {
+    holder.Import(routers_[host]->crashes().TakeNews(now_), true, now_);
+  }
+  const crash_evidence news = holder.TakeNews(now_);
+  for (const size_t host : HostsOfHolder()) {
+    routers_[host]->crashes().Import(news, false, now_);
   }
+  Schedule(now_ + kShareCrashesPeriod, [this] { ShareCrashes(); });
+}
+
+/// The lease holder sends no heartbeats while the store is away.
+void router_world::SendHeartbeats() {
   constexpr size_t kMarksInHeartbeat = 60;
-  const crash_evidence evidence = holder.Latest(kMarksInHeartbeat, now_);
-  for (size_t host = 0; host < routers_.size(); ++host) {
-    if (host != issuing_host_ && AreConnected(host, issuing_host_) &&
-        now_ >= store_back_at_) {
+  const crash_evidence evidence =
+      routers_[issuing_host_]->crashes().Latest(kMarksInHeartbeat, now_);
+  for (const size_t host : HostsOfHolder()) {
+    if (now_ >= store_back_at_) {
       routers_[host]->crashes().Import(evidence, false, now_);
     }
   }
-  Schedule(now_ + kHeartbeatPeriod, [this] { ShareCrashes(); });
+  Schedule(now_ + kHeartbeatPeriod, [this] { SendHeartbeats(); });
+}
+
+/// The hosts that reach the lease holder, without itself.
+std::vector<size_t> router_world::HostsOfHolder() const {
+  std::vector<size_t> hosts;
+  for (size_t host = 0; host < routers_.size(); ++host) {
+    if (host != issuing_host_ && AreConnected(host, issuing_host_)) {
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
 }
 
 void router_world::LoseIssuer(duration takeover_time) {
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -202,7 +202,10 @@
   void ReassignKeys(const target_life& lost);
   void ListLater();
   void ListTargets(size_t host);
+  void StartSharingCrashes();
   void ShareCrashes();
+  void SendHeartbeats();
+  std::vector<size_t> HostsOfHolder() const;
   void AddHost(size_t host);
   void Schedule(time_point time, std::function<void()> callback);
   void ScheduleNextRequest(double rate_per_second, time_point end);
