--- a/src/programs/foxtail-fleet/main.cc
+++ b/src/programs/foxtail-fleet/main.cc
@@ -54,6 +54,7 @@
   bool kill = false;
   bool leave = false;
   bool reject = false;
+  bool crash = false;
   std::optional<double> limit;
   app.add_option("deployment", deployment, "vlahovic or prairie");
   app.add_option("--store", store, "Where the store listens");
@@ -72,6 +73,9 @@
       "--reject", reject,
       "The fourth target of the keyed service rejects all requests for "
       "four seconds and asks for a backoff");
+  app.add_flag("--crash", crash,
+               "A request to the last service crashes each target that begins "
+               "to run it, and its caller sends it again");
   app.add_option("--limit", limit,
                  "Requests a second that the second target of the keyed "
                  "service accepts from all hosts together")
@@ -93,6 +97,10 @@
   }
   // The entry hosts list the targets and share the keys out.
   RunFor(loop, std::chrono::seconds{5});
+  if (crash) {
+    options.crash_service = plan.services.back().name;
+    served.CrashOn(options.crash_service, foxtailspread::stand_in::kCrashPath);
+  }
   fleet_load load(events, plan, options);
   load.Start();
   served.SetLimit(1, limit);
@@ -121,6 +129,10 @@
               << " a second: " << served.target(1).limit().settled_arrivals()
               << '\n';
   }
+  if (crash) {
+    std::cout << "targets that a request has crashed: "
+              << served.crash().crashes() << '\n';
+  }
   std::cout << "calls of the store: " << served.store().calls() << '\n';
   const auto broken = load.Broken(served);
   for (const std::string& line : broken) {
--- a/tests/edge_daemon_test.cc
+++ b/tests/edge_daemon_test.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "net/connection_pool.h"
@@ -23,7 +24,8 @@
 
 class EdgeDaemonTest : public ::testing::Test {
  protected:
-  EdgeDaemonTest() : fleet_(events_, Plan()) {}
+  explicit EdgeDaemonTest(stand_in::fleet_plan plan = Plan())
+      : plan_(std::move(plan)), fleet_(events_, plan_) {}
 
   static stand_in::fleet_plan Plan() {
     return {.zones = {"north", "south"},
@@ -41,6 +43,7 @@
       settings.callers = "127.0.0.1:0";
       settings.readiness = "127.0.0.1:0";
       settings.hosts = "127.0.0.1:0";
+      settings.target_heartbeat = plan_.report_period;
       settings.store = "127.0.0.1:" + std::to_string(fleet_.store_port());
       hosts_.push_back(
           std::make_unique<edge_daemon>(settings, [this] { ++left_; }));
@@ -78,6 +81,7 @@
   }
 
   poller events_;
+  stand_in::fleet_plan plan_;
   stand_in::fleet fleet_;
   connection_pool pool_{events_, {}};
   std::vector<std::unique_ptr<edge_daemon>> hosts_;
@@ -283,6 +287,44 @@
   EXPECT_TRUE(RunUntil([&] { return Call(0, "keyed").status == 200; }));
 }
 
+/// A request to a pooled service that crashes each target that begins to run
+/// it. Entries of targets lapse after 4.5 s.
+class CrashingRequestTest : public EdgeDaemonTest {
+ protected:
+  CrashingRequestTest() : EdgeDaemonTest(PlanWithPages()) {}
+
+  static stand_in::fleet_plan PlanWithPages() {
+    stand_in::fleet_plan plan = Plan();
+    plan.services.push_back({"pages", 10, false, true, 1});
+    plan.report_period = milliseconds{1500};
+    return plan;
+  }
+
+  bool IsRefusedBy(size_t host) {
+    const http_message answer =
+        Exchange(hosts_[host]->readiness_port(),
+                 "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+    return answer.body.find("contents_refused 1.0\n") != std::string::npos;
+  }
+};
+
+// Guards against hosts that do not add up, or learn too late, which targets
+// have crashed under a request that comes again through any of them.
+TEST_F(CrashingRequestTest, SentAgainThroughBothHostsReachesFewTargets) {
+  fleet_.CrashOn("pages", "/crash");
+  const time_point until = Now() + seconds{6};
+  for (size_t call = 0; Now() < until; ++call) {
+    Call(call % 2, "pages", "/crash");
+    const time_point next = Now() + milliseconds{100};
+    RunUntil([&] { return Now() >= next; });
+  }
+  EXPECT_GE(fleet_.crash().crashes(), 3);
+  EXPECT_EQ(fleet_.crash().excess(), 0U);
+  EXPECT_TRUE(IsRefusedBy(0));
+  EXPECT_TRUE(IsRefusedBy(1));
+  EXPECT_EQ(Call(0, "pages", "/harmless").status, 200);
+}
+
 TEST_F(EdgeDaemonTest, MetricsTellOfRequestsAndCalls) {
   Call(0, "orders");
   const http_message answer = Exchange(
