Detect and report that a host reaches no target

A host is cut off when three targets fail without an answer of any for 0.2 s, or owe one for 1 s; a probe each 0.3 s finds the end. Events 351 and 352 and the gauge targets_unreachable say so. Nothing acts on it yet.

--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -32,6 +32,7 @@
 #include "foxtailspread/routing_config.h"
 #include "foxtailspread/target_entry.h"
 #include "foxtailspread/target_health.h"
+#include "foxtailspread/target_reach.h"
 #include "foxtailspread/target_statements.h"
 #include "foxtailspread/time.h"
 
@@ -169,8 +170,20 @@
   permit_demand demand{};
 };
 
+/// Reports that this host reaches no target any more, or one again.
+struct reach_change_action {
+  bool is_cut_off = false;
+};
+
+/// Asks a target for any answer, to find out whether it can be reached.
+struct probe_action {
+  std::string address{};
+  std::string path{};
+};
+
 using router_action =
-    std::variant<send_action, local_reply_action, deliver_action, cancel_action,
+    std::variant<reach_change_action, probe_action, send_action,
+                 local_reply_action, deliver_action, cancel_action,
                  limit_change_action, leaving_action, backoff_action,
                  permit_request_action>;
 using router_actions = std::vector<router_action>;
@@ -259,6 +272,8 @@
                  router_actions& out);
   void OnAttemptEnded(const attempt_report& report, time_point now,
                       router_actions& out);
+  /// Applies the end of a probe_action.
+  void OnProbeEnded(bool is_answered, time_point now, router_actions& out);
   /// Drops a request whose caller disconnected before the answer.
   void OnCallerGone(request_id id, time_point now, router_actions& out);
 
@@ -314,6 +329,8 @@
   std::vector<service_gauges> Gauges(time_point now);
   /// Request contents that crash targets; shared among the hosts.
   crash_watch& crashes() { return crashes_; }
+  /// Whether this host reaches no target.
+  bool is_cut_off() const { return is_cut_off_; }
 
  private:
   /// Period at which a waiting request is tried again without an event: targets
@@ -363,6 +380,11 @@
   static duration LikelyLatency(const service& service_state,
                                 const target* owner, time_point now);
   bool TrySend(request& pending_request, time_point now, router_actions& out);
+  /// Records what the end of an attempt tells of the paths to the targets.
+  void RecordReach(const target& attempted, attempt_verdict verdict,
+                   time_point now, router_actions& out);
+  /// Reports a change of whether targets can be reached, and probes one.
+  void UpdateReach(time_point now, router_actions& out);
   target* PickTarget(service& service_state, const request& pending_request,
                      time_point now, router_actions& out);
   /// Returns the owner of a request's key; nullptr if there is none or the key
@@ -489,6 +511,8 @@
   size_t host_count_ = 8;
   bool host_count_is_known_ = false;
   crash_watch crashes_;
+  target_reach reach_;
+  bool is_cut_off_ = false;  ///< As last reported.
   router_counts counts_;
   /// Statements of targets that are not listed now, by id and start.
   std::map<std::pair<std::string, uint64_t>, kept_statements>
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -182,6 +182,7 @@
     pending_request.first_sent_time = now;
   }
   chosen->health.OnSent(now);
+  reach_.OnSent(chosen->entry.life.id, now);
   if (chosen->limit.per_second()) {
     chosen->permits.Use(now);
     ++counts_.limited_sends;
@@ -257,6 +258,7 @@
       not_owner ? attempt_verdict::kNotOwner : report.verdict,
       pending_request.sent_time, pending_request.matched_route->objective, now);
   --service_state.in_flight;
+  RecordReach(*attempted_target, report.verdict, now, out);
   if (report.load) {
     RecordLoad(pending_request, *attempted_target, report, now);
   }
@@ -401,6 +403,7 @@
 }
 
 void request_router::OnTime(time_point now, router_actions& out) {
+  UpdateReach(now, out);
   while (!timers_.empty() && timers_.top().due_time <= now) {
     const request_id id = timers_.top().id;
     timers_.pop();
@@ -438,7 +441,8 @@
 }
 
 time_point request_router::NextDue() const {
-  return timers_.empty() ? time_point::max() : timers_.top().due_time;
+  return std::min(reach_.NextProbe(),
+                  timers_.empty() ? time_point::max() : timers_.top().due_time);
 }
 
 }  // namespace foxtailspread
--- a/src/core/request_router_targets.cc
+++ b/src/core/request_router_targets.cc
@@ -101,6 +101,7 @@
                                bool may_be_incomplete,
                                time_point unchanged_until, time_point now,
                                router_actions& out) {
+  reach_.OnListed(targets.size());
   std::unordered_set<const target*> listed;
   for (const target_entry& entry : targets) {
     service& service_state = FindOrAddService(entry.service);
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -122,6 +122,7 @@
                   .on_gone = [](exchange_id) {}}),
       targets_pool_(events_, platform::TargetPoolSettings()),
       orders_pool_(events_, platform::OrderPoolSettings()),
+      probes_pool_(events_, {}),
       hosts_(events_, [this](std::string_view bytes) { OnDatagram(bytes); }),
       store_(events_, settings_.store),
       config_(
@@ -406,6 +407,25 @@
             {"backoff_ms", backoff.count() / 1000}});
 }
 
+void edge_daemon::CarryOne(const reach_change_action& action) {
+  LogEvent(action.is_cut_off ? event_id::kTargetsUnreachable
+                             : event_id::kTargetsReachable);
+}
+
+void edge_daemon::CarryOne(const probe_action& action) {
+  pool_call call;
+  call.address = action.address;
+  call.request = FormatRequest(
+      {.method = "GET",
+       .target = action.path,
+       .headers = {{"Host", action.address}, {"Connection", "close"}}});
+  probes_pool_.Send(std::move(call), [this](const call_result& result) {
+    router_actions actions;
+    router_.OnProbeEnded(result.end == call_end::kAnswered, Now(), actions);
+    Carry(actions);
+  });
+}
+
 void edge_daemon::Step() {
   const time_point now = Now();
   if (armed_for_ != time_point::max()) {
@@ -525,6 +545,7 @@
   }
   line("contents_refused",
        static_cast<double>(router_.crashes().QuarantinedCount(now)));
+  line("targets_unreachable", router_.is_cut_off() ? 1.0 : 0.0);
   line("zones_evacuated", static_cast<double>(evacuations_.zones().size()));
   line("store_calls_total", static_cast<double>(store_.calls()));
   line("target_connections_total",
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -127,6 +127,8 @@
   void CarryOne(const limit_change_action& action);
   void CarryOne(const leaving_action& action);
   void CarryOne(const backoff_action& action);
+  void CarryOne(const reach_change_action& action);
+  void CarryOne(const probe_action& action);
   void CarryOne(const permit_request_action& action);
   void Carry(assigner_actions& actions);
   void CarryOne(const store_write& action);
@@ -159,6 +161,7 @@
   caller_server readiness_;
   connection_pool targets_pool_;
   connection_pool orders_pool_;
+  connection_pool probes_pool_;
   datagram_socket hosts_;
   platform::store_client store_;
   platform::store_follower<shared_config> config_;
