--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -42,6 +42,10 @@
 /// heartbeats.
 constexpr duration kShareCrashesPeriod{std::chrono::milliseconds{100}};
 constexpr duration kHeartbeatPeriod{std::chrono::milliseconds{250}};
+/// Time until a connection that gets no answer counts as failed, while it is
+/// being made and afterwards.
+constexpr duration kConnectTimeout{std::chrono::milliseconds{500}};
+constexpr duration kSilenceTimeout{std::chrono::milliseconds{1500}};
 /// Time in which entries that lapsed while the store was away may be back.
 constexpr duration kStoreEcho{std::chrono::milliseconds{2500}};
 
@@ -134,6 +138,7 @@
   routers_.resize(options_.hosts);
   timer_due_.resize(options_.hosts);
   started_at_.resize(options_.hosts);
+  lost_links_.resize(options_.hosts);
   for (size_t i = 0; i < options_.hosts; ++i) {
     AddHost(i);
   }
@@ -229,6 +234,7 @@
         OnNotServed(reply->id);
         continue;
       }
+      OnFirstTry(answered_caller, false);
       const bool refused = reply->reply == local_reply::kNotRun;
       results_.refused += refused ? 1 : 0;
       results_.failed += refused ? 0 : 1;
@@ -240,6 +246,7 @@
       }
       callers_.erase(reply->id);
     } else if (const auto* delivered = std::get_if<deliver_action>(&action)) {
+      OnFirstTry(callers_[delivered->id], true);
       const duration latency = now_ - callers_[delivered->id].arrival_time;
       results_.answered_in_time += latency <= options_.objective ? 1 : 0;
       results_.answered_late += latency > options_.objective ? 1 : 0;
@@ -341,6 +348,53 @@
   Schedule(store_back_at_ + kStoreEcho, [this] { ListLater(); });
 }
 
+void router_world::CutOffFromTargets(size_t first, size_t count, link_loss how,
+                                     duration length) {
+  loss_ = how;
+  cut_off_rule_.OnCut(now_);
+  for (size_t host = first; host < first + count; ++host) {
+    lost_links_[host] = true;
+    for (size_t target = 0; target < targets_.size(); ++target) {
+      if (how == link_loss::kReset) {
+        BreakAttempts(target, host);
+      }
+    }
+  }
+  Schedule(now_ + length, [this] {
+    cut_off_rule_.OnHealed();
+    lost_links_.assign(lost_links_.size(), false);
+  });
+}
+
+bool router_world::IsCutOffFromTargets(size_t host) const {
+  return lost_links_[host];
+}
+
+/// Ends an attempt of a host that is cut off as its connection pool would.
+void router_world::SendOverLostLink(size_t target,
+                                    const sent_attempt& attempt) {
+  const bool is_kept = (target + attempt.host) % 2 == 0;
+  duration delay = kLinkDelay;
+  attempt_verdict verdict = attempt_verdict::kUnreachable;
+  if (loss_ == link_loss::kNewRefused && is_kept) {
+    Schedule(now_ + kLinkDelay,
+             [this, target, attempt] { OnAttemptArrival(target, attempt); });
+    return;
+  }
+  if (loss_ == link_loss::kSilent) {
+    delay = is_kept ? kSilenceTimeout : kConnectTimeout;
+    verdict = is_kept ? attempt_verdict::kBroken : verdict;
+  }
+  Schedule(now_ + delay, [this, target, attempt, verdict] {
+    ReportAttempt(target, attempt, verdict);
+  });
+}
+
+void router_world::OnFirstTry(const caller& answered, bool is_served) {
+  cut_off_rule_.OnFirstTry(IsCutOffFromTargets(answered.host), is_served,
+                           answered.arrival_time);
+}
+
 void router_world::RestartHost(size_t host) {
   std::erase_if(callers_, [host](const auto& id_and_caller) {
     return id_and_caller.second.host == host;
@@ -538,6 +592,10 @@
                           .target = action.target};
   callers_[action.id].current_attempt_id = sent.attempt_id;
   const size_t target = target_index_by_id_.at(action.target.id);
+  if (IsCutOffFromTargets(host)) {
+    SendOverLostLink(target, sent);
+    return;
+  }
   Schedule(now_ + kLinkDelay,
            [this, target, sent] { OnAttemptArrival(target, sent); });
 }
@@ -638,23 +696,26 @@
                                  backoff_notice backoff) {
   const limit_notice stated{.per_second = targets_[target].limit.per_second()};
   const bool leaving = targets_[target].leaving.is_leaving();
-  Schedule(now_ + kLinkDelay,
-           [this, target, attempt, verdict, load, stated, leaving, backoff] {
-             if (!IsCurrent(attempt)) {
-               return;
-             }
-             targets_[target].limit.OnAnswer(attempt.host, now_);
-             targets_[target].leaving.OnAnswer(attempt.host, now_);
-             router_actions actions;
-             routers_[attempt.host]->OnAttemptEnded({.id = attempt.id,
-                                                     .verdict = verdict,
-                                                     .load = load,
-                                                     .limit = stated,
-                                                     .leaving = leaving,
-                                                     .backoff = backoff},
-                                                    now_, actions);
-             Execute(attempt.host, actions);
-           });
+  Schedule(now_ + kLinkDelay, [this, target, attempt, verdict, load, stated,
+                               leaving, backoff] {
+    const bool is_answer = verdict != attempt_verdict::kUnreachable &&
+                           verdict != attempt_verdict::kBroken;
+    if (!IsCurrent(attempt) || (is_answer && loss_ == link_loss::kSilent &&
+                                IsCutOffFromTargets(attempt.host))) {
+      return;
+    }
+    targets_[target].limit.OnAnswer(attempt.host, now_);
+    targets_[target].leaving.OnAnswer(attempt.host, now_);
+    router_actions actions;
+    routers_[attempt.host]->OnAttemptEnded({.id = attempt.id,
+                                            .verdict = verdict,
+                                            .load = load,
+                                            .limit = stated,
+                                            .leaving = leaving,
+                                            .backoff = backoff},
+                                           now_, actions);
+    Execute(attempt.host, actions);
+  });
 }
 
 }  // namespace foxtailspread::testing
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "foxtailspread/request_router.h"
+#include "platform/stand_in/cut_off_rule.h"
 #include "platform/stand_in/target_rules.h"
 
 namespace foxtailspread::testing {
@@ -41,6 +42,13 @@
   duration MeanTimeToRefusal() const;
 };
 
+/// How hosts are cut off from all targets.
+enum class link_loss {
+  kReset,       ///< Connections are reset, new ones refused.
+  kSilent,      ///< Packets are dropped.
+  kNewRefused,  ///< Connections to half of the targets live on.
+};
+
 /// The hosts, the service and its callers. Callers don't retry, but for
 /// requests that crash targets.
 struct router_world_options {
@@ -95,6 +103,11 @@
   void ResetConnections(duration period, duration length);
   /// All requests of Run() have the same content from now on.
   void SendOneContent() { sends_one_content_ = true; }
+  /// `count` hosts from `first` on lose the paths to all targets for `length`;
+  /// callers and the other hosts still reach them.
+  void CutOffFromTargets(size_t first, size_t count, link_loss how,
+                         duration length);
+  const stand_in::cut_off_rule& cut() const { return cut_off_rule_; }
   /// The store doesn't answer for `length`. Entries lapse meanwhile.
   void LoseStore(duration length);
   /// The host starts again without a memory.
@@ -202,6 +215,9 @@
   void ReassignKeys(const target_life& lost);
   void ListLater();
   void ListTargets(size_t host);
+  bool IsCutOffFromTargets(size_t host) const;
+  void SendOverLostLink(size_t target, const sent_attempt& attempt);
+  void OnFirstTry(const caller& answered, bool is_served);
   void StartSharingCrashes();
   void ShareCrashes();
   void SendHeartbeats();
@@ -250,6 +266,9 @@
   bool shares_crashes_ = false;
   bool sends_one_content_ = false;
   stand_in::crash_rule crash_rule_;
+  std::vector<bool> lost_links_;  ///< By host.
+  link_loss loss_ = link_loss::kReset;
+  stand_in::cut_off_rule cut_off_rule_;
 };
 
 }  // namespace foxtailspread::testing
