Hand requests of a host that reaches no target to hosts that do

Cause: a host had no other path to a target than its own, and nothing told a lost path from lost targets. The class: one host's view of a target stands for the target. Three targets that fail or stay silent raise a suspicion, three failed probes of other targets confirm it: crashes leave others that answer. The host reports it at once; the lease holder names hosts that reach targets, and the host hands requests to these over HTTP on the port that takes datagrams. A host whose connections to a part of the targets fail does so for what it would refuse as no-target. A request is handed over once; the deadline and the attempts that are left go with it; the host that took it counts it for the retry budget; not idempotent ones go to a second host only if no byte was sent; callers that leave and deadlines cancel it. Targets' permits, limits and backoffs are kept by the host that sends.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -68,6 +68,7 @@
   kTargetSurvived = 350,
   kTargetsUnreachable = 351,
   kTargetsReachable = 352,
+  kRequestRelayed = 353,
   kFaultsChanged = 800,
   kPoisonedRequest = 801,
   kWorkCancelled = 802,
@@ -243,7 +244,13 @@
      "targets-unreachable", "This host reaches no target of any service.",
      "Look at this host's links to the targets."},
     {event_id::kTargetsReachable, event_level::kInfo, "targets-reachable",
-     "A target answers this host again.", "Nothing to do."},
+     "A target answers this host again, or only some targets are unreachable.",
+     "Nothing to do if it reaches all."},
+    {event_id::kRequestRelayed, event_level::kInfo, "request-relayed",
+     "The host handed a request to the host at the address given, as it "
+     "reaches "
+     "no target for it.",
+     "Look at this host's links to the targets."},
     {event_id::kFaultsChanged, event_level::kInfo, "faults-changed",
      "A test has set the faults of a stand-in.", "Nothing to do."},
     {event_id::kPoisonedRequest, event_level::kError, "poisoned-request",
--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -19,6 +19,7 @@
 #include "foxtailspread/permit_issuer.h"
 #include "foxtailspread/reported_load.h"
 #include "foxtailspread/target_entry.h"
+#include "foxtailspread/target_reach.h"
 #include "foxtailspread/target_statements.h"
 #include "foxtailspread/time.h"
 
@@ -56,6 +57,7 @@
   std::vector<target_latency> targets;
   /// Crashes of targets that it has learnt of lately.
   crash_evidence crashes{};
+  target_paths paths = target_paths::kAll;  ///< Which targets it reaches.
 
   bool operator==(const load_report&) const = default;
 };
@@ -199,6 +201,14 @@
   bool operator==(const crashes_record&) const = default;
 };
 
+/// The hosts that reach targets, from the lease holder to a host that reports
+/// that it doesn't.
+struct relays_record {
+  std::vector<std::string> addresses;  ///< Where they take relayed requests.
+
+  bool operator==(const relays_record&) const = default;
+};
+
 /// Requests permits for a target with a limit from the lease holder.
 struct permit_request {
   std::string address;  ///< Where the reply goes, "IP:port".
@@ -230,7 +240,8 @@
 using host_message =
     std::variant<load_report, assigner_heartbeat, owners_record, targets_record,
                  shared_object, hosts_record, loads_record, statements_record,
-                 crashes_record, permit_request, permit_reply, relayed_message>;
+                 crashes_record, relays_record, permit_request, permit_reply,
+                 relayed_message>;
 
 /// Serialises a message as one datagram, and parses it.
 std::string FormatHostMessage(const host_message& message);
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -267,6 +267,13 @@
     settings_.address = std::move(address);
   }
 
+  /// Sets which targets this host reaches.
+  void OnTargetPaths(target_paths paths) { paths_ = paths; }
+  /// Returns where hosts that reach the targets take relayed requests, at most
+  /// `max_count`, other ones each time if there are more.
+  std::vector<std::string> HostsReachingTargets(size_t max_count,
+                                                time_point now);
+
   /// Releases the lease before this host stops. IsReleasingLease() is true
   /// until the store has confirmed the release.
   void PrepareToStop(time_point now, assigner_actions& out);
@@ -531,6 +538,8 @@
   /// have lapsed since; see IsHolder().
   bool was_holder_ = false;
   bool stopping_ = false;
+  target_paths paths_ = target_paths::kAll;
+  size_t next_relay_ = 0;  ///< Where HostsReachingTargets() begins.
   std::map<std::string, keyed_service> services_;
   std::set<std::string> service_names_;  ///< All, including those not keyed.
   std::set<std::string> evacuated_zones_;
@@ -544,6 +553,7 @@
     std::string address;
     uint64_t lease_revision = 0;
     double link_mbps = 0.0;
+    target_paths paths = target_paths::kAll;
     time_point last_seen{};
   };
   std::map<std::string, host_state> hosts_seen_;
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -28,6 +28,7 @@
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_map.h"
 #include "foxtailspread/permit_cache.h"
+#include "foxtailspread/relay_hosts.h"
 #include "foxtailspread/retry_budget.h"
 #include "foxtailspread/routing_config.h"
 #include "foxtailspread/target_entry.h"
@@ -50,6 +51,9 @@
   std::optional<key_point> key{};
   std::optional<duration> caller_timeout{};  ///< How long the caller waits.
   uint64_t content_hash = 0;  ///< Hash of the request's content; 0 for none.
+  /// Set if another host, which reaches no target, relays the request: how many
+  /// attempts are left of those that its route allows.
+  std::optional<int> relayed_attempts{};
 };
 
 /// Sends a request to a target.
@@ -87,6 +91,7 @@
   kCrashesTargets,
   kTargetLimited,
   kTargetBackoff,
+  kTargetsUnreachable,
 };
 
 /// Returns the name of `reason` in log and metrics. Names are stable.
@@ -122,6 +127,21 @@
   request_summary summary{};
 };
 
+/// Hands a request to another host, which serves it instead of this one.
+struct relay_action {
+  request_id id = 0;
+  std::string address{};  ///< Of the other host.
+  duration time_left{};   ///< Until the request's deadline.
+  int attempts_left = 0;  ///< Attempts that the other host may make.
+};
+
+/// How a relayed request ended.
+enum class relay_end {
+  kAnswered,  ///< The other host answered, whatever it answered.
+  kNotSent,   ///< No byte of the request was sent to it.
+  kBroken,    ///< It may have served the request; the answer is lost.
+};
+
 /// Cancels the request's current attempt by closing its connection.
 struct cancel_action {
   request_id id = 0;
@@ -170,19 +190,20 @@
   permit_demand demand{};
 };
 
-/// Reports that this host reaches no target any more, or one again.
+/// Reports a change of which targets this host reaches.
 struct reach_change_action {
-  bool is_cut_off = false;
+  target_paths paths = target_paths::kAll;
 };
 
 /// Asks a target for any answer, to find out whether it can be reached.
 struct probe_action {
+  std::string target{};
   std::string address{};
   std::string path{};
 };
 
 using router_action =
-    std::variant<reach_change_action, probe_action, send_action,
+    std::variant<reach_change_action, probe_action, relay_action, send_action,
                  local_reply_action, deliver_action, cancel_action,
                  limit_change_action, leaving_action, backoff_action,
                  permit_request_action>;
@@ -217,6 +238,7 @@
   uint64_t requests = 0;
   uint64_t retries = 0;
   uint64_t limited_sends = 0;  ///< Attempts sent to targets with a limit.
+  uint64_t relayed = 0;        ///< Requests handed to other hosts.
 };
 
 /// Settings of a request_router.
@@ -272,8 +294,15 @@
                  router_actions& out);
   void OnAttemptEnded(const attempt_report& report, time_point now,
                       router_actions& out);
+  /// Sets the hosts that reach targets, for use while this host reaches none.
+  void OnRelays(std::span<const std::string> addresses, time_point now,
+                router_actions& out);
+  /// Applies the end of a relay_action.
+  void OnRelayEnded(request_id id, relay_end end, time_point now,
+                    router_actions& out);
   /// Applies the end of a probe_action.
-  void OnProbeEnded(bool is_answered, time_point now, router_actions& out);
+  void OnProbeEnded(const std::string& target, bool is_answered, time_point now,
+                    router_actions& out);
   /// Drops a request whose caller disconnected before the answer.
   void OnCallerGone(request_id id, time_point now, router_actions& out);
 
@@ -329,13 +358,15 @@
   std::vector<service_gauges> Gauges(time_point now);
   /// Request contents that crash targets; shared among the hosts.
   crash_watch& crashes() { return crashes_; }
-  /// Whether this host reaches no target.
-  bool is_cut_off() const { return is_cut_off_; }
+  /// Which targets this host reaches, as last reported.
+  target_paths paths() const { return paths_; }
 
  private:
   /// Period at which a waiting request is tried again without an event: targets
   /// become trusted again and keys get an owner with time.
   static constexpr duration kRecheckPeriod{std::chrono::milliseconds{40}};
+  /// A request with less time left than this is not sent any more.
+  static constexpr duration kMinTimeToSend{std::chrono::milliseconds{15}};
 
   struct target;
   struct request;
@@ -383,8 +414,17 @@
   /// Records what the end of an attempt tells of the paths to the targets.
   void RecordReach(const target& attempted, attempt_verdict verdict,
                    time_point now, router_actions& out);
+  /// Hands a request to another host, if this host cannot serve it, any other
+  /// host is known to, and the request may still be sent; returns whether it
+  /// did.
+  bool TryRelay(request& pending_request, time_point now, router_actions& out);
+  bool is_cut_off() const { return paths_ == target_paths::kNone; }
+  /// Ends the relaying of a request, however it ended.
+  void StopRelaying(request& pending_request);
+  static int AttemptsLeft(const request& pending_request);
   /// Reports a change of whether targets can be reached, and probes one.
   void UpdateReach(time_point now, router_actions& out);
+  void SendProbes(size_t count, router_actions& out);
   target* PickTarget(service& service_state, const request& pending_request,
                      time_point now, router_actions& out);
   /// Returns the owner of a request's key; nullptr if there is none or the key
@@ -512,7 +552,8 @@
   bool host_count_is_known_ = false;
   crash_watch crashes_;
   target_reach reach_;
-  bool is_cut_off_ = false;  ///< As last reported.
+  relay_hosts relays_;
+  target_paths paths_ = target_paths::kAll;  ///< As last reported.
   router_counts counts_;
   /// Statements of targets that are not listed now, by id and start.
   std::map<std::pair<std::string, uint64_t>, kept_statements>
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -254,6 +254,7 @@
                               .address = report.address,
                               .lease_revision = report.lease_revision,
                               .link_mbps = report.link_mbps,
+                              .paths = report.paths,
                               .last_seen = now};
   // A former holder that has read this host's lease renews no more grants. The
   // same holds for a new process on the former holder's host.
@@ -382,6 +383,28 @@
   }
 }
 
+std::vector<std::string> key_assigner::HostsReachingTargets(size_t max_count,
+                                                            time_point now) {
+  std::vector<std::string> addresses;
+  if (paths_ == target_paths::kAll) {
+    addresses.push_back(settings_.address);
+  }
+  for (const auto& [name, host] : hosts_seen_) {
+    if (name != settings_.host && host.paths == target_paths::kAll &&
+        now - host.last_seen <= kRelayTimeout) {
+      addresses.push_back(host.address);
+    }
+  }
+  if (addresses.size() > max_count) {
+    next_relay_ = (next_relay_ + max_count) % addresses.size();
+    std::ranges::rotate(
+        addresses,
+        addresses.begin() + static_cast<std::ptrdiff_t>(next_relay_));
+    addresses.resize(max_count);
+  }
+  return addresses;
+}
+
 std::vector<fanout_hop> key_assigner::OtherHosts(time_point now) const {
   std::vector<fanout_host> hosts;
   hosts.reserve(hosts_seen_.size());
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -19,6 +19,7 @@
 constexpr std::string_view kLoadsTag = "loads";
 constexpr std::string_view kStatementsTag = "statements";
 constexpr std::string_view kCrashesTag = "crashes";
+constexpr std::string_view kRelaysTag = "relays";
 constexpr std::string_view kPermitRequestTag = "permit-request";
 constexpr std::string_view kPermitReplyTag = "permit-reply";
 constexpr std::string_view kRelayedTag = "relay";
@@ -41,6 +42,7 @@
 constexpr size_t kHeartbeatStatements = 8;
 constexpr size_t kHeartbeatCrashes = 9;
 constexpr size_t kReportCrashes = 9;
+constexpr size_t kReportPaths = 10;
 
 /// How long a store view is valid after it was read, as a fraction of the time
 /// that a draining target still accepts requests (2 s). Watches are renewed
@@ -142,6 +144,10 @@
   return json::array({kCrashesTag, ToJson(record.evidence)});
 }
 
+json ToJson(const relays_record& record) {
+  return json::array({kRelaysTag, record.addresses});
+}
+
 json ToJson(const loads_record& record) {
   return json::array({kLoadsTag, ToJson(record.loads)});
 }
@@ -163,7 +169,7 @@
   return json::array({kReportTag, report.host, report.zone, report.address,
                       report.lease_revision, std::move(services),
                       std::move(targets), NoPoisonMarks(), report.link_mbps,
-                      ToJson(report.crashes)});
+                      ToJson(report.crashes), static_cast<int>(report.paths)});
 }
 
 json ToJson(const assigner_heartbeat& heartbeat) {
@@ -328,6 +334,13 @@
   return reply;
 }
 
+target_paths ReadPaths(const json& value) {
+  const int number = value.get<int>();
+  return number == static_cast<int>(target_paths::kNone)   ? target_paths::kNone
+         : number == static_cast<int>(target_paths::kSome) ? target_paths::kSome
+                                                           : target_paths::kAll;
+}
+
 load_report ReadReport(const json& value) {
   load_report report;
   report.host = value.at(1).get<std::string>();
@@ -352,6 +365,9 @@
   if (value.size() > kReportCrashes) {
     report.crashes = ReadCrashes(value.at(kReportCrashes));
   }
+  if (value.size() > kReportPaths) {
+    report.paths = ReadPaths(value.at(kReportPaths));
+  }
   return report;
 }
 
@@ -493,6 +509,10 @@
     if (tag == kCrashesTag) {
       return host_message{crashes_record{ReadCrashes(value.at(1))}};
     }
+    if (tag == kRelaysTag) {
+      return host_message{
+          relays_record{value.at(1).get<std::vector<std::string>>()}};
+    }
     if (tag == kPermitRequestTag) {
       return host_message{ReadPermitRequest(value)};
     }
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -19,10 +19,6 @@
 /// Number of sends to unreachable targets after which a request is refused.
 constexpr int kMaxUnreachableSends = 3;
 
-/// Minimum time to the deadline for another send; less is not enough to get an
-/// answer.
-constexpr duration kMinTimeToSend{std::chrono::milliseconds{15}};
-
 /// Weight of one attempt in the moving average of the fraction of attempts that
 /// are shed, and the fraction above which a service counts as full: retries
 /// would only add to its load.
@@ -65,6 +61,8 @@
       return "target-limited";
     case refusal_reason::kTargetBackoff:
       return "target-backoff";
+    case refusal_reason::kTargetsUnreachable:
+      return "targets-unreachable";
   }
   return "unknown";
 }
@@ -119,6 +117,7 @@
   new_request->matched_route = matched_route;
   new_request->key = incoming.key;
   new_request->content_hash = incoming.content_hash;
+  new_request->relayed_attempts = incoming.relayed_attempts;
   new_request->arrival_time = now;
   const duration caller_timeout =
       incoming.caller_timeout.value_or(kDefaultCallerTimeout);
@@ -129,7 +128,10 @@
       splits_[matched_route->name].Next(matched_route->services);
   new_request->service_state =
       &FindOrAddService(matched_route->services[split_index].service);
-  new_request->service_state->budget.OnRequest(now);
+  // The host that relays a request has counted it.
+  if (!incoming.relayed_attempts) {
+    new_request->service_state->budget.OnRequest(now);
+  }
   if (new_request->service_state->keyed && new_request->key) {
     new_request->service_state->requested_keys.push_back(*new_request->key);
   }
@@ -140,8 +142,25 @@
 
 void request_router::Admit(request& new_request, time_point now,
                            router_actions& out) {
+  UpdateReach(now, out);
+  if (RefuseIfItCrashesTargets(new_request, now, out)) {
+    return;
+  }
+  if (is_cut_off()) {
+    Schedule(new_request.deadline, new_request.id);
+    if (!TryRelay(new_request, now, out)) {
+      Refuse(new_request, refusal_reason::kTargetsUnreachable, now, out);
+    }
+    return;
+  }
   if (const auto reason =
           RefusalReasonFor(*new_request.service_state, new_request, now)) {
+    // Other hosts may reach a target that this one doesn't.
+    if (*reason == refusal_reason::kNoTarget &&
+        TryRelay(new_request, now, out)) {
+      Schedule(new_request.deadline, new_request.id);
+      return;
+    }
     Refuse(new_request, *reason, now, out);
     return;
   }
@@ -200,9 +219,7 @@
 }
 
 bool request_router::TryTakeRetry(request& pending_request, time_point now) {
-  const int max_attempts =
-      std::max(pending_request.matched_route->max_attempts, 1);
-  if (pending_request.attempt_count >= max_attempts ||
+  if (AttemptsLeft(pending_request) < 1 ||
       pending_request.service_state->shed_fraction > kMaxShedFraction ||
       pending_request.deadline - now < kMinTimeToSend) {
     return false;
@@ -303,7 +320,9 @@
     case attempt_verdict::kUnreachable:
       --pending_request.attempt_count;
       if (++pending_request.unreachable_count >= kMaxUnreachableSends) {
-        Refuse(pending_request, refusal_reason::kNoTarget, now, out);
+        if (!TryRelay(pending_request, now, out)) {
+          Refuse(pending_request, refusal_reason::kNoTarget, now, out);
+        }
       } else {
         StartWaiting(pending_request, now);
       }
@@ -334,6 +353,10 @@
   request& pending_request = *found->second;
   service& service_state = *pending_request.service_state;
   const target_ptr attempted_target = pending_request.current_target;
+  if (!pending_request.relayed_to.empty()) {
+    StopRelaying(pending_request);
+    out.emplace_back(cancel_action{id});
+  }
   if (pending_request.current_target) {
     pending_request.current_target->health.OnEnded(
         attempt_verdict::kAbandoned, pending_request.sent_time,
@@ -379,9 +402,16 @@
 void request_router::Expire(request& pending_request, time_point now,
                             router_actions& out) {
   service& service_state = *pending_request.service_state;
+  const bool is_relayed = !pending_request.relayed_to.empty();
   const bool only_current_may_have_run =
-      pending_request.current_target && !pending_request.may_have_run;
+      (pending_request.current_target || is_relayed) &&
+      !pending_request.may_have_run;
   const target_ptr attempted_target = pending_request.current_target;
+  if (is_relayed) {
+    StopRelaying(pending_request);
+    pending_request.may_have_run = true;
+    out.emplace_back(cancel_action{pending_request.id});
+  }
   if (pending_request.current_target) {
     pending_request.current_target->health.OnEnded(
         attempt_verdict::kTimedOut, pending_request.sent_time,
@@ -425,7 +455,8 @@
       }
       Refuse(pending_request, refusal_reason::kWaitedTooLong, now, out);
     } else if (pending_request.is_waiting() &&
-               !RefuseIfItCrashesTargets(pending_request, now, out)) {
+               !RefuseIfItCrashesTargets(pending_request, now, out) &&
+               !(is_cut_off() && TryRelay(pending_request, now, out))) {
       DropMissingTargets(*pending_request.service_state, now);
       if (const auto reason = NoTargetReason(pending_request, now)) {
         Refuse(pending_request, *reason, now, out);
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -286,9 +286,6 @@
 
 std::optional<refusal_reason> request_router::RefusalReasonFor(
     service& service_state, const request& pending_request, time_point now) {
-  if (crashes_.ShouldRefuse(pending_request.content_hash, now)) {
-    return refusal_reason::kCrashesTargets;
-  }
   const auto is_too_late = [&](duration expected) {
     const double max_expected =
         static_cast<double>(pending_request.matched_route->objective.count()) *
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -99,6 +99,9 @@
   time_point earliest_send{};    ///< Earliest time of the next send.
   int attempt_count = 0;         ///< Attempts that reached a target.
   int unreachable_count = 0;     ///< Attempts that reached no target.
+  int relay_count = 0;           ///< Times that it was handed to another host.
+  std::string relayed_to{};      ///< The host that has it now; else empty.
+  std::optional<int> relayed_attempts;  ///< As in incoming_request.
   bool may_have_run = false;
   bool has_answer = false;  ///< A target's error answer is kept for the caller.
   target_ptr current_target;       ///< Set while an attempt is under way.
--- a/src/core/target_reach.cc
+++ b/src/core/target_reach.cc
@@ -14,6 +14,11 @@
 /// still gets some answers in that time.
 constexpr duration kSilenceTime{std::chrono::milliseconds{1000}};
 
+/// A failed connection counts for this time, and this part of all targets must
+/// be unreachable, for the path and not the targets to be at fault.
+constexpr duration kUnreachableTime{std::chrono::seconds{3}};
+constexpr size_t kUnreachableDivisor = 10;
+
 }  // namespace
 
 size_t target_reach::FailuresNeeded() const {
@@ -24,9 +29,11 @@
   silent_since_.emplace(target, now);
 }
 
-void target_reach::OnAnswer() {
+void target_reach::OnAnswer(const std::string& target) {
+  unreachable_.erase(target);
   failed_.clear();
   silent_since_.clear();
+  is_suspected_ = false;
   is_cut_off_ = false;
 }
 
@@ -37,10 +44,30 @@
   failed_.insert(target);
 }
 
-bool target_reach::IsCutOff(time_point now) {
+void target_reach::OnUnreachable(const std::string& target, time_point now) {
+  OnFailed(target, now);
+  unreachable_[target] = now;
+}
+
+target_paths target_reach::Paths(time_point now) {
+  if (!is_suspected_ && IsSuspected(now)) {
+    is_suspected_ = true;
+    failed_probes_ = 0;
+    next_probe_at_ = now;
+  }
   if (is_cut_off_) {
-    return true;
+    return target_paths::kNone;
   }
+  std::erase_if(unreachable_, [now](const auto& target_and_time) {
+    return now - target_and_time.second >= kUnreachableTime;
+  });
+  const size_t needed =
+      std::max(FailuresNeeded(), listed_ / kUnreachableDivisor);
+  return unreachable_.size() >= needed ? target_paths::kSome
+                                       : target_paths::kAll;
+}
+
+bool target_reach::IsSuspected(time_point now) const {
   const auto is_silent = [now](const auto& target_and_time) {
     return now - target_and_time.second >= kSilenceTime;
   };
@@ -48,23 +75,24 @@
                         now - first_failed_at_ >= kMinFailureTime;
   const bool all_silent = static_cast<size_t>(std::ranges::count_if(
                               silent_since_, is_silent)) >= FailuresNeeded();
-  if (all_fail || all_silent) {
-    is_cut_off_ = true;
-    next_probe_at_ = now + kProbePeriod;
-  }
-  return is_cut_off_;
+  return all_fail || all_silent;
 }
 
-bool target_reach::TakeProbe(time_point now) {
-  if (!is_cut_off_ || now < next_probe_at_) {
-    return false;
+size_t target_reach::TakeProbes(time_point now) {
+  if (!is_suspected_ || now < next_probe_at_) {
+    return 0;
   }
   next_probe_at_ = now + kProbePeriod;
-  return true;
+  return is_cut_off_ ? 1 : FailuresNeeded();
+}
+
+void target_reach::OnProbeFailed() {
+  is_cut_off_ =
+      is_cut_off_ || (is_suspected_ && ++failed_probes_ >= FailuresNeeded());
 }
 
 time_point target_reach::NextProbe() const {
-  return is_cut_off_ ? next_probe_at_ : time_point::max();
+  return is_suspected_ ? next_probe_at_ : time_point::max();
 }
 
 }  // namespace foxtailspread
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -40,6 +40,11 @@
 /// answers: each is kept up to twice on its way, and the process itself needs
 /// some megabytes.
 constexpr size_t kCallersMemoryPart = 4;
+constexpr size_t kRelayedMemoryPart = 8;
+
+/// Set in the number of an exchange with a host that relays a request, to tell
+/// it from those with callers.
+constexpr exchange_id kRelayedExchange = exchange_id{1} << 63U;
 
 /// A stall of the loop of this length can make requests late.
 constexpr duration kLoggedStall{milliseconds{200}};
@@ -120,9 +125,18 @@
                         OnReadinessRequest(id, request);
                       },
                   .on_gone = [](exchange_id) {}}),
+      relayed_(events_, {.on_request =
+                             [this](exchange_id id, http_message request) {
+                               OnRelayedRequest(id, std::move(request));
+                             },
+                         .on_gone =
+                             [this](exchange_id id) {
+                               OnCallerGone(id | kRelayedExchange);
+                             }}),
       targets_pool_(events_, platform::TargetPoolSettings()),
       orders_pool_(events_, platform::OrderPoolSettings()),
       probes_pool_(events_, {}),
+      relays_pool_(events_, {}),
       hosts_(events_, [this](std::string_view bytes) { OnDatagram(bytes); }),
       store_(events_, settings_.store),
       config_(
@@ -163,6 +177,7 @@
 
 void edge_daemon::LimitMemory() {
   callers_.SetMostBuffered((settings_.memory_mb << 20) / kCallersMemoryPart);
+  relayed_.SetMostBuffered((settings_.memory_mb << 20) / kRelayedMemoryPart);
 }
 
 status edge_daemon::Start() {
@@ -183,6 +198,11 @@
       settings_.hosts.substr(0, settings_.hosts.rfind(':') + 1);
   settings_.hosts = ip + std::to_string(hosts_.port());
   assigner_.SetAddress(settings_.hosts);
+  // Over TCP the same port takes requests that other hosts hand over.
+  if (status listening = relayed_.Listen(settings_.hosts); !listening) {
+    LogEvent(event_id::kListenFailed, {{"address", settings_.hosts}});
+    return listening;
+  }
   LogEvent(
       event_id::kHostStarted,
       {{"zone", settings_.zone},
@@ -220,7 +240,21 @@
   readiness_.Answer(id, answer);
 }
 
-void edge_daemon::OnRequest(exchange_id id, http_message request) {
+void edge_daemon::OnRelayedRequest(exchange_id id, http_message request) {
+  const auto attempts = platform::TakeRelayedAttempts(request);
+  OnRequest(id | kRelayedExchange, std::move(request), attempts.value_or(1));
+}
+
+void edge_daemon::Answer(exchange_id id, http_message answer) {
+  if ((id & kRelayedExchange) != 0) {
+    relayed_.Answer(id & ~kRelayedExchange, std::move(answer));
+  } else {
+    callers_.Answer(id, std::move(answer));
+  }
+}
+
+void edge_daemon::OnRequest(exchange_id id, http_message request,
+                            std::optional<int> relayed_attempts) {
   const time_point now = Now();
   flight& added = flights_[id];
   added.request = std::move(request);
@@ -231,7 +265,9 @@
                                             .reason = refusal_reason::kStopping,
                                             .retry_after = duration{0}});
   } else {
-    router_.OnRequest(platform::Describe(id, added.request), now, actions);
+    incoming_request described = platform::Describe(id, added.request);
+    described.relayed_attempts = relayed_attempts;
+    router_.OnRequest(described, now, actions);
   }
   Carry(actions);
 }
@@ -318,6 +354,7 @@
     return;
   }
   found->second.target = action.target;
+  found->second.is_relayed = false;
   found->second.call =
       targets_pool_.Send(platform::ToTarget(found->second.request, action),
                          [this, id = action.id](call_result result) {
@@ -347,7 +384,7 @@
   } else if (action.not_run_if_unwritten) {
     said.retry_after.reset();
   }
-  callers_.Answer(action.id, platform::OwnAnswer(said));
+  Answer(action.id, platform::OwnAnswer(said));
   flights_.erase(found);
 }
 
@@ -361,16 +398,19 @@
   flights_.erase(found);
   if (done.answer) {
     const bool head = done.request.method == "HEAD";
-    callers_.Answer(action.id,
-                    platform::ToCaller(std::move(*done.answer), head));
+    Answer(action.id, done.is_relayed
+                          ? platform::FromHost(std::move(*done.answer), head)
+                          : platform::ToCaller(std::move(*done.answer), head));
   }
 }
 
 void edge_daemon::CarryOne(const cancel_action& action) {
   const auto found = flights_.find(action.id);
   if (found != flights_.end() && found->second.call) {
-    found->second.unwritten = !targets_pool_.HasWritten(*found->second.call);
-    targets_pool_.Cancel(*found->second.call);
+    connection_pool& pool =
+        found->second.is_relayed ? relays_pool_ : targets_pool_;
+    found->second.unwritten = !pool.HasWritten(*found->second.call);
+    pool.Cancel(*found->second.call);
     found->second.call.reset();
   }
 }
@@ -408,8 +448,47 @@
 }
 
 void edge_daemon::CarryOne(const reach_change_action& action) {
-  LogEvent(action.is_cut_off ? event_id::kTargetsUnreachable
-                             : event_id::kTargetsReachable);
+  const bool any = action.paths != target_paths::kNone;
+  LogEvent(any ? event_id::kTargetsReachable : event_id::kTargetsUnreachable,
+           {{"reaches", action.paths == target_paths::kAll ? "all"
+                        : any                              ? "some"
+                                                           : "none"}});
+  assigner_.OnTargetPaths(action.paths);
+  ReportLoad();
+}
+
+void edge_daemon::CarryOne(const relay_action& action) {
+  const auto found = flights_.find(action.id);
+  if (found == flights_.end()) {
+    return;
+  }
+  const std::string attempt{platform::AttemptId(found->second.request)};
+  LogEvent(event_id::kRequestRelayed,
+           {{"request", attempt}, {"address", action.address}});
+  found->second.is_relayed = true;
+  found->second.call =
+      relays_pool_.Send(platform::ToHost(found->second.request, action),
+                        [this, id = action.id](call_result result) {
+                          OnRelayEnded(id, std::move(result));
+                        });
+}
+
+void edge_daemon::OnRelayEnded(request_id id, call_result result) {
+  const auto found = flights_.find(id);
+  if (found == flights_.end()) {
+    return;
+  }
+  found->second.call.reset();
+  relay_end end = relay_end::kNotSent;
+  if (result.end == call_end::kAnswered) {
+    end = relay_end::kAnswered;
+    found->second.answer = std::move(result.answer);
+  } else if (result.end == call_end::kBroken) {
+    end = relay_end::kBroken;
+  }
+  router_actions actions;
+  router_.OnRelayEnded(id, end, Now(), actions);
+  Carry(actions);
 }
 
 void edge_daemon::CarryOne(const probe_action& action) {
@@ -419,9 +498,11 @@
       {.method = "GET",
        .target = action.path,
        .headers = {{"Host", action.address}, {"Connection", "close"}}});
-  probes_pool_.Send(std::move(call), [this](const call_result& result) {
+  probes_pool_.Send(std::move(call), [this, target = action.target](
+                                         const call_result& result) {
     router_actions actions;
-    router_.OnProbeEnded(result.end == call_end::kAnswered, Now(), actions);
+    router_.OnProbeEnded(target, result.end == call_end::kAnswered, Now(),
+                         actions);
     Carry(actions);
   });
 }
@@ -491,7 +572,7 @@
 
 stop_phase edge_daemon::StopPhase(time_point now) const {
   const bool work_left = callers_.pending() > 0 || callers_.connections() > 0 ||
-                         assigner_.IsReleasingLease();
+                         relayed_.pending() > 0 || assigner_.IsReleasingLease();
   return stop_.Phase(now, work_left);
 }
 
@@ -500,6 +581,7 @@
   if (phase >= stop_phase::kClosing && !closing_) {
     closing_ = true;
     callers_.BeginClosing();
+    relayed_.BeginClosing();
   }
   if (phase == stop_phase::kDone) {
     LogEvent(event_id::kHostStopped,
@@ -524,6 +606,7 @@
   line("requests_total", static_cast<double>(counts.requests));
   line("repeats_total", static_cast<double>(counts.retries));
   line("limited_sends_total", static_cast<double>(counts.limited_sends));
+  line("relayed_total", static_cast<double>(counts.relayed));
   line("requests_pending", static_cast<double>(router_.pending()));
   for (const service_gauges& each : router_.Gauges(now)) {
     const std::string labels = MetricLabel("service", each.service);
@@ -545,7 +628,8 @@
   }
   line("contents_refused",
        static_cast<double>(router_.crashes().QuarantinedCount(now)));
-  line("targets_unreachable", router_.is_cut_off() ? 1.0 : 0.0);
+  line("targets_unreachable",
+       router_.paths() == target_paths::kNone ? 1.0 : 0.0);
   line("zones_evacuated", static_cast<double>(evacuations_.zones().size()));
   line("store_calls_total", static_cast<double>(store_.calls()));
   line("target_connections_total",
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -52,6 +52,8 @@
   /// any port.
   uint16_t callers_port() const { return callers_.port(); }
   uint16_t readiness_port() const { return readiness_.port(); }
+  /// Where other hosts hand requests over.
+  uint16_t relayed_port() const { return relayed_.port(); }
 
   /// Takes changed settings; those that a running process can change.
   void Reload(const platform::edge_settings& settings);
@@ -66,10 +68,17 @@
     std::optional<call_id> call;
     std::optional<http_message> answer;
     target_life target;
-    bool unwritten = false;  ///< The cancelled attempt was never written.
+    bool unwritten = false;   ///< The cancelled attempt was never written.
+    bool is_relayed = false;  ///< `call` goes to another host, not to a target.
   };
 
-  void OnRequest(exchange_id id, http_message request);
+  void OnRequest(exchange_id id, http_message request,
+                 std::optional<int> relayed_attempts = std::nullopt);
+  /// A request that another host, which reaches no target, hands over.
+  void OnRelayedRequest(exchange_id id, http_message request);
+  void OnRelayEnded(request_id id, call_result result);
+  /// Answers a caller, or the host that relays its request.
+  void Answer(exchange_id id, http_message answer);
   void OnCallerGone(exchange_id id);
   void OnReadinessRequest(exchange_id id, const http_message& request);
   void OnAttemptEnded(request_id id, call_result result);
@@ -129,6 +138,7 @@
   void CarryOne(const backoff_action& action);
   void CarryOne(const reach_change_action& action);
   void CarryOne(const probe_action& action);
+  void CarryOne(const relay_action& action);
   void CarryOne(const permit_request_action& action);
   void Carry(assigner_actions& actions);
   void CarryOne(const store_write& action);
@@ -159,9 +169,11 @@
   poller events_;
   caller_server callers_;
   caller_server readiness_;
+  caller_server relayed_;  ///< Requests that other hosts hand over.
   connection_pool targets_pool_;
   connection_pool orders_pool_;
   connection_pool probes_pool_;
+  connection_pool relays_pool_;
   datagram_socket hosts_;
   platform::store_client store_;
   platform::store_follower<shared_config> config_;
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -35,6 +35,12 @@
 /// mind.
 constexpr duration kShareStatementsPeriod{milliseconds{100}};
 
+/// Bytes of headers that a host adds to a request that it relays.
+constexpr size_t kRelayHeaderBytes = 256;
+
+/// Hosts that reach targets, named to a host that doesn't.
+constexpr size_t kMaxRelays = 32;
+
 /// Crashes of targets are sent no more often than this.
 constexpr duration kShareCrashesPeriod{milliseconds{100}};
 
@@ -99,11 +105,14 @@
   config_revision_ = found->second.revision;
   const route_table_ptr table = found->second.item->table;
   const routing_config& config = table->config();
-  callers_.SetLimits(
-      {.sizes = {.max_header_bytes = config.bounds.max_header_bytes,
-                 .max_body_bytes = config.bounds.max_body_bytes},
-       .header_timeout = config.bounds.header_timeout,
-       .idle_timeout = config.bounds.idle_timeout});
+  caller_limits limits{
+      .sizes = {.max_header_bytes = config.bounds.max_header_bytes,
+                .max_body_bytes = config.bounds.max_body_bytes},
+      .header_timeout = config.bounds.header_timeout,
+      .idle_timeout = config.bounds.idle_timeout};
+  callers_.SetLimits(limits);
+  limits.sizes.max_header_bytes += kRelayHeaderBytes;
+  relayed_.SetLimits(limits);
   LogEvent(event_id::kConfigInForce,
            {{"version", static_cast<int64_t>(config.version)},
             {"revision", static_cast<int64_t>(config_revision_)},
@@ -257,6 +266,11 @@
   if (const auto* report = std::get_if<load_report>(&message.value())) {
     assigner_.OnReport(*report, now);
     OnCrashes(report->crashes, now);
+    if (report->paths != target_paths::kAll && PassesOnReports()) {
+      const relays_record relays{
+          assigner_.HostsReachingTargets(kMaxRelays, now)};
+      hosts_.Send(report->address, FormatHostMessage(relays));
+    }
   } else if (const auto* heartbeat =
                  std::get_if<assigner_heartbeat>(&message.value())) {
     assigner_.OnHeartbeat(*heartbeat, now);
@@ -291,6 +305,11 @@
   } else if (const auto* crashes =
                  std::get_if<crashes_record>(&message.value())) {
     OnCrashes(crashes->evidence, now);
+  } else if (const auto* relays =
+                 std::get_if<relays_record>(&message.value())) {
+    router_actions actions;
+    router_.OnRelays(relays->addresses, now, actions);
+    Carry(actions);
   } else if (const auto* permits =
                  std::get_if<permit_request>(&message.value())) {
     OnPermitRequest(*permits, now);
@@ -402,7 +421,8 @@
                      .lease_revision = assigner_.lease_revision(),
                      .services = {},
                      .targets = {},
-                     .crashes = router_.crashes().Recent(Now())};
+                     .crashes = router_.crashes().Recent(Now()),
+                     .paths = router_.paths()};
   for (const service_settings& each : router_.table()->config().services) {
     service_load load{.service = each.name,
                       .keys = router_.TakeKeyLoad(each.name)};
--- a/tests/edge_daemon_test.cc
+++ b/tests/edge_daemon_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "net/connection_pool.h"
+#include "platform/request_codec.h"
 #include "platform/stand_in/fleet.h"
 #include "platform/wire.h"
 #include "run_until.h"
@@ -325,6 +326,29 @@
   EXPECT_EQ(Call(0, "pages", "/harmless").status, 200);
 }
 
+// Guards against requests that another host hands over and that do not reach
+// their targets as the caller sent them.
+TEST_F(EdgeDaemonTest, RequestHandedOverByAnotherHostIsServed) {
+  http_message request;
+  request.method = "POST";
+  request.target = "/order/5?x=1";
+  request.headers = {{"Host", "orders.example"},
+                     {std::string{platform::kAttemptId}, "relayed-1"},
+                     {std::string{platform::kDeadline}, "9000"}};
+  request.body = "body";
+  const std::string address =
+      "127.0.0.1:" + std::to_string(hosts_[1]->relayed_port());
+  const pool_call call = platform::ToHost(
+      request,
+      {.address = address, .time_left = seconds{1}, .attempts_left = 1});
+  EXPECT_NE(call.request.find("1000"), std::string::npos);
+  const http_message answer = Exchange(hosts_[1]->relayed_port(), call.request);
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, "/order/5?x=1");
+  EXPECT_TRUE(answer.Header(platform::kSignature));
+  EXPECT_EQ(fleet_.RunsOf("relayed-1"), 1);
+}
+
 TEST_F(EdgeDaemonTest, MetricsTellOfRequestsAndCalls) {
   Call(0, "orders");
   const http_message answer = Exchange(
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -138,6 +138,16 @@
             host_message{record});
 }
 
+TEST_F(HostMessagesTest, RelaysRoundTrip) {
+  load_report report;
+  report.paths = target_paths::kSome;
+  EXPECT_EQ(ParseHostMessage(FormatHostMessage(report)).value(),
+            host_message{report});
+  const relays_record relays{{"10.0.0.1:7", "10.0.0.2:7"}};
+  EXPECT_EQ(ParseHostMessage(FormatHostMessage(relays)).value(),
+            host_message{relays});
+}
+
 TEST_F(HostMessagesTest, LoadsRoundTrip) {
   const loads_record record{{{.target = 4'000'000'000,
                               .load = {.running = 6, .waiting = 2},
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -850,5 +850,148 @@
       router_.StatingTargetsMissingIn(router_.Statements(now_), now_).empty());
 }
 
+/// A host that reaches no target, and knows of two hosts that do.
+class RelayingRouterTest : public RequestRouterTest {
+ protected:
+  RelayingRouterTest() {
+    std::set<std::string> broken;
+    for (request_id id = 1; broken.size() < 3 && id < 100; ++id) {
+      for (const auto& sent :
+           ActionsOf<send_action>(SendRequest(id, "/orders/1"))) {
+        broken.insert(sent.target.id);
+      }
+      EndAttempt(id, attempt_verdict::kBroken);
+    }
+    FailProbes();
+    router_.OnRelays(kRelays, now_, actions_);
+    actions_.clear();
+  }
+
+  void FailProbes() {
+    now_ += milliseconds{300};
+    actions_.clear();
+    router_.OnTime(now_, actions_);
+    const size_t probes = ActionsOf<probe_action>(actions_).size();
+    EXPECT_EQ(probes, 3U);
+    for (size_t i = 0; i < probes; ++i) {
+      router_.OnProbeEnded("o1", false, now_, actions_);
+    }
+    EXPECT_EQ(router_.paths(), target_paths::kNone);
+  }
+
+  std::vector<relay_action> Relay(request_id id, std::string_view path) {
+    return ActionsOf<relay_action>(SendRequest(id, path));
+  }
+
+  const router_actions& EndRelay(request_id id, relay_end end) {
+    actions_.clear();
+    router_.OnRelayEnded(id, end, now_, actions_);
+    return actions_;
+  }
+
+  static inline const std::vector<std::string> kRelays{"10.0.0.8:1",
+                                                       "10.0.0.9:1"};
+};
+
+TEST_F(RelayingRouterTest, RequestGoesToAnotherHostAtOnce) {
+  const auto relayed = Relay(9, "/orders/1");
+  ASSERT_EQ(relayed.size(), 1U);
+  EXPECT_EQ(relayed[0].attempts_left, 2);
+  EXPECT_EQ(relayed[0].time_left, seconds{2});
+  EXPECT_EQ(ActionsOf<deliver_action>(EndRelay(9, relay_end::kAnswered)).size(),
+            1U);
+}
+
+// Guards against an order that runs twice, through two hosts.
+TEST_F(RelayingRouterTest, OrderThatMayHaveRunIsNotRelayedAgain) {
+  Relay(9, "/orders/1");
+  const auto replies =
+      ActionsOf<local_reply_action>(EndRelay(9, relay_end::kBroken));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].reply, local_reply::kUnknown);
+  EXPECT_TRUE(ActionsOf<relay_action>(actions_).empty());
+}
+
+TEST_F(RelayingRouterTest, RequestThatWasNotSentGoesToTheOtherHost) {
+  const auto first = Relay(9, "/orders/1");
+  const auto second = ActionsOf<relay_action>(EndRelay(9, relay_end::kNotSent));
+  ASSERT_EQ(first.size(), 1U);
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_NE(first[0].address, second[0].address);
+  const auto replies =
+      ActionsOf<local_reply_action>(EndRelay(9, relay_end::kNotSent));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].reply, local_reply::kNotRun);
+}
+
+// Guards against retries that two hosts count apart.
+TEST_F(RelayingRouterTest, RepeatedLookupUsesTheBudgetAndTheAttempts) {
+  const uint64_t retries = router_.counts().retries;
+  Relay(9, "/looks/1");
+  const auto again = ActionsOf<relay_action>(EndRelay(9, relay_end::kBroken));
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_EQ(again[0].attempts_left, 1);
+  EXPECT_EQ(router_.counts().retries, retries + 1);
+  EXPECT_TRUE(ActionsOf<relay_action>(EndRelay(9, relay_end::kBroken)).empty());
+}
+
+TEST_F(RelayingRouterTest, RelayedRequestIsNotRelayedOn) {
+  actions_.clear();
+  router_.OnRequest({.id = 9,
+                     .host = "shop.example",
+                     .path = "/orders/1",
+                     .relayed_attempts = 1},
+                    now_, actions_);
+  EXPECT_TRUE(ActionsOf<relay_action>(actions_).empty());
+  const auto replies = ActionsOf<local_reply_action>(actions_);
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].reason, refusal_reason::kTargetsUnreachable);
+}
+
+TEST_F(RelayingRouterTest, CallerThatLeavesCancelsTheRelayedRequest) {
+  Relay(9, "/orders/1");
+  actions_.clear();
+  router_.OnCallerGone(9, now_, actions_);
+  EXPECT_EQ(ActionsOf<cancel_action>(actions_).size(), 1U);
+}
+
+// Guards against saying of an order that another host may have passed on that
+// it did not run.
+TEST_F(RelayingRouterTest, OrderPastItsDeadlineIsNotRunOnlyIfUnwritten) {
+  Relay(9, "/orders/1");
+  AdvanceTime(seconds{2});
+  const auto replies = ActionsOf<local_reply_action>(actions_);
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].reply, local_reply::kTimedOut);
+  EXPECT_TRUE(replies[0].not_run_if_unwritten);
+  EXPECT_EQ(ActionsOf<cancel_action>(actions_).size(), 1U);
+}
+
+TEST_F(RelayingRouterTest, RequestsGoToTargetsAgainAfterAnAnsweredProbe) {
+  router_.OnProbeEnded("o1", true, now_, actions_);
+  EXPECT_EQ(router_.paths(), target_paths::kAll);
+  EXPECT_EQ(ActionsOf<send_action>(SendRequest(9, "/orders/1")).size(), 1U);
+}
+
+TEST_F(RelayingRouterTest, RequestIsRefusedAtOnceWithoutAnotherHost) {
+  router_.OnRelays({}, now_, actions_);
+  const auto replies =
+      ActionsOf<local_reply_action>(SendRequest(9, "/orders/1"));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].reply, local_reply::kNotRun);
+}
+
+/// Another host's request, with one attempt left.
+TEST_F(RequestRouterTest, RelayedRequestMakesNoMoreAttemptsThanAreLeft) {
+  router_.OnRequest({.id = 9,
+                     .host = "shop.example",
+                     .path = "/looks/1",
+                     .relayed_attempts = 1},
+                    now_, actions_);
+  ASSERT_EQ(ActionsOf<send_action>(actions_).size(), 1U);
+  EXPECT_TRUE(
+      ActionsOf<send_action>(EndAttempt(9, attempt_verdict::kBroken)).empty());
+}
+
 }  // namespace
 }  // namespace foxtailspread
--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -212,16 +212,24 @@
   const request_id id = ++last_request_id_;
   new_caller.arrival_time = now_;
   new_caller.host = host;
+  new_caller.key = key;
   callers_[id] = new_caller;
+  Pass(id, new_caller);
+}
+
+/// Passes a request to its host.
+void router_world::Pass(request_id id, const caller& sender) {
   router_actions actions;
-  routers_[host]->OnRequest({.id = id,
-                             .host = "shop.example",
-                             .path = "/1",
-                             .key = key,
-                             .caller_timeout = options_.caller_timeout,
-                             .content_hash = new_caller.content_hash},
-                            now_, actions);
-  Execute(host, actions);
+  routers_[sender.host]->OnRequest(
+      {.id = id,
+       .host = "shop.example",
+       .path = "/1",
+       .key = sender.key,
+       .caller_timeout = options_.caller_timeout,
+       .content_hash = sender.content_hash,
+       .relayed_attempts = sender.relayed_attempts},
+      now_, actions);
+  Execute(sender.host, actions);
 }
 
 void router_world::Execute(size_t host, const router_actions& actions) {
@@ -229,30 +237,32 @@
     if (const auto* send = std::get_if<send_action>(&action)) {
       Send(host, *send);
     } else if (const auto* reply = std::get_if<local_reply_action>(&action)) {
-      const caller& answered_caller = callers_[reply->id];
-      if (answered_caller.content_hash == kCrashingContent) {
-        OnNotServed(reply->id);
-        continue;
-      }
-      OnFirstTry(answered_caller, false);
-      const bool refused = reply->reply == local_reply::kNotRun;
-      results_.refused += refused ? 1 : 0;
-      results_.failed += refused ? 0 : 1;
-      results_.total_time_to_refusal +=
-          refused ? now_ - answered_caller.arrival_time : duration{0};
-      if (refused) {
-        results_.times_to_refusal[reply->reason].push_back(
-            now_ - answered_caller.arrival_time);
-      }
-      callers_.erase(reply->id);
+      OnRefused(reply->id, reply->reply == local_reply::kNotRun, reply->reason);
     } else if (const auto* delivered = std::get_if<deliver_action>(&action)) {
-      OnFirstTry(callers_[delivered->id], true);
-      const duration latency = now_ - callers_[delivered->id].arrival_time;
-      results_.answered_in_time += latency <= options_.objective ? 1 : 0;
-      results_.answered_late += latency > options_.objective ? 1 : 0;
-      callers_.erase(delivered->id);
+      OnAnswered(delivered->id);
     } else if (const auto* cancelled = std::get_if<cancel_action>(&action)) {
-      callers_[cancelled->id].current_attempt_id = 0;
+      caller& left = callers_[cancelled->id];
+      left.current_attempt_id = 0;
+      if (left.relayed_as != 0) {
+        const request_id relayed_as = std::exchange(left.relayed_as, 0);
+        const auto relayed = callers_.find(relayed_as);
+        if (relayed != callers_.end()) {
+          const size_t other = relayed->second.host;
+          callers_.erase(relayed);
+          router_actions ended;
+          routers_[other]->OnCallerGone(relayed_as, now_, ended);
+          Execute(other, ended);
+        }
+      }
+    } else if (const auto* relay = std::get_if<relay_action>(&action)) {
+      Relay(*relay);
+    } else if (const auto* probe = std::get_if<probe_action>(&action)) {
+      Schedule(now_ + 2 * kLinkDelay, [this, host, target = probe->target] {
+        router_actions ended;
+        routers_[host]->OnProbeEnded(target, !IsCutOffFromTargets(host), now_,
+                                     ended);
+        Execute(host, ended);
+      });
     } else if (const auto* change = std::get_if<limit_change_action>(&action)) {
       if (change->is_own_answer) {
         ShareStatements(host);
@@ -269,6 +279,98 @@
   ScheduleTimer(host);
 }
 
+void router_world::OnRefused(request_id id, bool has_not_run,
+                             refusal_reason reason) {
+  const caller answered = callers_[id];
+  if (answered.relayed_for != 0) {
+    callers_.erase(id);
+    OnRelayedAnswer(answered, reason);
+    return;
+  }
+  if (answered.content_hash == kCrashingContent) {
+    OnNotServed(id);
+    return;
+  }
+  callers_.erase(id);
+  OnFirstTry(answered, false);
+  results_.refused += has_not_run ? 1 : 0;
+  results_.failed += has_not_run ? 0 : 1;
+  if (has_not_run) {
+    results_.total_time_to_refusal += now_ - answered.arrival_time;
+    results_.times_to_refusal[reason].push_back(now_ - answered.arrival_time);
+  }
+}
+
+void router_world::OnAnswered(request_id id) {
+  const caller answered = callers_[id];
+  if (answered.relay_refusal) {
+    OnRefused(id, true, *answered.relay_refusal);
+    return;
+  }
+  callers_.erase(id);
+  if (answered.relayed_for != 0) {
+    OnRelayedAnswer(answered, std::nullopt);
+    return;
+  }
+  OnFirstTry(answered, true);
+  const duration latency = now_ - answered.arrival_time;
+  results_.answered_in_time += latency <= options_.objective ? 1 : 0;
+  results_.answered_late += latency > options_.objective ? 1 : 0;
+}
+
+/// Hands a request to another host as that one's own caller would.
+void router_world::Relay(const relay_action& action) {
+  const request_id id = ++last_request_id_;
+  caller& relaying = callers_[action.id];
+  relaying.relayed_as = id;
+  const size_t other = std::stoul(action.address);
+  const caller relayed{.host = other,
+                       .content_hash = relaying.content_hash,
+                       .key = relaying.key,
+                       .relayed_for = action.id,
+                       .relayed_attempts = action.attempts_left};
+  callers_[id] = relayed;
+  Schedule(now_ + kLinkDelay, [this, id, relayed] {
+    if (callers_.contains(id)) {
+      Pass(id, relayed);
+    }
+  });
+}
+
+void router_world::OnRelayedAnswer(const caller& relayed,
+                                   std::optional<refusal_reason> refusal) {
+  Schedule(now_ + kLinkDelay, [this, id = relayed.relayed_for, refusal] {
+    const auto found = callers_.find(id);
+    if (found == callers_.end()) {
+      return;
+    }
+    found->second.relayed_as = 0;
+    found->second.relay_refusal = refusal;
+    const size_t host = found->second.host;
+    router_actions actions;
+    routers_[host]->OnRelayEnded(id, relay_end::kAnswered, now_, actions);
+    Execute(host, actions);
+  });
+}
+
+/// The lease holder tells hosts that miss targets which others reach them.
+void router_world::OfferRelays() {
+  std::vector<std::string> addresses;
+  for (size_t host = 0; host < routers_.size(); ++host) {
+    if (routers_[host]->paths() == target_paths::kAll) {
+      addresses.push_back(std::to_string(host));
+    }
+  }
+  for (size_t host = 0; host < routers_.size(); ++host) {
+    if (routers_[host]->paths() != target_paths::kAll) {
+      router_actions actions;
+      routers_[host]->OnRelays(addresses, now_, actions);
+      Execute(host, actions);
+    }
+  }
+  Schedule(now_ + kHeartbeatPeriod, [this] { OfferRelays(); });
+}
+
 bool router_world::AreConnected(size_t host, size_t other) const {
   const size_t first_cut_off = routers_.size() - cut_off_;
   return (host < first_cut_off) == (other < first_cut_off);
@@ -350,6 +452,9 @@
 
 void router_world::CutOffFromTargets(size_t first, size_t count, link_loss how,
                                      duration length) {
+  if (!std::exchange(offers_relays_, true)) {
+    OfferRelays();
+  }
   loss_ = how;
   cut_off_rule_.OnCut(now_);
   for (size_t host = first; host < first + count; ++host) {
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -188,6 +188,14 @@
     size_t host = 0;
     uint64_t content_hash = 0;
     int retries_left = 0;  ///< Of a request that crashes targets.
+    key_point key = 0;
+    /// The request at another host that this one relays, and the reverse; 0 if
+    /// there is none.
+    request_id relayed_as = 0;
+    request_id relayed_for = 0;
+    std::optional<int> relayed_attempts{};
+    std::optional<refusal_reason>
+        relay_refusal{};  ///< What that host answered.
   };
   struct event {
     time_point time;
@@ -216,6 +224,13 @@
   void ListLater();
   void ListTargets(size_t host);
   bool IsCutOffFromTargets(size_t host) const;
+  void OfferRelays();
+  void Relay(const relay_action& action);
+  void Pass(request_id id, const caller& sender);
+  void OnRelayedAnswer(const caller& relayed,
+                       std::optional<refusal_reason> refusal);
+  void OnAnswered(request_id id);
+  void OnRefused(request_id id, bool has_not_run, refusal_reason reason);
   void SendOverLostLink(size_t target, const sent_attempt& attempt);
   void OnFirstTry(const caller& answered, bool is_served);
   void StartSharingCrashes();
@@ -269,6 +284,7 @@
   std::vector<bool> lost_links_;  ///< By host.
   link_loss loss_ = link_loss::kReset;
   stand_in::cut_off_rule cut_off_rule_;
+  bool offers_relays_ = false;
 };
 
 }  // namespace foxtailspread::testing
