Let go of the lease while this host reaches no target

Cause: the lease holder reached the store, so it kept the lease, and renewed no grant. The class: the store's word that a host is alive stands for its ability to do what the lease is for. A holder that reaches no target stops its heartbeats and renewals, so that a successor that reaches targets follows within a second and renews with the recorded fences; no key moves for it. A host that reaches none is no successor and takes no lease; the former holder goes on after a cut of all. HolderThatReachesNoTargetIsSucceededBeforeGrantsEnd and HostThatReachesNoTargetDoesNotTakeTheLease failed before.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -267,7 +267,8 @@
     settings_.address = std::move(address);
   }
 
-  /// Sets which targets this host reaches.
+  /// Sets which targets this host reaches. One that reaches none neither takes
+  /// the lease nor keeps it: it could renew no grant.
   void OnTargetPaths(target_paths paths) { paths_ = paths; }
   /// Returns where hosts that reach the targets take relayed requests, at most
   /// `max_count`, other ones each time if there are more.
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -288,7 +288,8 @@
     time_point now) const {
   std::vector<std::string> names;
   for (const auto& [name, host] : hosts_seen_) {
-    if (name != settings_.host && now - host.last_seen <= kSuccessorTimeout) {
+    if (name != settings_.host && host.paths != target_paths::kNone &&
+        now - host.last_seen <= kSuccessorTimeout) {
       names.push_back(name);
     }
   }
@@ -336,9 +337,10 @@
 }
 
 void key_assigner::SendHeartbeat(time_point now, assigner_actions& out) {
-  // Without the store this host can't move keys. It stops its heartbeats so
-  // that a successor that reaches the store takes over.
-  if (now < next_heartbeat_at_ || !store_available_) {
+  // Without the store this host can't move keys, without targets it can't renew
+  // grants. It stops its heartbeats so that a successor takes over.
+  if (now < next_heartbeat_at_ || !store_available_ ||
+      paths_ == target_paths::kNone) {
     return;
   }
   next_heartbeat_at_ = now + kHeartbeatPeriod;
@@ -434,7 +436,8 @@
 /// hosts receive the declarations at the same time, and each counts its own
 /// takeover delay from then.
 void key_assigner::UpdateReadiness(time_point now) {
-  if (!objects_read_ || !store_available_ || stopping_ || !services_known_) {
+  if (!objects_read_ || !store_available_ || stopping_ || !services_known_ ||
+      paths_ == target_paths::kNone) {
     ready_since_.reset();
   } else if (!ready_since_) {
     ready_since_ = now;
@@ -454,7 +457,7 @@
     return;
   }
   if (was_holder_) {
-    if (now >= next_lease_renewal_at_) {
+    if (now >= next_lease_renewal_at_ && paths_ != target_paths::kNone) {
       std::erase_if(hosts_seen_, [&](const auto& entry) {
         return now - entry.second.last_seen > kHostTimeout;
       });
--- a/tests/key_assigner_test.cc
+++ b/tests/key_assigner_test.cc
@@ -421,6 +421,50 @@
   EXPECT_EQ(world_.UnownedKeyCount(), 0U);
 }
 
+// Guards against keys that lose their owners on all hosts because the holder,
+// which reaches the store, keeps the lease but reaches no target.
+TEST_F(KeyAssignerTest, HolderThatReachesNoTargetIsSucceededBeforeGrantsEnd) {
+  world_.Run(seconds{5});
+  const auto holder = world_.holder();
+  ASSERT_TRUE(holder);
+  const size_t cut_off = *holder;
+  for (size_t i = 0; i < world_.target_count(); ++i) {
+    world_.target(i).unreachable_from.insert(world_.host(cut_off).name);
+  }
+  world_.Run(milliseconds{700});
+  world_.host(cut_off).assigner->OnTargetPaths(target_paths::kNone);
+  for (int i = 0; i < 100; ++i) {
+    world_.Run(milliseconds{100});
+    EXPECT_EQ(world_.UnownedKeyCount(), 0U);
+  }
+  EXPECT_NE(world_.holder(), cut_off);
+  EXPECT_EQ(world_.problem(), "") << world_.History();
+}
+
+TEST_F(KeyAssignerTest, HostThatReachesNoTargetDoesNotTakeTheLease) {
+  for (size_t i = 0; i + 1 < world_.host_count(); ++i) {
+    world_.host(i).assigner->OnTargetPaths(target_paths::kNone);
+  }
+  world_.Run(seconds{5});
+  EXPECT_EQ(world_.holder(), world_.host_count() - 1);
+}
+
+// Guards against a deployment without a holder after a cut of all hosts.
+TEST_F(KeyAssignerTest, HolderThatReachesTargetsAgainGoesOn) {
+  world_.Run(seconds{5});
+  for (size_t i = 0; i < world_.host_count(); ++i) {
+    world_.host(i).assigner->OnTargetPaths(target_paths::kNone);
+  }
+  world_.Run(seconds{8});
+  for (size_t i = 0; i < world_.host_count(); ++i) {
+    world_.host(i).assigner->OnTargetPaths(target_paths::kAll);
+  }
+  world_.Run(seconds{5});
+  EXPECT_TRUE(world_.holder());
+  EXPECT_EQ(world_.UnownedKeyCount(), 0U);
+  EXPECT_EQ(world_.problem(), "") << world_.History();
+}
+
 TEST_F(KeyAssignerTest, AddedTargetGetsKeysWithinFourSeconds) {
   world_.Run(kSettlingTime);
   world_.AddTarget();
