--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -399,9 +399,9 @@
   }
   if (addresses.size() > max_count) {
     next_relay_ = (next_relay_ + max_count) % addresses.size();
-    std::ranges::rotate(
-        addresses,
-        addresses.begin() + static_cast<std::ptrdiff_t>(next_relay_));
+    std::rotate(addresses.begin(),
+                addresses.begin() + static_cast<std::ptrdiff_t>(next_relay_),
+                addresses.end());
     addresses.resize(max_count);
   }
   return addresses;
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -863,7 +863,7 @@
       EndAttempt(id, attempt_verdict::kBroken);
     }
     FailProbes();
-    router_.OnRelays(kRelays, now_, actions_);
+    router_.OnRelays(Relays(), now_, actions_);
     actions_.clear();
   }
 
@@ -889,8 +889,9 @@
     return actions_;
   }
 
-  static inline const std::vector<std::string> kRelays{"10.0.0.8:1",
-                                                       "10.0.0.9:1"};
+  static std::vector<std::string> Relays() {
+    return {"10.0.0.8:1", "10.0.0.9:1"};
+  }
 };
 
 TEST_F(RelayingRouterTest, RequestGoesToAnotherHostAtOnce) {
--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -711,7 +711,8 @@
          found->second.current_attempt_id == attempt.attempt_id;
 }
 
-void router_world::OnAttemptArrival(size_t target, sent_attempt attempt) {
+void router_world::OnAttemptArrival(size_t target,
+                                    const sent_attempt& attempt) {
   target_model& model = targets_[target];
   if (!model.is_running) {
     ReportAttempt(target, attempt, attempt_verdict::kUnreachable);
@@ -753,7 +754,7 @@
       (random_factor(random_) * slowness_ * target.slowdown / target.speed));
 }
 
-void router_world::StartWork(size_t target, sent_attempt attempt) {
+void router_world::StartWork(size_t target, const sent_attempt& attempt) {
   target_model& model = targets_[target];
   ++model.busy_slots;
   model.at_work.push_back(attempt);
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -242,8 +242,8 @@
   void ScheduleNextRequest(double rate_per_second, time_point end);
   void Execute(size_t host, const router_actions& actions);
   void Send(size_t host, const send_action& action);
-  void OnAttemptArrival(size_t target, sent_attempt attempt);
-  void StartWork(size_t target, sent_attempt attempt);
+  void OnAttemptArrival(size_t target, const sent_attempt& attempt);
+  void StartWork(size_t target, const sent_attempt& attempt);
   void FinishWork(size_t target, const sent_attempt& attempt);
   void ReportAttempt(size_t target, const sent_attempt& attempt,
                      attempt_verdict verdict,
