Do not pass on a promise that an earlier attempt may break

A request whose attempt broke off in a cut and that was then handed to another host could be told 503, not run, by that host's word, which knows of its own attempts only. It gets 502 then. The keys of a request that is handed over are counted once, by the host that took it; a probe without a health path asks for "/".

--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -133,6 +133,9 @@
   std::string address{};  ///< Of the other host.
   duration time_left{};   ///< Until the request's deadline.
   int attempts_left = 0;  ///< Attempts that the other host may make.
+  /// An earlier attempt may have run, so that the other host's word that its
+  /// own did not is no answer for the caller.
+  bool may_have_run = false;
 };
 
 /// How a relayed request ended.
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -132,7 +132,8 @@
   if (!incoming.relayed_attempts) {
     new_request->service_state->budget.OnRequest(now);
   }
-  if (new_request->service_state->keyed && new_request->key) {
+  if (new_request->service_state->keyed && new_request->key &&
+      !incoming.relayed_attempts) {
     new_request->service_state->requested_keys.push_back(*new_request->key);
   }
   request& admitted_request = *new_request;
--- a/src/core/request_router_reach.cc
+++ b/src/core/request_router_reach.cc
@@ -69,7 +69,9 @@
     out.emplace_back(probe_action{
         .target = probed->entry.life.id,
         .address = probed->entry.address,
-        .path = settings == nullptr ? "/" : settings->health_path});
+        .path = settings == nullptr || settings->health_path.empty()
+                    ? "/"
+                    : settings->health_path});
   }
 }
 
@@ -99,11 +101,11 @@
   if (!pending_request.first_sent_time) {
     pending_request.first_sent_time = now;
   }
-  out.emplace_back(
-      relay_action{.id = pending_request.id,
-                   .address = address,
-                   .time_left = pending_request.deadline - now,
-                   .attempts_left = AttemptsLeft(pending_request)});
+  out.emplace_back(relay_action{.id = pending_request.id,
+                                .address = address,
+                                .time_left = pending_request.deadline - now,
+                                .attempts_left = AttemptsLeft(pending_request),
+                                .may_have_run = pending_request.may_have_run});
   return true;
 }
 
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -398,7 +398,10 @@
   flights_.erase(found);
   if (done.answer) {
     const bool head = done.request.method == "HEAD";
-    Answer(action.id, done.is_relayed
+    // What the other host says of its own attempts holds for all of them only
+    // if there was none before.
+    const bool is_from_host = done.is_relayed && !done.may_have_run;
+    Answer(action.id, is_from_host
                           ? platform::FromHost(std::move(*done.answer), head)
                           : platform::ToCaller(std::move(*done.answer), head));
   }
@@ -466,6 +469,7 @@
   LogEvent(event_id::kRequestRelayed,
            {{"request", attempt}, {"address", action.address}});
   found->second.is_relayed = true;
+  found->second.may_have_run = action.may_have_run;
   found->second.call =
       relays_pool_.Send(platform::ToHost(found->second.request, action),
                         [this, id = action.id](call_result result) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -70,6 +70,8 @@
     target_life target;
     bool unwritten = false;   ///< The cancelled attempt was never written.
     bool is_relayed = false;  ///< `call` goes to another host, not to a target.
+    /// An attempt before it was relayed may have run.
+    bool may_have_run = false;
   };
 
   void OnRequest(exchange_id id, http_message request,
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -898,6 +898,7 @@
   const auto relayed = Relay(9, "/orders/1");
   ASSERT_EQ(relayed.size(), 1U);
   EXPECT_EQ(relayed[0].attempts_left, 2);
+  EXPECT_FALSE(relayed[0].may_have_run);
   EXPECT_EQ(relayed[0].time_left, seconds{2});
   EXPECT_EQ(ActionsOf<deliver_action>(EndRelay(9, relay_end::kAnswered)).size(),
             1U);
@@ -931,6 +932,7 @@
   Relay(9, "/looks/1");
   const auto again = ActionsOf<relay_action>(EndRelay(9, relay_end::kBroken));
   ASSERT_EQ(again.size(), 1U);
+  EXPECT_TRUE(again[0].may_have_run);
   EXPECT_EQ(again[0].attempts_left, 1);
   EXPECT_EQ(router_.counts().retries, retries + 1);
   EXPECT_TRUE(ActionsOf<relay_action>(EndRelay(9, relay_end::kBroken)).empty());
