Find a lost path to some of many targets sooner

A host that is one of many tries only some of hundreds of targets within three seconds, so that a tenth of all, 54 of 540, never failed there and its requests were refused where connections live on while new ones are refused. Eight suffice. The lease holder answers with no empty list of hosts.

--- a/src/core/target_reach.cc
+++ b/src/core/target_reach.cc
@@ -15,9 +15,11 @@
 constexpr duration kSilenceTime{std::chrono::milliseconds{1000}};
 
 /// A failed connection counts for this time, and this part of all targets must
-/// be unreachable, for the path and not the targets to be at fault.
+/// be unreachable, for the path and not the targets to be at fault. A host that
+/// is one of many tries only some of many targets in that time.
 constexpr duration kUnreachableTime{std::chrono::seconds{3}};
 constexpr size_t kUnreachableDivisor = 10;
+constexpr size_t kMaxUnreachableNeeded = 8;
 
 }  // namespace
 
@@ -61,8 +63,8 @@
   std::erase_if(unreachable_, [now](const auto& target_and_time) {
     return now - target_and_time.second >= kUnreachableTime;
   });
-  const size_t needed =
-      std::max(FailuresNeeded(), listed_ / kUnreachableDivisor);
+  const size_t needed = std::clamp(listed_ / kUnreachableDivisor,
+                                   FailuresNeeded(), kMaxUnreachableNeeded);
   return unreachable_.size() >= needed ? target_paths::kSome
                                        : target_paths::kAll;
 }
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -269,7 +269,9 @@
     if (report->paths != target_paths::kAll && PassesOnReports()) {
       const relays_record relays{
           assigner_.HostsReachingTargets(kMaxRelays, now)};
-      hosts_.Send(report->address, FormatHostMessage(relays));
+      if (!relays.addresses.empty()) {
+        hosts_.Send(report->address, FormatHostMessage(relays));
+      }
     }
   } else if (const auto* heartbeat =
                  std::get_if<assigner_heartbeat>(&message.value())) {
--- a/tests/cut_off_hosts_test.cc
+++ b/tests/cut_off_hosts_test.cc
@@ -86,7 +86,20 @@
                  .first = 20,
                  .count = 20,
                  .how = link_loss::kSilent,
-                 .targets = 60}),
+                 .targets = 60},
+        cut_case{.name = "ManyHostsNewRefused",
+                 .hosts = 60,
+                 .first = 20,
+                 .count = 20,
+                 .how = link_loss::kNewRefused,
+                 .targets = 180},
+        cut_case{.name = "ManyHostsNewRefusedKeyed",
+                 .hosts = 60,
+                 .first = 20,
+                 .count = 20,
+                 .how = link_loss::kNewRefused,
+                 .keyed = true,
+                 .targets = 180}),
     [](const auto& parameter) { return std::string{parameter.param.name}; });
 
 }  // namespace
