Tell all hosts only of contents that broke off at several targets

A host now reports what it has learnt itself; the lease holder passes on contents with marks of two targets, and what voids these. One mark alone refuses nothing, so that no host needs it. The lease holder repeats only while the store is away and heartbeats do not.

--- a/include/foxtailspread/crash_watch.h
+++ b/include/foxtailspread/crash_watch.h
@@ -20,6 +20,14 @@
 
 namespace foxtailspread {
 
+/// Who is told of crashes.
+enum class crash_audience {
+  kLeaseHolder,  ///< All that this host has learnt itself.
+  /// Contents with marks of several targets. Answers get lost all the time, and
+  /// most contents break off once.
+  kAllHosts,
+};
+
 /// What a crash_watch has concluded, for the log.
 struct crash_note {
   enum class kind {
@@ -92,16 +100,16 @@
   /// Number of contents that are refused.
   size_t QuarantinedCount(time_point now) const;
 
-  /// Returns what is to be sent to the other hosts at once: what this host has
-  /// learnt itself since the last call, and what it was told to pass on.
-  crash_evidence TakeNews(time_point now);
+  /// Returns what is to be sent at once: what this host has learnt itself since
+  /// the last call, and what it was told to pass on.
+  crash_evidence TakeNews(crash_audience audience, time_point now);
   /// Whether TakeNews() will return anything, now or soon.
   bool HasNews() const;
   /// Returns what was learnt in the last second, which is sent repeatedly as
   /// datagrams get lost.
-  crash_evidence Recent(time_point now) const;
-  /// Returns the latest `max_count` items of each kind that any host knows,
-  /// newest last.
+  crash_evidence Recent(crash_audience audience, time_point now) const;
+  /// Returns, for all hosts, the latest `max_count` items of each kind that any
+  /// host knows, newest last.
   crash_evidence Latest(size_t max_count, time_point now) const;
   /// Merges what another host knows; `passes_on` adds what is new to the news
   /// of this host.
@@ -130,6 +138,9 @@
   struct voiding {
     time_point at{};
     time_point learnt_at{};
+    bool is_own = false;  ///< Learnt at this host, not told by another.
+    /// All hosts may know a mark that it voids.
+    bool is_for_all = false;
     bool is_news = false;
   };
 
@@ -140,13 +151,19 @@
   /// Whether responses of several targets have just broken off at this host.
   bool HasLostLinks(const target_life& target, time_point now);
   void Add(mark added, time_point now);
-  void AddSurvivor(const target_life& target, const voiding& survived);
-  void AddServed(uint64_t content_hash, const voiding& served);
+  void AddSurvivor(const target_life& target, voiding survived);
+  void AddServed(uint64_t content_hash, voiding served);
+  /// Removes the marks that `is_voided` holds for; returns their number.
+  template <typename Predicate>
+  size_t RemoveVoided(voiding& cause, const Predicate& is_voided);
+  bool IsFor(crash_audience audience, const mark& known) const;
+  static bool IsFor(crash_audience audience, const voiding& known);
   void DropExpired(time_point now);
   /// Returns marks learnt from `marks_since` on, and what voids marks and was
   /// learnt from `voidings_since` on; the newest `max_count` of each kind.
-  crash_evidence Select(time_point marks_since, time_point voidings_since,
-                        size_t max_count, time_point now) const;
+  crash_evidence Select(crash_audience audience, time_point marks_since,
+                        time_point voidings_since, size_t max_count,
+                        time_point now) const;
   size_t MarkCount(uint64_t content_hash) const;
   /// Whether another content explains the end of the mark's target better.
   bool IsExplained(const mark& candidate, size_t mark_count) const;
--- a/src/core/crash_watch.cc
+++ b/src/core/crash_watch.cc
@@ -56,6 +56,9 @@
 constexpr duration kRecentTime{std::chrono::seconds{1}};
 constexpr size_t kMaxRecent = 60;
 
+/// All hosts are told of contents with this many marks.
+constexpr size_t kMinMarksForAll = 2;
+
 /// Contents whose refusal has been noted.
 constexpr size_t kMaxRefused = 64;
 
@@ -125,7 +128,8 @@
     return known.content_hash == content_hash;
   });
   if (is_marked) {
-    AddServed(content_hash, {.at = now, .learnt_at = now, .is_news = true});
+    AddServed(content_hash,
+              {.at = now, .learnt_at = now, .is_own = true, .is_news = true});
   }
 }
 
@@ -144,7 +148,9 @@
     }
   }
   if (survived) {
-    AddSurvivor(target, {.at = *survived, .learnt_at = now, .is_news = true});
+    AddSurvivor(
+        target,
+        {.at = *survived, .learnt_at = now, .is_own = true, .is_news = true});
   }
 }
 
@@ -183,8 +189,10 @@
     }
   }
   for (const mark& known : survived) {
-    AddSurvivor(known.target,
-                {.at = known.broken_at, .learnt_at = now, .is_news = true});
+    AddSurvivor(known.target, {.at = known.broken_at,
+                               .learnt_at = now,
+                               .is_own = true,
+                               .is_news = true});
   }
 }
 
@@ -207,8 +215,10 @@
     return;
   }
   if (HasShownSurvival(added)) {
-    AddSurvivor(added.target,
-                {.at = added.broken_at, .learnt_at = now, .is_news = true});
+    AddSurvivor(added.target, {.at = added.broken_at,
+                               .learnt_at = now,
+                               .is_own = true,
+                               .is_news = true});
     return;
   }
   if (marks_.size() >= kMaxMarks) {
@@ -221,16 +231,30 @@
              .crashes = static_cast<int>(MarkCount(added.content_hash)) + 1});
   }
   added.learnt_at = now;
+  const uint64_t content_hash = added.content_hash;
+  const bool is_news = added.is_news;
   marks_.push_back(std::move(added));
+  if (is_news && MarkCount(content_hash) == kMinMarksForAll) {
+    for (mark& known : marks_) {
+      known.is_news = known.is_news || known.content_hash == content_hash;
+    }
+  }
 }
 
-void crash_watch::AddSurvivor(const target_life& target,
-                              const voiding& survived) {
-  if (!RecordLater(survivors_, std::pair{target.id, target.started},
-                   survived)) {
+template <typename Predicate>
+size_t crash_watch::RemoveVoided(voiding& cause, const Predicate& is_voided) {
+  cause.is_for_all = std::ranges::any_of(marks_, [&](const mark& known) {
+    return is_voided(known) && IsFor(crash_audience::kAllHosts, known);
+  });
+  return std::erase_if(marks_, is_voided);
+}
+
+void crash_watch::AddSurvivor(const target_life& target, voiding survived) {
+  const std::pair key{target.id, target.started};
+  if (!RecordLater(survivors_, key, survived)) {
     return;
   }
-  const size_t voided = std::erase_if(marks_, [&](const mark& known) {
+  const size_t voided = RemoveVoided(survivors_[key], [&](const mark& known) {
     return known.target == target && IsVoid(known);
   });
   if (voided > 0) {
@@ -238,19 +262,31 @@
   }
 }
 
-void crash_watch::AddServed(uint64_t content_hash, const voiding& served) {
+void crash_watch::AddServed(uint64_t content_hash, voiding served) {
   if (!RecordLater(served_, content_hash, served)) {
     return;
   }
-  const size_t voided = std::erase_if(marks_, [&](const mark& known) {
-    return known.content_hash == content_hash && IsVoid(known);
-  });
+  const size_t voided =
+      RemoveVoided(served_[content_hash], [&](const mark& known) {
+        return known.content_hash == content_hash && IsVoid(known);
+      });
   if (voided > 0) {
     AddNote({.note_kind = crash_note::kind::kCleared,
              .content_hash = content_hash});
   }
 }
 
+bool crash_watch::IsFor(crash_audience audience, const mark& known) const {
+  return audience == crash_audience::kLeaseHolder
+             ? known.is_own
+             : MarkCount(known.content_hash) >= kMinMarksForAll;
+}
+
+bool crash_watch::IsFor(crash_audience audience, const voiding& known) {
+  return audience == crash_audience::kLeaseHolder ? known.is_own
+                                                  : known.is_for_all;
+}
+
 bool crash_watch::IsVoid(const mark& candidate) const {
   const auto survivor =
       survivors_.find({candidate.target.id, candidate.target.started});
@@ -363,24 +399,26 @@
       [&](uint64_t content_hash) { return IsQuarantined(content_hash, now); }));
 }
 
-crash_evidence crash_watch::TakeNews(time_point now) {
+crash_evidence crash_watch::TakeNews(crash_audience audience, time_point now) {
   crash_evidence news;
   for (mark& known : marks_) {
     // Until then other breaks may show that the links are lost.
     if (known.is_news && now - known.broken_at >= kSameMoment) {
       known.is_news = false;
-      news.marks.push_back({known.content_hash, known.target,
-                            now - known.broken_at, known.is_confirmed});
+      if (IsFor(audience, known)) {
+        news.marks.push_back({known.content_hash, known.target,
+                              now - known.broken_at, known.is_confirmed});
+      }
     }
   }
   for (auto& [target, survived] : survivors_) {
-    if (std::exchange(survived.is_news, false)) {
+    if (std::exchange(survived.is_news, false) && IsFor(audience, survived)) {
       news.survivors.push_back(
           {{target.first, target.second}, now - survived.at});
     }
   }
   for (auto& [content_hash, served] : served_) {
-    if (std::exchange(served.is_news, false)) {
+    if (std::exchange(served.is_news, false) && IsFor(audience, served)) {
       news.served.push_back({content_hash, now - served.at});
     }
   }
@@ -394,34 +432,38 @@
          std::ranges::any_of(served_, is_news);
 }
 
-crash_evidence crash_watch::Recent(time_point now) const {
-  return Select(now - kRecentTime, now - kRecentTime, kMaxRecent, now);
+crash_evidence crash_watch::Recent(crash_audience audience,
+                                   time_point now) const {
+  return Select(audience, now - kRecentTime, now - kRecentTime, kMaxRecent,
+                now);
 }
 
 crash_evidence crash_watch::Latest(size_t max_count, time_point now) const {
-  return Select(now - kMarkTtl, now - kVoidingSharedFor, max_count, now);
+  return Select(crash_audience::kAllHosts, now - kMarkTtl,
+                now - kVoidingSharedFor, max_count, now);
 }
 
-crash_evidence crash_watch::Select(time_point marks_since,
+crash_evidence crash_watch::Select(crash_audience audience,
+                                   time_point marks_since,
                                    time_point voidings_since, size_t max_count,
                                    time_point now) const {
   crash_evidence selected;
   for (const mark& known : marks_) {
     const duration age = now - known.broken_at;
     if (known.learnt_at >= marks_since && age >= kSameMoment &&
-        age < kMarkTtl) {
+        age < kMarkTtl && IsFor(audience, known)) {
       selected.marks.push_back(
           {known.content_hash, known.target, age, known.is_confirmed});
     }
   }
   for (const auto& [target, survived] : survivors_) {
-    if (survived.learnt_at >= voidings_since) {
+    if (survived.learnt_at >= voidings_since && IsFor(audience, survived)) {
       selected.survivors.push_back(
           {{target.first, target.second}, now - survived.at});
     }
   }
   for (const auto& [content_hash, served] : served_) {
-    if (served.learnt_at >= voidings_since) {
+    if (served.learnt_at >= voidings_since && IsFor(audience, served)) {
       selected.served.push_back({content_hash, now - served.at});
     }
   }
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -416,15 +416,16 @@
   if (router_.table() == nullptr) {
     return;
   }
-  load_report report{.host = settings_.name,
-                     .zone = settings_.zone,
-                     .address = settings_.hosts,
-                     .link_mbps = settings_.link_mbps,
-                     .lease_revision = assigner_.lease_revision(),
-                     .services = {},
-                     .targets = {},
-                     .crashes = router_.crashes().Recent(Now()),
-                     .paths = router_.paths()};
+  load_report report{
+      .host = settings_.name,
+      .zone = settings_.zone,
+      .address = settings_.hosts,
+      .link_mbps = settings_.link_mbps,
+      .lease_revision = assigner_.lease_revision(),
+      .services = {},
+      .targets = {},
+      .crashes = router_.crashes().Recent(crash_audience::kLeaseHolder, Now()),
+      .paths = router_.paths()};
   for (const service_settings& each : router_.table()->config().services) {
     service_load load{.service = each.name,
                       .keys = router_.TakeKeyLoad(each.name)};
@@ -437,9 +438,13 @@
     }
   }
   const auto& lease = assigner_.lease();
-  if (PassesOnReports() && !report.crashes.empty()) {
-    SendToHosts(assigner_.OtherHosts(Now()),
-                FormatHostMessage(crashes_record{report.crashes}));
+  if (PassesOnReports() && !store_answers_) {
+    // No heartbeats repeat it meanwhile.
+    const crashes_record recent{
+        router_.crashes().Recent(crash_audience::kAllHosts, Now())};
+    if (!recent.evidence.empty()) {
+      SendToHosts(assigner_.OtherHosts(Now()), FormatHostMessage(recent));
+    }
   }
   if (lease && !lease->address.empty()) {
     hosts_.Send(lease->address, FormatHostMessage(report));
@@ -469,7 +474,9 @@
 void edge_daemon::ShareCrashes() {
   crashes_due_ = false;
   const time_point now = Now();
-  const crashes_record record{router_.crashes().TakeNews(now)};
+  const auto audience = PassesOnReports() ? crash_audience::kAllHosts
+                                          : crash_audience::kLeaseHolder;
+  const crashes_record record{router_.crashes().TakeNews(audience, now)};
   const auto& lease = assigner_.lease();
   if (!record.evidence.empty() && PassesOnReports()) {
     SendToHosts(assigner_.OtherHosts(now), FormatHostMessage(record));
--- a/tests/crash_watch_test.cc
+++ b/tests/crash_watch_test.cc
@@ -94,9 +94,10 @@
   crash_watch other_host;
   CrashTarget("a");
   CrashTarget("b");
-  other_host.Import(watch_.TakeNews(now_), false, now_);
+  other_host.Import(watch_.TakeNews(crash_audience::kLeaseHolder, now_), false,
+                    now_);
   EXPECT_TRUE(other_host.IsQuarantined(kContentHash, now_));
-  EXPECT_TRUE(watch_.TakeNews(now_).empty())
+  EXPECT_TRUE(watch_.TakeNews(crash_audience::kLeaseHolder, now_).empty())
       << "new marks must be returned only once";
   EXPECT_EQ(other_host.Latest(20, now_).marks.size(), 2U);
 }
@@ -109,14 +110,16 @@
   other_host.OnBrokenResponse(kContentHash, {.id = "b", .started = 1}, now_);
   now_ += seconds{2};
   other_host.OnTargetList([](const target_life&) { return false; }, now_);
-  const crash_evidence told = other_host.TakeNews(now_);
+  const crash_evidence told =
+      other_host.TakeNews(crash_audience::kLeaseHolder, now_);
   watch_.Import(told, false, now_);
   EXPECT_TRUE(watch_.IsQuarantined(kContentHash, now_));
 }
 
 TEST_F(CrashWatchTest, CrashToldTwiceCountsOnce) {
   CrashTarget("a");
-  const crash_evidence told = watch_.TakeNews(now_);
+  const crash_evidence told =
+      watch_.TakeNews(crash_audience::kLeaseHolder, now_);
   crash_watch other_host;
   other_host.Import(told, false, now_);
   other_host.Import(told, false, now_);
@@ -146,7 +149,7 @@
   }
 
   void Tell(crash_watch& from, crash_watch& to) {
-    to.Import(from.TakeNews(now_), true, now_);
+    to.Import(from.TakeNews(crash_audience::kLeaseHolder, now_), true, now_);
   }
 };
 
@@ -240,7 +243,33 @@
     BreakAt(target, milliseconds{2});
   }
   EXPECT_FALSE(watch_.IsQuarantined(kContentHash, now_ + seconds{1}));
-  EXPECT_TRUE(watch_.TakeNews(now_ + seconds{1}).empty());
+  EXPECT_TRUE(
+      watch_.TakeNews(crash_audience::kLeaseHolder, now_ + seconds{1}).empty());
+}
+
+// Guards against telling all hosts of each answer that gets lost, which costs
+// them their processors where many do.
+TEST_F(CrashSuspicionTest, ContentThatBrokeOnceIsToldToTheLeaseHolderOnly) {
+  crash_watch holder;
+  BreakAt("a", milliseconds{100});
+  now_ += milliseconds{100};
+  Tell(watch_, holder);
+  EXPECT_TRUE(holder.TakeNews(crash_audience::kAllHosts, now_).empty());
+  EXPECT_TRUE(holder.Latest(20, now_).empty());
+  BreakAt("b", milliseconds{100});
+  now_ += milliseconds{100};
+  Tell(watch_, holder);
+  EXPECT_EQ(holder.TakeNews(crash_audience::kAllHosts, now_).marks.size(), 2U);
+  EXPECT_EQ(holder.Latest(20, now_).marks.size(), 2U);
+}
+
+TEST_F(CrashSuspicionTest, HostReportsOnlyWhatItHasSeenItself) {
+  crash_watch other_host;
+  BreakAt("a", milliseconds{100});
+  now_ += milliseconds{100};
+  Tell(watch_, other_host);
+  EXPECT_TRUE(other_host.Recent(crash_audience::kLeaseHolder, now_).empty());
+  EXPECT_EQ(watch_.Recent(crash_audience::kLeaseHolder, now_).marks.size(), 1U);
 }
 
 /// Targets whose entries lapse later than those of other deployments.
--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -630,9 +630,11 @@
 void router_world::ShareCrashes() {
   crash_watch& holder = routers_[issuing_host_]->crashes();
   for (const size_t host : HostsOfHolder()) {
-    holder.Import(routers_[host]->crashes().TakeNews(now_), true, now_);
+    holder.Import(
+        routers_[host]->crashes().TakeNews(crash_audience::kLeaseHolder, now_),
+        true, now_);
   }
-  const crash_evidence news = holder.TakeNews(now_);
+  const crash_evidence news = holder.TakeNews(crash_audience::kAllHosts, now_);
   for (const size_t host : HostsOfHolder()) {
     routers_[host]->crashes().Import(news, false, now_);
   }
