Do not count requests whose callers left as silent targets

An attempt whose caller left within the silence time no longer counts; one that ran into its deadline does. RequestsWhoseCallersLeftAreNoLostPath covers it; the test that failed is unchanged.

--- a/include/foxtailspread/target_reach.h
+++ b/include/foxtailspread/target_reach.h
@@ -40,6 +40,8 @@
   void OnAnswer(const std::string& target);
   /// An attempt at a target ended without an answer before its deadline.
   void OnFailed(const std::string& target, time_point now);
+  /// The caller of a request to a target left before an answer.
+  void OnAbandoned(const std::string& target, time_point now);
   /// As OnFailed(), as no connection could be made.
   void OnUnreachable(const std::string& target, time_point now);
 
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -362,6 +362,7 @@
     pending_request.current_target->health.OnEnded(
         attempt_verdict::kAbandoned, pending_request.sent_time,
         pending_request.matched_route->objective, now);
+    reach_.OnAbandoned(pending_request.current_target->entry.life.id, now);
     --service_state.in_flight;
     out.emplace_back(cancel_action{id});
   }
--- a/src/core/target_reach.cc
+++ b/src/core/target_reach.cc
@@ -46,6 +46,13 @@
   failed_.insert(target);
 }
 
+void target_reach::OnAbandoned(const std::string& target, time_point now) {
+  const auto found = silent_since_.find(target);
+  if (found != silent_since_.end() && now - found->second < kSilenceTime) {
+    silent_since_.erase(found);
+  }
+}
+
 void target_reach::OnUnreachable(const std::string& target, time_point now) {
   OnFailed(target, now);
   unreachable_[target] = now;
--- a/tests/target_reach_test.cc
+++ b/tests/target_reach_test.cc
@@ -62,6 +62,15 @@
   EXPECT_TRUE(IsCutOffAfter(milliseconds{200}));
 }
 
+// Guards against taking callers that leave for targets that stay silent.
+TEST_F(TargetReachTest, RequestsWhoseCallersLeftAreNoLostPath) {
+  for (const char* target : {"a", "b", "c"}) {
+    reach_.OnSent(target, now_);
+    reach_.OnAbandoned(target, now_ + milliseconds{300});
+  }
+  EXPECT_FALSE(IsCutOffAfter(milliseconds{5000}));
+}
+
 TEST_F(TargetReachTest, FewSlowRequestsAreNoLostPath) {
   reach_.OnSent("a", now_);
   reach_.OnSent("b", now_);
