--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -190,19 +190,20 @@
     }
     LogEvent(event_id::kListening, {{"address", *address}});
   }
-  if (status listening = hosts_.Listen(settings_.hosts); !listening) {
+  // Requests that other hosts hand over arrive over TCP at the port of the
+  // datagrams. Any port is chosen for TCP first: no two hosts listen there.
+  if (status listening = relayed_.Listen(settings_.hosts); !listening) {
     LogEvent(event_id::kListenFailed, {{"address", settings_.hosts}});
     return listening;
   }
   const std::string ip =
       settings_.hosts.substr(0, settings_.hosts.rfind(':') + 1);
-  settings_.hosts = ip + std::to_string(hosts_.port());
-  assigner_.SetAddress(settings_.hosts);
-  // Over TCP the same port takes requests that other hosts hand over.
-  if (status listening = relayed_.Listen(settings_.hosts); !listening) {
+  settings_.hosts = ip + std::to_string(relayed_.port());
+  if (status listening = hosts_.Listen(settings_.hosts); !listening) {
     LogEvent(event_id::kListenFailed, {{"address", settings_.hosts}});
     return listening;
   }
+  assigner_.SetAddress(settings_.hosts);
   LogEvent(
       event_id::kHostStarted,
       {{"zone", settings_.zone},
