Log how orders that are given up were sent

Cause: order-failed says that an order was not answered, but not whether it went over a new connection, whether it was written, and how old it was.

Change: event 328 (order-cancelled) gives these for each order that is given up, event 329 (grant-answered-late) for grants answered after 100 ms or more. The pool tells how far a call under way has come.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -53,6 +53,8 @@
   kGrantFenced = 325,
   kKeysFree = 326,
   kOrderFailed = 327,
+  kOrderCancelled = 328,
+  kGrantAnsweredLate = 329,
   kZoneEvacuated = 330,
   kZoneReturned = 331,
   kTargetLimited = 340,
@@ -190,6 +192,14 @@
      "A target did not carry out an order on the keys given, as far as is "
      "known; how it ended is given.",
      "Look at the target, or at the links to it, if it goes on."},
+    {event_id::kOrderCancelled, event_level::kWarning, "order-cancelled",
+     "An order was not answered in time and its connection was reset; the "
+     "fields tell how old it is, over which connection it went and whether it "
+     "was written.",
+     "Look at the target, or at the links to it, if it goes on."},
+    {event_id::kGrantAnsweredLate, event_level::kInfo, "grant-answered-late",
+     "A target answered a grant late; the fields are those of event 328.",
+     "Look at the load of the target if it repeats."},
     {event_id::kZoneEvacuated, event_level::kInfo, "zone-evacuated",
      "An operator has evacuated the zone; its targets get nothing new.",
      "Switch the zone off once its targets have finished what they run."},
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -14,6 +14,7 @@
 
 #include "edge/edge_metrics.h"
 #include "foxtailspread/evacuations.h"
+#include "foxtailspread/events.h"
 #include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_assigner.h"
@@ -74,6 +75,13 @@
     bool may_have_run = false;
   };
 
+  /// An order from its sending to its end.
+  struct sent_order {
+    key_order order;
+    call_id call = 0;
+    time_point sent_at{};
+  };
+
   void OnRequest(exchange_id id, http_message request,
                  std::optional<int> relayed_attempts = std::nullopt);
   /// A request that another host, which reaches no target, hands over.
@@ -146,6 +154,10 @@
   void CarryOne(const store_write& action);
   void CarryOne(const key_order& action);
   void CarryOne(const order_cancel& action);
+  void OnOrderEnded(uint64_t id, const call_result& result);
+  /// Logs how old an order is and how it was sent.
+  static void LogOrder(event_id event, const sent_order& sent,
+                       const call_progress& progress);
   void CarryOne(const heartbeat_action& action);
   void CarryOne(const share_owners_action& action);
   void CarryOne(const share_hosts_action& action);
@@ -188,7 +200,7 @@
   request_router router_;
   key_assigner assigner_;
   std::unordered_map<exchange_id, flight> flights_;
-  std::unordered_map<uint64_t, call_id> orders_;
+  std::unordered_map<uint64_t, sent_order> orders_;  ///< By order id.
   std::map<std::string, uint64_t> maps_shared_;
   uint64_t config_revision_ = 0;
   time_point configured_at_{};  ///< When the first declarations came.
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -41,6 +41,9 @@
 /// Hosts that reach targets, named to a host that doesn't.
 constexpr size_t kMaxRelays = 32;
 
+/// Answers to grants that take longer than this are logged.
+constexpr duration kLateGrantAnswer{milliseconds{100}};
+
 /// Crashes of targets are sent no more often than this.
 constexpr duration kShareCrashesPeriod{milliseconds{100}};
 
@@ -677,31 +680,63 @@
 }
 
 void edge_daemon::CarryOne(const key_order& action) {
-  orders_[action.id] = orders_pool_.Send(
-      platform::ToOrder(action), [this, id = action.id, target = action.target](
-                                     const call_result& result) {
-        orders_.erase(id);
-        if (result.end == call_end::kAnswered &&
-            platform::ReadLeaving(result.answer)) {
-          router_actions told;
-          router_.OnLeavingTarget(target, Now(), told);
-          Carry(told);
-        }
-        assigner_actions actions;
-        assigner_.OnOrderEnded(platform::ReadOrderAnswer(id, result), Now(),
-                               actions);
-        Carry(actions);
-      });
+  const call_id call =
+      orders_pool_.Send(platform::ToOrder(action),
+                        [this, id = action.id](const call_result& result) {
+                          OnOrderEnded(id, result);
+                        });
+  orders_[action.id] = {.order = action, .call = call, .sent_at = Now()};
+}
+
+void edge_daemon::OnOrderEnded(uint64_t id, const call_result& result) {
+  const auto found = orders_.find(id);
+  const sent_order sent = std::move(found->second);
+  orders_.erase(found);
+  const time_point now = Now();
+  if (result.end == call_end::kAnswered &&
+      platform::ReadLeaving(result.answer)) {
+    router_actions told;
+    router_.OnLeavingTarget(sent.order.target, now, told);
+    Carry(told);
+  }
+  if (sent.order.is_grant && result.end == call_end::kAnswered &&
+      now - sent.sent_at >= kLateGrantAnswer) {
+    LogOrder(event_id::kGrantAnsweredLate, sent,
+             {.connection = result.connection,
+              .fresh_connection = result.fresh_connection,
+              .written = true});
+  }
+  assigner_actions actions;
+  assigner_.OnOrderEnded(platform::ReadOrderAnswer(id, result), now, actions);
+  Carry(actions);
 }
 
 void edge_daemon::CarryOne(const order_cancel& action) {
   const auto found = orders_.find(action.id);
   if (found != orders_.end()) {
-    orders_pool_.Cancel(found->second);
+    LogOrder(event_id::kOrderCancelled, found->second,
+             orders_pool_.Progress(found->second.call));
+    orders_pool_.Cancel(found->second.call);
     orders_.erase(found);
   }
 }
 
+void edge_daemon::LogOrder(event_id event, const sent_order& sent,
+                           const call_progress& progress) {
+  const key_order& order = sent.order;
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Now() - sent.sent_at);
+  LogEvent(event, {{"order", order.is_grant ? "grant" : "release"},
+                   {"target", order.target.id},
+                   {"first", int64_t{order.first}},
+                   {"last", int64_t{order.last}},
+                   {"fence", static_cast<int64_t>(order.fence)},
+                   {"age_ms", int64_t{age.count()}},
+                   {"connection", static_cast<int64_t>(progress.connection)},
+                   {"new_connection", progress.fresh_connection ? "yes" : "no"},
+                   {"written", progress.written ? "yes" : "no"}});
+}
+
 /// What this host vouches for in its first heartbeats must be fresh, or all
 /// other hosts make their own calls meanwhile.
 void edge_daemon::ReadStoreNow() {
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -115,9 +115,15 @@
   }
 }
 
-bool connection_pool::HasWritten(call_id id) const {
+call_progress connection_pool::Progress(call_id id) const {
   const auto found = calls_.find(id);
-  return found != calls_.end() && found->second->HasWritten();
+  if (found == calls_.end()) {
+    return {};
+  }
+  const pooled_connection& connection = *found->second;
+  return {.connection = connection.number(),
+          .fresh_connection = connection.is_fresh(),
+          .written = connection.HasWritten()};
 }
 
 void connection_pool::Sweep() {
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -21,6 +21,13 @@
 
 namespace foxtailspread {
 
+/// How far a call under way has come.
+struct call_progress {
+  uint64_t connection = 0;        ///< Number of its connection.
+  bool fresh_connection = false;  ///< The connection was made for this call.
+  bool written = false;           ///< A byte of it was handed to the network.
+};
+
 /// Connections to any number of addresses.
 class connection_pool {
  public:
@@ -40,7 +47,10 @@
 
   /// Whether any byte of a call under way was handed to the network. While
   /// none was, nobody can have run it.
-  bool HasWritten(call_id id) const;
+  bool HasWritten(call_id id) const { return Progress(id).written; }
+
+  /// How far a call has come; the default value for one that is not under way.
+  call_progress Progress(call_id id) const;
 
   uint64_t connections_made() const { return connections_made_; }
 
