Send grants only on connections on which the target has answered

Cause: a target whose slots are taken reads a new connection late. A grant on one waits inside the target; the holder gives it up after 0.5 s with a reset and counts the target's hold from then ("has arrived by now or never will"). In a cut the reset is lost, and on loopback even a reset that arrives takes nothing back: the kernel hands over what was received on a connection that was reset in the backlog. The target takes the grant when it gets to it, and holds the keys longer than the holder waits.

Change: a grant goes only over a connection on which its target has answered before. A new connection begins with a request that gives no keys (a grant without a body, which targets reject). A grant is written within 0.4 s after it was decided or not at all, and one that was not written counts for nothing. A connection that is answered late serves the next grant. The wait for former holders counts from the same 0.4 s. This bounds the time from giving a grant up to its taking by the transit of the network, not by how long a busy target lets a connection wait.

OpeningCallTest covers the pool.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -49,6 +49,10 @@
 /// not confirmed that the lease was released. Its process has ended by then.
 inline constexpr duration kLeaseReleaseTimeout{std::chrono::seconds{6}};
 
+/// A grant is written within this time after the assigner has sent it, or not
+/// at all.
+inline constexpr duration kGrantWriteTimeout{std::chrono::milliseconds{400}};
+
 /// A host that held the lease before and may still renew its grants.
 struct former_holder {
   std::string host;
@@ -118,6 +122,12 @@
   /// running while this host's lease was valid and that refuses the order if
   /// the keys were moved since. A restarted process has no record of fences.
   uint64_t max_connection_number = 0;
+  /// If true, the order must be written within kGrantWriteTimeout on a
+  /// connection on which the target has answered before, or not at all. A busy
+  /// target reads a new connection late: it would take a grant that was given
+  /// up, if the reset of the connection is lost, and count its validity from
+  /// then.
+  bool requires_answered_connection = false;
 };
 
 /// The outcome of an order.
--- a/src/core/key_assigner_orders.cc
+++ b/src/core/key_assigner_orders.cc
@@ -14,13 +14,13 @@
 /// enough time to take over.
 constexpr duration kGrantRenewalPeriod{std::chrono::milliseconds{800}};
 
-/// Time limit for the answer to a grant. After it the connection is reset,
-/// which discards the data of the order that is still in transit. Targets
-/// answer within milliseconds, and network delays add only a few more.
-constexpr duration kGrantTimeout{std::chrono::milliseconds{400}};
+/// Time limit for the answer to a grant, which a target gives within
+/// milliseconds once it is written. After it the connection is reset.
+constexpr duration kGrantTimeout =
+    kGrantWriteTimeout + std::chrono::milliseconds{100};
 /// Time limit for the answer to a release. A target answers only after its
 /// running requests for the keys have ended.
-constexpr duration kReleaseTimeout{std::chrono::milliseconds{3000}};
+constexpr duration kReleaseTimeout{std::chrono::milliseconds{3100}};
 
 /// The clock by which a target measures the validity of a grant may run slow by
 /// one part in this many (2 %).
@@ -62,7 +62,7 @@
   for (const auto& [host, stops_at] : predecessors_) {
     last_stop = std::max(last_stop, stops_at);
   }
-  return last_stop + kGrantTimeout + MaxGrantValidity();
+  return last_stop + kGrantWriteTimeout + MaxGrantValidity();
 }
 
 bool key_assigner::IsReleaseConclusive(const target_life& former,
@@ -129,7 +129,7 @@
                  .is_grant = is_grant,
                  .is_renewal = is_renewal,
                  .is_former_owner = range.former_owner == target,
-                 .deadline = now + timeout + kOrderRetryDelay};
+                 .deadline = now + timeout};
   state->pending_grants += is_grant ? 1 : 0;
   const bool lease_lapsed = !IsHolder(now);
   out.emplace_back(key_order{
@@ -142,7 +142,8 @@
       .fence = is_grant ? range.fence : range.fence - 1,
       .grant_ttl = settings_.grant_ttl,
       .handover_token = handover_token,
-      .max_connection_number = lease_lapsed ? max_connection_number_ : 0});
+      .max_connection_number = lease_lapsed ? max_connection_number_ : 0,
+      .requires_answered_connection = is_grant});
   return id;
 }
 
@@ -224,8 +225,8 @@
     state.pending_grants = std::max(state.pending_grants - 1, 0);
   }
   if (context.is_grant && reached && report.outcome != order_outcome::kFenced) {
-    // The grant has arrived by now or never will, and its validity counts from
-    // its arrival.
+    // The target reads from the connection on which the grant was written, so
+    // that it has taken the grant by now or never will.
     state.grants_expire_at =
         std::max(state.grants_expire_at, now + MaxGrantValidity());
     if (report.outcome == order_outcome::kUnanswered) {
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -67,6 +67,10 @@
   /// may keep. Beyond, a request that is still arriving is refused as not run.
   void SetMostBuffered(size_t bytes) { most_buffered_ = bytes; }
 
+  /// Stops or resumes accepting connections, which wait in the backlog
+  /// meanwhile with what was sent on them.
+  void PauseAccepting(bool paused) { listener_.PauseAccepting(paused); }
+
   /// Closes idle connections now, and each other one after the answer to the
   /// last request that was handed on.
   void BeginClosing();
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -28,20 +28,104 @@
     kept->Begin(id, std::move(call), std::move(on_ended), false);
     return id;
   }
+  if (!call.opening.empty() && call.newest_connection == 0) {
+    Wait(id, std::move(call), std::move(on_ended));
+    return id;
+  }
+  pooled_connection& connection = MakeConnection(address, call.connect_timeout,
+                                                 call.newest_connection == 0);
+  calls_.emplace(id, &connection);
+  connection.Begin(id, std::move(call), std::move(on_ended), true);
+  ArmSweep();
+  return id;
+}
+
+pooled_connection& connection_pool::MakeConnection(const std::string& address,
+                                                   duration connect_timeout,
+                                                   bool may_connect) {
   auto made =
       std::make_unique<pooled_connection>(*this, address, ++connections_made_);
-  pooled_connection* connection = made.release();
-  all_.push_back(*connection);
-  calls_.emplace(id, connection);
-  const time_point give_up = Now() + call.connect_timeout;
+  pooled_connection& connection = *made.release();
+  all_.push_back(connection);
   const auto parsed = ParseAddress(address);
   // One that fails at once ends from the loop: the caller is inside Send.
-  if (parsed && call.newest_connection == 0) {
-    connection->Connect(parsed.value(), give_up);
+  if (parsed && may_connect) {
+    connection.Connect(parsed.value(), Now() + connect_timeout);
+  }
+  return connection;
+}
+
+void connection_pool::Wait(call_id id, pool_call call, receiver on_ended) {
+  const std::string address{call.address};
+  waiting_.Add({.id = id,
+                .address = address,
+                .call = std::move(call),
+                .on_ended = std::move(on_ended),
+                .write_until = Now() + settings_.write_timeout});
+  ArmWriteTimer();
+  OpenConnection(*waiting_.First(address));
+}
+
+void connection_pool::ServeWaiting(const std::string& address) {
+  // The process may have stood still, so that the timer is late as well.
+  EndOverdue();
+  while (const waiting_call* first = waiting_.First(address)) {
+    pooled_connection* kept = TakeIdle(address, 0);
+    if (kept == nullptr) {
+      OpenConnection(*first);
+      return;
+    }
+    waiting_call next = *waiting_.TakeFirst(address);
+    calls_.emplace(next.id, kept);
+    kept->Begin(next.id, std::move(next.call), std::move(next.on_ended), false);
+  }
+}
+
+void connection_pool::OpenConnection(const waiting_call& waiting) {
+  if (!opening_.insert(waiting.address).second) {
+    return;
   }
-  connection->Begin(id, std::move(call), std::move(on_ended), true);
+  pooled_connection& connection =
+      MakeConnection(waiting.address, waiting.call.connect_timeout, true);
+  connection.Open(waiting.call.opening, Now() + settings_.opening_timeout);
   ArmSweep();
-  return id;
+}
+
+void connection_pool::FinishOpening(pooled_connection* connection,
+                                    call_end end) {
+  const std::string address = connection->address();
+  opening_.erase(address);
+  if (connection->is_reusable()) {
+    Keep(connection);
+    return;
+  }
+  connection->Abort();
+  Drop(connection);
+  // Nothing was written of the calls, however the opening ended.
+  const call_end failure =
+      end == call_end::kRefused ? end : call_end::kUnreachable;
+  while (auto waiting = waiting_.TakeFirst(address)) {
+    waiting->on_ended({.end = failure});
+  }
+}
+
+void connection_pool::EndOverdue() {
+  while (auto overdue = waiting_.TakeOverdue(Now())) {
+    overdue->on_ended({.end = call_end::kNotWritten});
+  }
+}
+
+void connection_pool::ArmWriteTimer() {
+  const auto deadline = waiting_.NextDeadline();
+  if (write_timer_armed_ || !deadline) {
+    return;
+  }
+  write_timer_armed_ = true;
+  write_timer_ = RunAfter(*deadline - Now(), [this] {
+    write_timer_armed_ = false;
+    EndOverdue();
+    ArmWriteTimer();
+  });
 }
 
 pooled_connection* connection_pool::TakeIdle(const std::string& address,
@@ -90,6 +174,7 @@
 void connection_pool::Keep(pooled_connection* connection) {
   idle_[connection->address()].push_back(connection);
   ArmSweep();
+  ServeWaiting(connection->address());
 }
 
 void connection_pool::Drop(pooled_connection* connection) {
@@ -106,6 +191,7 @@
 }
 
 void connection_pool::Cancel(call_id id) {
+  waiting_.Take(id);
   const auto found = calls_.find(id);
   if (found != calls_.end()) {
     pooled_connection* connection = found->second;
@@ -130,9 +216,12 @@
   sweep_armed_ = false;
   const time_point now = Now();
   std::vector<pooled_connection*> late;
+  std::vector<pooled_connection*> late_openings;
   std::vector<pooled_connection*> over;
   for (pooled_connection& each : all_) {
-    if (each.IsConnectLate(now)) {
+    if (each.IsOpeningLate(now)) {
+      late_openings.push_back(&each);
+    } else if (each.IsConnectLate(now)) {
       late.push_back(&each);
     } else if (each.IsIdleOver(now)) {
       over.push_back(&each);
@@ -153,6 +242,9 @@
       found->second->OnConnectLate();
     }
   }
+  for (pooled_connection* connection : late_openings) {
+    connection->OnOpeningLate();
+  }
   ArmSweep();
 }
 
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -7,17 +7,23 @@
 /// The pool never sends a request twice, and says of each that ended without
 /// an answer whether any byte of it was handed to the network. Whether to send
 /// again is its caller's decision alone.
+///
+/// A call with an opening request goes out on no connection that the peer may
+/// not read yet. It waits for an idle one; while calls to an address wait, one
+/// connection is being opened there.
 
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "foxtailspread/time.h"
 #include "net/pooled_connection.h"
 #include "net/tcp_stream.h"
+#include "net/waiting_calls.h"
 
 namespace foxtailspread {
 
@@ -58,6 +64,19 @@
   friend class pooled_connection;
   using connection_list = boost::intrusive::list<pooled_connection>;
 
+  pooled_connection& MakeConnection(const std::string& address,
+                                    duration connect_timeout, bool may_connect);
+  void Wait(call_id id, pool_call call, receiver on_ended);
+  /// Gives calls that wait the idle connections to `address`, and opens one
+  /// more if that is not enough.
+  void ServeWaiting(const std::string& address);
+  void OpenConnection(const waiting_call& waiting);
+  /// Handles the end of an opening. If the connection is of no use, the calls
+  /// that wait for it end as well.
+  void FinishOpening(pooled_connection* connection, call_end end);
+  /// Ends the calls whose time to be written is over.
+  void EndOverdue();
+  void ArmWriteTimer();
   pooled_connection* TakeIdle(const std::string& address, uint64_t newest);
   void Keep(pooled_connection* connection);
   void Drop(pooled_connection* connection);
@@ -70,10 +89,14 @@
   connection_list all_;
   std::unordered_map<std::string, std::vector<pooled_connection*>> idle_;
   std::unordered_map<call_id, pooled_connection*> calls_;
+  waiting_calls waiting_;
+  std::unordered_set<std::string> opening_;  ///< Addresses with an opening.
   call_id last_call_ = 0;
   uint64_t connections_made_ = 0;
   bool sweep_armed_ = false;
   timer sweep_;
+  bool write_timer_armed_ = false;
+  timer write_timer_;
 };
 
 }  // namespace foxtailspread
--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -69,6 +69,12 @@
   stream_.Write(call.request);
 }
 
+void pooled_connection::Open(std::string_view request, time_point give_up) {
+  opening_ = true;
+  opening_until_ = give_up;
+  stream_.Write(request);
+}
+
 void pooled_connection::OnReady(uint32_t events) {
   const bool was_connected = stream_.is_connected();
   if (!stream_.OnWritable(events)) {
@@ -82,7 +88,7 @@
   if (read.end == read_end::kNothing) {
     return;
   }
-  if (id_ == 0) {
+  if (id_ == 0 && !opening_) {
     // Bytes or an end on an idle connection belong to no call.
     pool_.Drop(this);
     return;
@@ -133,6 +139,18 @@
 }
 
 void pooled_connection::Answered(http_message answer) {
+  KeepIdle(answer);
+  if (opening_) {
+    opening_ = false;
+    pool_.FinishOpening(this, call_end::kAnswered);
+    return;
+  }
+  call_result result{.end = call_end::kAnswered, .answer = std::move(answer)};
+  pool_.Finish(this, std::move(result));
+}
+
+/// Makes the connection idle, if it can carry another call after this answer.
+void pooled_connection::KeepIdle(const http_message& answer) {
   // A peer that answered before the request was through would read the rest
   // of it as the next request.
   const bool reusable = answer.keep_alive && !answer.ended_by_close &&
@@ -143,12 +161,10 @@
       stated ? std::chrono::duration_cast<duration>(*stated * kIdleShare)
              : pool_.settings_.keep_idle;
   idle_until_ = reusable ? Now() + idle : time_point{};
-  call_result result{.end = call_end::kAnswered, .answer = std::move(answer)};
-  pool_.Finish(this, std::move(result));
 }
 
 void pooled_connection::FailSend(bool was_connected) {
-  if (id_ == 0) {
+  if (id_ == 0 && !opening_) {
     pool_.Drop(this);
     return;
   }
@@ -162,6 +178,10 @@
 
 void pooled_connection::Fail(call_end end) {
   idle_until_ = time_point{};
+  if (opening_) {
+    pool_.FinishOpening(this, end);
+    return;
+  }
   pool_.Finish(this, {.end = end});
 }
 
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -53,6 +53,10 @@
   /// Use a kept connection with a number up to this one or none: the call must
   /// reach a process that was there when that one was made. 0 for any.
   uint64_t newest_connection = 0;
+  /// If not empty, the call goes only over a connection on which the peer has
+  /// answered before: it may read from a new one only after the call was given
+  /// up. This request is sent first on a new connection.
+  std::string opening{};
 };
 
 /// What a pool goes by.
@@ -64,6 +68,11 @@
   std::string echo_exempt_header{};
   /// Idle connections are kept so long unless the peer says otherwise.
   duration keep_idle{std::chrono::seconds{6}};
+  /// How long the answer to an opening request is waited for.
+  duration opening_timeout{std::chrono::seconds{3}};
+  /// A call that has an opening request is written within this time or not at
+  /// all.
+  duration write_timeout{std::chrono::milliseconds{500}};
   /// How soon a silent peer is given up.
   silence_limits silence = kNearSilence;
   http_parse_limits limits{.max_header_bytes = 65536,
@@ -77,7 +86,8 @@
 
 class connection_pool;
 
-/// A connection: connecting, carrying a call, or idle. Owned by its pool.
+/// A connection: connecting, opening, carrying a call, or idle. Owned by its
+/// pool.
 class pooled_connection : public boost::intrusive::list_base_hook<> {
  public:
   pooled_connection(connection_pool& pool, std::string address,
@@ -88,17 +98,24 @@
 
   void Begin(call_id id, pool_call call, call_receiver on_ended, bool fresh);
 
+  /// Sends an opening request, which belongs to no call.
+  void Open(std::string_view request, time_point give_up);
+
   /// Whether the peer has neither closed nor sent anything meanwhile.
   bool StillQuiet() { return stream_.Read().end == read_end::kNothing; }
 
   bool IsConnectLate(time_point now) const {
-    return id_ != 0 && !stream_.is_connected() &&
+    return (id_ != 0 || opening_) && !stream_.is_connected() &&
            (!stream_.is_open() || now >= connect_until_);
   }
+  bool IsOpeningLate(time_point now) const {
+    return opening_ && (now >= opening_until_ || IsConnectLate(now));
+  }
   bool IsIdleOver(time_point now) const {
-    return id_ == 0 && now >= idle_until_;
+    return id_ == 0 && !opening_ && now >= idle_until_;
   }
   void OnConnectLate() { FailSend(false); }
+  void OnOpeningLate() { FailSend(stream_.is_connected()); }
   void Abort() { stream_.Abort(); }
   void Close() { stream_.Close(); }
 
@@ -112,6 +129,7 @@
   const std::string& address() const { return address_; }
   uint64_t number() const { return number_; }
   bool is_fresh() const { return fresh_; }
+  bool is_opening() const { return opening_; }
   /// After a call: whether another one may use the connection.
   bool is_reusable() const { return idle_until_ > time_point{}; }
 
@@ -121,6 +139,7 @@
   void FinishIfWhole();
   bool IsAwaited(const http_message& answer) const;
   void Answered(http_message answer);
+  void KeepIdle(const http_message& answer);
   void FailSend(bool was_connected);
   void Fail(call_end end);
 
@@ -137,6 +156,8 @@
   bool fresh_ = true;
   bool spoiled_ = false;
   bool closed_ = false;
+  bool opening_ = false;  ///< The opening request is not answered yet.
+  time_point opening_until_{};
   uint64_t sent_before_ = 0;
   time_point connect_until_{};
   time_point idle_until_{};
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -230,6 +230,13 @@
   return OkStatus();
 }
 
+void tcp_listener::PauseAccepting(bool paused) {
+  if (fd_ >= 0) {
+    events_.Change(fd_, paused ? 0U : static_cast<uint32_t>(EPOLLIN),
+                   &handler_);
+  }
+}
+
 void tcp_listener::Close() {
   if (fd_ >= 0) {
     events_.Remove(fd_, &handler_);
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -126,6 +126,9 @@
 
   status Listen(std::string_view address);
   void Close();
+  /// Stops or resumes accepting. Peers connect and send meanwhile; their
+  /// connections wait in the backlog.
+  void PauseAccepting(bool paused);
   /// The port in use, also when the settings asked for any.
   uint16_t port() const { return port_; }
 
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -38,6 +38,7 @@
     return "127.0.0.1:" + std::to_string(listener_.port());
   }
   void Close() { listener_.Close(); }
+  void PauseAccepting(bool paused) { listener_.PauseAccepting(paused); }
   int connections() const { return accepted_; }
   int requests() const { return requests_; }
   int resets() const { return resets_; }
@@ -137,6 +138,33 @@
       events_, {.echo_header = "Echo", .echo_exempt_header = "Refused"}};
 };
 
+/// Calls that go only over connections on which the peer has answered.
+class OpeningCallTest : public ConnectionPoolTest {
+ protected:
+  static constexpr duration kWriteTimeout{milliseconds{100}};
+
+  /// Sends a call; its result is appended to `ended_`.
+  call_id Send(const std::string& echo) {
+    pool_call call;
+    const std::string to = peer_.address();
+    call.address = to;
+    call.request = "GET /" + echo + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    call.echo = echo;
+    call.opening = "GET /opening HTTP/1.1\r\nHost: a\r\n\r\n";
+    return opening_pool_.Send(
+        std::move(call),
+        [this](const call_result& result) { ended_.push_back(result); });
+  }
+
+  static std::string Rejected() {
+    return "HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  std::deque<call_result> ended_;
+  connection_pool opening_pool_{
+      events_, {.echo_header = "Echo", .write_timeout = kWriteTimeout}};
+};
+
 TEST_F(ConnectionPoolTest, KeptConnectionCarriesTheNextCall) {
   peer_.scripts = {{.replies = {Ok("a"), Ok("b")}}};
   EXPECT_EQ(Call("a").end, call_end::kAnswered);
@@ -291,5 +319,83 @@
   EXPECT_EQ(peer_.connections(), 1);
 }
 
+TEST_F(OpeningCallTest, NewConnectionCarriesTheCallAfterAnAnswer) {
+  peer_.scripts = {{.replies = {Rejected(), Ok("a"), Ok("b")}}};
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return ended_.size() == 1; }));
+  EXPECT_EQ(ended_[0].end, call_end::kAnswered);
+  EXPECT_EQ(ended_[0].answer.body, "fine");
+  EXPECT_EQ(peer_.requests(), 2);
+  Send("b");
+  ASSERT_TRUE(RunUntil([&] { return ended_.size() == 2; }));
+  EXPECT_EQ(ended_[1].end, call_end::kAnswered);
+  EXPECT_EQ(peer_.requests(), 3) << "no second opening";
+}
+
+// Guards against a call that its peer reads after it was given up, because the
+// peer did not read from the new connection before.
+TEST_F(OpeningCallTest, CallToAPeerThatDoesNotReadIsNotWritten) {
+  peer_.PauseAccepting(true);
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return ended_.size() == 1; }));
+  EXPECT_EQ(ended_[0].end, call_end::kNotWritten);
+  peer_.scripts = {{.replies = {Rejected(), Ok("a")}}};
+  peer_.PauseAccepting(false);
+  RunFor(3 * kWriteTimeout);
+  EXPECT_EQ(peer_.requests(), 1) << "only the opening";
+}
+
+TEST_F(OpeningCallTest, CallCancelledBeforeTheOpeningIsAnsweredIsNotWritten) {
+  peer_.PauseAccepting(true);
+  opening_pool_.Cancel(Send("a"));
+  peer_.scripts = {{.replies = {Rejected(), Ok("a")}}};
+  peer_.PauseAccepting(false);
+  RunFor(3 * kWriteTimeout);
+  EXPECT_EQ(peer_.requests(), 1) << "only the opening";
+  EXPECT_TRUE(ended_.empty());
+}
+
+// Guards against calls that never get through to a peer that reads each new
+// connection only after their time.
+TEST_F(OpeningCallTest, ConnectionThatOpensLateCarriesTheNextCall) {
+  peer_.PauseAccepting(true);
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return ended_.size() == 1; }));
+  peer_.scripts = {{.replies = {Rejected(), Ok("b")}}};
+  peer_.PauseAccepting(false);
+  RunFor(3 * kWriteTimeout);
+  Send("b");
+  ASSERT_TRUE(RunUntil([&] { return ended_.size() == 2; }));
+  EXPECT_EQ(ended_[1].end, call_end::kAnswered);
+  EXPECT_EQ(peer_.connections(), 1);
+}
+
+TEST_F(OpeningCallTest, WaitingCallsAreServedInTheOrderOfTheirSending) {
+  peer_.scripts = {{.replies = {Rejected(), Ok("a"), Ok("b"), Ok("c")}}};
+  Send("a");
+  Send("b");
+  Send("c");
+  ASSERT_TRUE(RunUntil([&] { return ended_.size() == 3; }));
+  for (const call_result& result : ended_) {
+    EXPECT_EQ(result.end, call_end::kAnswered);
+  }
+}
+
+TEST_F(OpeningCallTest, RefusedConnectionEndsAllWaitingCalls) {
+  peer_.Close();
+  Send("a");
+  Send("b");
+  ASSERT_TRUE(RunUntil([&] { return ended_.size() == 2; }));
+  EXPECT_EQ(ended_[0].end, call_end::kRefused);
+  EXPECT_EQ(ended_[1].end, call_end::kRefused);
+}
+
+TEST_F(OpeningCallTest, ResetOfTheOpeningEndsTheCallAsNotSent) {
+  peer_.scripts = {{.reset_after = true}};
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return ended_.size() == 1; }));
+  EXPECT_EQ(ended_[0].end, call_end::kUnreachable);
+}
+
 }  // namespace
 }  // namespace foxtailspread
--- a/tests/run_until.h
+++ b/tests/run_until.h
@@ -23,6 +23,13 @@
   return done();
 }
 
+/// Dispatches events for `time`.
+inline void RunFor(duration time) {
+  bool over = false;
+  const timer end = RunAfter(time, [&] { over = true; });
+  RunUntil([&] { return over; });
+}
+
 }  // namespace foxtailspread
 
 #endif  // FOXTAILSPREAD_TESTS_RUN_UNTIL_H_
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -17,6 +17,11 @@
 constexpr std::string_view kService = "keyed";
 constexpr std::string_view kOtherService = "pooled";
 
+/// The key of a target process in world_host::connection_by_target.
+std::string ProcessKey(const target_life& life) {
+  return life.id + "@" + std::to_string(life.started);
+}
+
 }  // namespace
 
 assigner_world::assigner_world(options chosen)
@@ -62,6 +67,18 @@
 void assigner_world::KillHost(size_t index) {
   hosts_[index].alive = false;
   ++hosts_[index].incarnation;
+  for (queued_order& order : queued_orders_) {
+    if (order.host == index) {
+      ResetQueuedOrder(order);
+    }
+  }
+}
+
+void assigner_world::CloseConnections(size_t index) {
+  const std::string process_key = ProcessKey(targets_[index].entry.life);
+  for (world_host& host : hosts_) {
+    host.connection_by_target.erase(process_key);
+  }
 }
 
 void assigner_world::StartHost(size_t index) {
@@ -216,6 +233,12 @@
       SendWrite(index, *write);
     } else if (const auto* order = std::get_if<key_order>(&action)) {
       SendOrder(index, *order);
+    } else if (const auto* cancel = std::get_if<order_cancel>(&action)) {
+      for (queued_order& queued : queued_orders_) {
+        if (queued.host == index && queued.order_id == cancel->id) {
+          ResetQueuedOrder(queued);
+        }
+      }
     } else if (const auto* heartbeat = std::get_if<heartbeat_action>(&action)) {
       SendFanout(hosts_[index], heartbeat->hops, [&](key_assigner& receiver) {
         receiver.OnHeartbeat(heartbeat->heartbeat, now_);
@@ -426,33 +449,39 @@
   world_host& host = hosts_[index];
   const uint64_t incarnation = host.incarnation;
   const world_target& target = TargetAt(order.address);
-  const std::string process_key =
-      target.entry.life.id + "@" + std::to_string(target.entry.life.started);
-  uint64_t& connection = host.connection_by_target[process_key];
+  world_connection& connection =
+      host.connection_by_target[ProcessKey(target.entry.life)];
   if (order.max_connection_number != 0 &&
-      (connection == 0 || connection > order.max_connection_number)) {
+      (connection.number == 0 ||
+       connection.number > order.max_connection_number)) {
     ScheduleAfter(kOrderLatency, [this, index, incarnation, id = order.id] {
       DeliverReport(index, incarnation,
                     {.id = id, .outcome = order_outcome::kNotSent});
     });
     return;
   }
-  const bool reachable = target.alive &&
-                         !target.unreachable_from.contains(host.name) &&
-                         !IsPartitioned(host.zone, target.entry.zone);
-  if (!reachable) {
-    const order_outcome end = connection == 0 || target.alive
+  if (!IsReachable(host, target)) {
+    const order_outcome end = connection.number == 0 || target.alive
                                   ? order_outcome::kNotSent
                                   : order_outcome::kNoProcess;
-    connection = 0;
+    connection = {};
     ScheduleAfter(
         milliseconds{250}, [this, index, incarnation, id = order.id, end] {
           DeliverReport(index, incarnation, {.id = id, .outcome = end});
         });
     return;
   }
-  if (connection == 0) {
-    connection = ++host.last_connection;
+  if (connection.number == 0) {
+    connection = {.number = ++host.last_connection,
+                  .read_from = now_ + target.accept_delay};
+  }
+  if (now_ < connection.read_from) {
+    if (order.requires_answered_connection) {
+      SendOnceAnswered(index, incarnation, order, now_ + kGrantWriteTimeout);
+    } else {
+      QueueOrder(index, order, connection);
+    }
+    return;
   }
   if (DrawBernoulli(late_order_probability)) {
     // The order arrives now and is executed later, without an answer.
@@ -474,7 +503,7 @@
     return;
   }
   if (target.answers_lost_to.contains(host.name)) {
-    connection = 0;
+    connection = {};
     ScheduleAfter(kOrderLatency, [this, order] { ApplyOrder(order, now_); });
     ScheduleAfter(milliseconds{500}, [this, index, incarnation, id = order.id] {
       DeliverReport(index, incarnation,
@@ -490,13 +519,75 @@
     return;
   }
   ScheduleAfter(kOrderLatency, [this, index, incarnation, order,
-                                used_connection = connection] {
+                                used_connection = connection.number] {
     order_report report = ApplyOrder(order, now_);
     report.connection_number = used_connection;
     DeliverReport(index, incarnation, report);
   });
 }
 
+void assigner_world::SendOnceAnswered(size_t index, uint64_t incarnation,
+                                      const key_order& order,
+                                      time_point give_up_at) {
+  const world_host& host = hosts_[index];
+  if (!host.alive || host.incarnation != incarnation) {
+    return;
+  }
+  if (now_ >= give_up_at) {
+    DeliverReport(index, incarnation,
+                  {.id = order.id, .outcome = order_outcome::kNotSent});
+    return;
+  }
+  const world_target& target = TargetAt(order.address);
+  const auto found =
+      host.connection_by_target.find(ProcessKey(target.entry.life));
+  const bool answered =
+      found != host.connection_by_target.end() && found->second.number != 0 &&
+      now_ >= found->second.read_from && IsReachable(host, target);
+  if (answered && now_ >= host.frozen_until) {
+    SendOrder(index, order);
+    return;
+  }
+  ScheduleAfter(kStep, [this, index, incarnation, order, give_up_at] {
+    SendOnceAnswered(index, incarnation, order, give_up_at);
+  });
+}
+
+void assigner_world::QueueOrder(size_t index, const key_order& order,
+                                const world_connection& connection) {
+  const world_target& target = TargetAt(order.address);
+  const auto queued = queued_orders_.insert(
+      queued_orders_.end(),
+      {.host = index,
+       .order_id = order.id,
+       .target = static_cast<size_t>(&target - targets_.data())});
+  const uint64_t incarnation = hosts_[index].incarnation;
+  ScheduleAfter(connection.read_from - now_ + kOrderLatency,
+                [this, queued, order, incarnation, life = target.entry.life,
+                 number = connection.number] {
+                  const queued_order taken = *queued;
+                  queued_orders_.erase(queued);
+                  const world_target& receiver = targets_[taken.target];
+                  if (taken.discarded || !receiver.alive ||
+                      !(receiver.entry.life == life)) {
+                    return;
+                  }
+                  order_report report = ApplyOrder(order, now_);
+                  report.connection_number = number;
+                  if (IsReachable(hosts_[taken.host], receiver)) {
+                    DeliverReport(taken.host, incarnation, report);
+                  }
+                });
+}
+
+void assigner_world::ResetQueuedOrder(queued_order& order) {
+  const world_target& target = targets_[order.target];
+  world_host& host = hosts_[order.host];
+  host.connection_by_target.erase(ProcessKey(target.entry.life));
+  order.discarded = order.discarded || (IsReachable(host, target) &&
+                                        !options_.targets_keep_reset_orders);
+}
+
 void assigner_world::CheckOwnership() {
   for (size_t i = 0; i < kWatchedKeyCount; ++i) {
     const world_target* owner = nullptr;
--- a/tests/support/assigner_world.h
+++ b/tests/support/assigner_world.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -52,6 +53,15 @@
       held_grants{};  ///< By watched key.
   /// When its reports to the store stopped; empty while they arrive.
   std::optional<time_point> silent_since{};
+  /// How long a new connection waits until the target reads from it.
+  duration accept_delay{};
+};
+
+/// A connection from a host to a target.
+struct world_connection {
+  uint64_t number = 0;  ///< 0 if closed.
+  /// When the target begins to read from it, and has answered on it.
+  time_point read_from{};
 };
 
 /// A simulated host. A restart of its process creates a new assigner.
@@ -77,9 +87,8 @@
   uint64_t incarnation = 0;
   uint64_t last_connection =
       0;  ///< Number of the newest connection to a target.
-  /// Numbers of the open connections by target process, "ID@STARTED"; 0 if
-  /// closed.
-  std::map<std::string, uint64_t> connection_by_target{};
+  /// By target process, "ID@STARTED".
+  std::map<std::string, world_connection> connection_by_target{};
 };
 
 /// Runs the hosts, the store and the targets in steps of 10 ms of virtual time
@@ -103,6 +112,9 @@
     bool targets_ignore_fences = false;
     /// Targets remember the fence of a release only for keys that they held.
     bool targets_forget_releases = false;
+    /// Targets execute what was sent on a connection before they read from it,
+    /// even if the connection was reset meanwhile.
+    bool targets_keep_reset_orders = false;
     /// Hosts send each other ownership records and host lists by datagram, in
     /// addition to heartbeats.
     bool datagrams = false;
@@ -130,6 +142,8 @@
   /// Adds a target of another service at the address of target `index`.
   void ReuseAddress(size_t index);
   void KillHost(size_t index);
+  /// Closes the connections of all hosts to target `index`.
+  void CloseConnections(size_t index);
   void StartHost(size_t index);
 
   bool store_down = false;
@@ -173,6 +187,13 @@
     uint64_t revision = 0;
     std::string content;
   };
+  /// An order on a connection that its target does not read yet.
+  struct queued_order {
+    size_t host = 0;
+    uint64_t order_id = 0;
+    size_t target = 0;
+    bool discarded = false;  ///< The target drops it.
+  };
   /// A callback that runs at a later virtual time.
   struct scheduled_callback {
     time_point due_at;
@@ -210,6 +231,19 @@
       size_t index, uint64_t incarnation,
       std::function<void(key_assigner&, assigner_actions&)> handle);
   void SendOrder(size_t index, const key_order& order);
+  /// Sends an order that requires an answered connection once `connection` is
+  /// one, or reports at `give_up_at` that it was not sent.
+  void SendOnceAnswered(size_t index, uint64_t incarnation,
+                        const key_order& order, time_point give_up_at);
+  /// Sends an order on a connection that its target reads from `read_from` on.
+  void QueueOrder(size_t index, const key_order& order,
+                  const world_connection& connection);
+  /// Resets the connection of an order that its target has not read yet.
+  void ResetQueuedOrder(queued_order& order);
+  bool IsReachable(const world_host& host, const world_target& target) const {
+    return target.alive && !target.unreachable_from.contains(host.name) &&
+           !IsPartitioned(host.zone, target.entry.zone);
+  }
   write_report ApplyWrite(const store_write& write);
   /// Executes `order` at its target. A grant is valid from `arrived`, which is
   /// earlier than now if the target executes it late.
@@ -233,6 +267,7 @@
   std::map<std::string, stored_object> objects_;
   uint64_t revision_ = 1;
   std::deque<scheduled_callback> scheduled_callbacks_;
+  std::list<queued_order> queued_orders_;
   /// The highest fence granted for each watched key, and its owner.
   std::array<fence_number, kWatchedKeyCount> highest_fences_{};
   std::array<target_life, kWatchedKeyCount> highest_fence_owners_{};
