Reset the order connections of a host that is killed

Cause: the kernel closes the connections of a killed process in order and goes on delivering what it has written, for up to 1.5 s over a link that loses packets. A new holder of the lease takes the orders of the former one for gone when that has stopped.

Change: connections for orders are set to end with a reset from the start, so that the kernel drops what was not delivered.

Test: NothingIsDeliveredAfterTheEndOfItsSender failed without the option: the peer read the whole request after its sender had ended.

--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -49,6 +49,9 @@
 void pooled_connection::Connect(const socket_address& to, time_point give_up) {
   connect_until_ = give_up;
   stream_.Connect(to);
+  if (pool_.settings_.reset_on_close) {
+    stream_.ResetOnClose();
+  }
 }
 
 call_receiver pooled_connection::TakeReceiver() {
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -73,6 +73,9 @@
   /// A call that has an opening request is written within this time or not at
   /// all.
   duration write_timeout{std::chrono::milliseconds{500}};
+  /// Connections always end with a reset, so that nothing of a call is
+  /// delivered after the process has ended.
+  bool reset_on_close = false;
   /// How soon a silent peer is given up.
   silence_limits silence = kNearSilence;
   http_parse_limits limits{.max_header_bytes = 65536,
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -174,10 +174,14 @@
 }
 
 void tcp_stream::Abort() {
+  ResetOnClose();
+  Close();
+}
+
+void tcp_stream::ResetOnClose() {
   if (fd_ >= 0) {
     const linger at_once{.l_onoff = 1, .l_linger = 0};
     setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
-    Close();
   }
 }
 
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -79,6 +79,8 @@
   void Close();
   /// Closes with a reset, so that bytes held up on the way are dropped too.
   void Abort();
+  /// Makes every close a reset, also that by the end of this process.
+  void ResetOnClose();
   /// Ends this side's direction, so that what was sent arrives whole.
   void ShutDownWriting();
 
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -319,6 +319,26 @@
   EXPECT_EQ(peer_.connections(), 1);
 }
 
+// Guards against a request that the network still delivers after the process
+// that sent it was killed.
+TEST_F(ConnectionPoolTest, NothingIsDeliveredAfterTheEndOfItsSender) {
+  constexpr size_t kBytes = 300'000;  // More than the peer's buffer holds.
+  peer_.PauseAccepting(true);
+  auto pool = std::make_unique<connection_pool>(
+      events_, pool_settings{.reset_on_close = true});
+  pool_call call;
+  const std::string to = peer_.address();
+  call.address = to;
+  call.request =
+      "GET / HTTP/1.1\r\nA: " + std::string(kBytes, 'a') + "\r\n\r\n";
+  const call_id id = pool->Send(std::move(call), [](const call_result&) {});
+  ASSERT_TRUE(RunUntil([&] { return pool->HasWritten(id); }));
+  pool.reset();
+  peer_.PauseAccepting(false);
+  EXPECT_TRUE(RunUntil([&] { return peer_.resets() == 1; }));
+  EXPECT_EQ(peer_.requests(), 0);
+}
+
 TEST_F(OpeningCallTest, NewConnectionCarriesTheCallAfterAnAnswer) {
   peer_.scripts = {{.replies = {Rejected(), Ok("a"), Ok("b")}}};
   Send("a");
