Play late connections in the random schedules of key ownership

The virtual world's targets read new connections late and close kept ones, while hosts, zones and the store fail.

--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -132,7 +132,6 @@
   const std::string& address() const { return address_; }
   uint64_t number() const { return number_; }
   bool is_fresh() const { return fresh_; }
-  bool is_opening() const { return opening_; }
   /// After a call: whether another one may use the connection.
   bool is_reusable() const { return idle_until_ > time_point{}; }
 
--- a/tests/key_assigner_proof_test.cc
+++ b/tests/key_assigner_proof_test.cc
@@ -42,6 +42,8 @@
   /// Stalls hosts that have sent a store write, adds targets in groups and cuts
   /// off the lease holder's zone.
   bool stalls = false;
+  /// Targets close connections and read new ones late.
+  bool late_connections = false;
 };
 
 /// Injects random faults for about 40 s of virtual time.
@@ -63,6 +65,9 @@
       if (options.stalls) {
         InjectStallFault();
       }
+      if (options.late_connections) {
+        InjectLateConnections();
+      }
       world_.Run(milliseconds{RandomBelow(2500)});
     }
   }
@@ -90,6 +95,7 @@
       target.reaches_store = true;
       target.unreachable_from.clear();
       target.answers_lost_to.clear();
+      target.accept_delay = {};
       if (!target.alive && !replaced_targets_.contains(i)) {
         world_.RestartTarget(i);
       }
@@ -166,6 +172,17 @@
     }
   }
 
+  /// Lets a target close all connections and read new ones late, or at once
+  /// again.
+  void InjectLateConnections() {
+    constexpr size_t kMaxAcceptDelayMs = 4000;
+    const size_t index = RandomBelow(world_.target_count());
+    world_.target(index).accept_delay =
+        RandomBelow(3) == 0 ? duration{0}
+                            : milliseconds{RandomBelow(kMaxAcceptDelayMs)};
+    world_.CloseConnections(index);
+  }
+
   void RestartAllHosts() {
     for (size_t i = 0; i < world_.host_count(); ++i) {
       world_.KillHost(i);
@@ -316,6 +333,13 @@
                {.correlated_faults = true, .stalls = true});
 }
 
+// Guards against grants that a target takes from its queue of new connections
+// after they were given up, while hosts and zones fail.
+TEST(KeyAssignerProofTest, LateConnectionsNeverGiveKeyTwoOwners) {
+  RunSchedules(kVariantScheduleCount,
+               {.correlated_faults = true, .late_connections = true});
+}
+
 // Seeds of random schedules that gave a key two owners:
 // - A grant was sent while the record that replaces it was being written.
 // - A host that held the lease two holders earlier kept renewing its grants.
