--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -124,9 +124,9 @@
   uint64_t max_connection_number = 0;
   /// If true, the order must be written within kGrantWriteTimeout on a
   /// connection on which the target has answered before, or not at all. A busy
-  /// target reads a new connection late: it would take a grant that was given
-  /// up, if the reset of the connection is lost, and count its validity from
-  /// then.
+  /// target reads a new connection late: it would take a grant long after it
+  /// was given up, even if the connection was reset, and count its validity
+  /// from then.
   bool requires_answered_connection = false;
 };
 
--- a/tests/late_grant_test.cc
+++ b/tests/late_grant_test.cc
@@ -43,23 +43,25 @@
   world.target(target).reaches_store = false;
 }
 
-/// The holder's process is killed and another one starts at once.
-void CutTargetAndRestartHolder(assigner_world& world, size_t target) {
+/// Kills the holder's process and starts another one after `pause`.
+void CutTargetAndRestartHolder(assigner_world& world, size_t target,
+                               duration pause) {
   const size_t holder = *world.holder();
   CutTarget(world, target);
   world.KillHost(holder);
-  world.Run(milliseconds{100});
+  world.Run(pause);
   world.StartHost(holder);
 }
 
-/// The holder's process is killed, a successor takes the lease, and another
-/// process of the killed host confirms that it renews nothing.
+/// The new process takes the lease again.
+void CutTargetAndRestartHolderAtOnce(assigner_world& world, size_t target) {
+  CutTargetAndRestartHolder(world, target, milliseconds{100});
+}
+
+/// A successor takes the lease, and then the new process confirms that it
+/// renews nothing.
 void CutTargetAndReplaceHolder(assigner_world& world, size_t target) {
-  const size_t holder = *world.holder();
-  CutTarget(world, target);
-  world.KillHost(holder);
-  world.Run(milliseconds{1200});
-  world.StartHost(holder);
+  CutTargetAndRestartHolder(world, target, milliseconds{1200});
 }
 
 /// The holder stands still until a successor has taken the lease.
@@ -120,7 +122,7 @@
                                       .targets_keep_reset_orders = true,
                                       .cut = CutTarget},
                       late_grant_case{.name = "HolderRestarted",
-                                      .cut = CutTargetAndRestartHolder},
+                                      .cut = CutTargetAndRestartHolderAtOnce},
                       late_grant_case{.name = "HolderReplaced",
                                       .cut = CutTargetAndReplaceHolder},
                       late_grant_case{.name = "HolderFrozen",
