Repeat announcements to hosts that missed them

A change of the owners of keys or of the configuration goes to each other zone by one relay.

A host whose copy differs from the heartbeat's now asks the lease holder, which keeps the last changes that it announced, and reads the store only if the copy still differs at the next heartbeat.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -237,6 +237,24 @@
   bool operator==(const permit_reply&) const = default;
 };
 
+/// The revision of an owner record that a host holds.
+struct held_owners {
+  std::string service;
+  store_revision revision{};
+
+  bool operator==(const held_owners&) const = default;
+};
+
+/// Asks the lease holder to repeat the announcements that the sender lacks.
+struct repeat_request {
+  std::string address;          ///< Where the repeats go, "IP:port".
+  uint64_t config_version = 0;  ///< Of the configuration in force; 0 if none.
+  std::string lease_host{};     ///< Lease holder that it has read; "" if none.
+  std::vector<held_owners> owners;
+
+  bool operator==(const repeat_request&) const = default;
+};
+
 /// A datagram that its receiver handles and forwards to other hosts of its
 /// zone.
 struct relayed_message {
@@ -250,7 +268,7 @@
     std::variant<load_report, assigner_heartbeat, owners_record, targets_record,
                  shared_object, hosts_record, loads_record, statements_record,
                  crashes_record, relays_record, permit_request, permit_reply,
-                 relayed_message>;
+                 repeat_request, relayed_message>;
 
 /// Serialises a message as one datagram, and parses it.
 std::string FormatHostMessage(const host_message& message);
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -22,6 +22,7 @@
 constexpr std::string_view kRelaysTag = "relays";
 constexpr std::string_view kPermitRequestTag = "permit-request";
 constexpr std::string_view kPermitReplyTag = "permit-reply";
+constexpr std::string_view kRepeatTag = "repeat";
 constexpr std::string_view kRelayedTag = "relay";
 
 constexpr double kPercent = 100.0;
@@ -38,6 +39,8 @@
 /// served_content.
 constexpr size_t kSurvivorFields = 3;
 constexpr size_t kServedFields = 2;
+/// Number of array elements that encode one held_owners.
+constexpr size_t kHeldFields = 3;
 /// Positions of fields that earlier releases do not send.
 constexpr size_t kHeartbeatStatements = 8;
 constexpr size_t kHeartbeatCrashes = 9;
@@ -213,6 +216,16 @@
                       record.base_revision.era, record.revision.era});
 }
 
+json ToJson(const repeat_request& request) {
+  json owners = json::array();
+  for (const held_owners& held : request.owners) {
+    owners.insert(owners.end(),
+                  {held.service, held.revision.era, held.revision.counter});
+  }
+  return json::array({kRepeatTag, request.address, request.config_version,
+                      request.lease_host, std::move(owners)});
+}
+
 json ToJson(const targets_record& record) {
   json changes = json::array();
   for (const shared_entry& change : record.changes) {
@@ -441,6 +454,20 @@
           .content = value.at(4).dump()};
 }
 
+repeat_request ReadRepeatRequest(const json& value) {
+  repeat_request request{.address = value.at(1).get<std::string>(),
+                         .config_version = value.at(2).get<uint64_t>(),
+                         .lease_host = value.at(3).get<std::string>(),
+                         .owners = {}};
+  const json& owners = value.at(4);
+  for (size_t i = 0; i < owners.size(); i += kHeldFields) {
+    request.owners.push_back({.service = owners.at(i).get<std::string>(),
+                              .revision = {owners.at(i + 1).get<uint64_t>(),
+                                           owners.at(i + 2).get<uint64_t>()}});
+  }
+  return request;
+}
+
 shared_entry ReadSharedEntry(const json& value, uint64_t era) {
   constexpr size_t kFieldsWithoutEntry = 3;
   shared_entry shared{.name = value.at(0).get<std::string>(),
@@ -555,6 +582,9 @@
     if (tag == kPermitReplyTag) {
       return host_message{ReadPermitReply(value)};
     }
+    if (tag == kRepeatTag) {
+      return host_message{ReadRepeatRequest(value)};
+    }
     if (tag == kRelayedTag) {
       return host_message{ReadRelayed(value)};
     }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -19,6 +19,7 @@
 #include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_assigner.h"
+#include "foxtailspread/missed_changes.h"
 #include "foxtailspread/permit_issuer.h"
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/target_history.h"
@@ -65,6 +66,10 @@
   void Leave();
 
  private:
+  /// Bytes of an object that is sent to hosts; with what relays add to it it
+  /// still fits in a datagram.
+  static constexpr size_t kMostShared = 48000;
+
   /// A request from its arrival to its answer.
   struct flight {
     http_message request;
@@ -124,6 +129,10 @@
   void ShareTargets(targets_record record, time_point now);
   void ShareObject(const shared_object& object, time_point now);
   void OnSharedObject(const shared_object& object);
+  shared_object LeaseObject(const assigner_lease& lease) const;
+  /// Asks the lease holder to repeat the announcements that this host lacks.
+  void AskForRepeat();
+  void OnRepeatRequest(const repeat_request& request);
   void ReportLoad();
   void ShareLoadsSoon();
   void ShareLoads();
@@ -225,6 +234,9 @@
   target_history target_history_;
   time_point configured_at_{};  ///< When the first declarations came.
   targets_sharing shared_targets_;
+  copy_repairs config_repairs_;
+  copy_repairs owner_repairs_;
+  announced_changes announced_;  ///< While this host holds the lease.
   std::optional<time_point> store_failed_at_;
   bool store_answers_ = true;
   int failing_followers_ = 0;
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -51,10 +51,6 @@
 /// Crashes of targets are sent no more often than this.
 constexpr duration kShareCrashesPeriod{milliseconds{100}};
 
-/// Bytes of an object that is sent to all hosts; with what relays add to it it
-/// still fits in a datagram.
-constexpr size_t kMostShared = 48000;
-
 template <typename Sample>
 void Truncate(std::vector<Sample>& samples) {
   if (samples.size() > kStatementsInDatagram) {
@@ -406,6 +402,9 @@
     OnPermitRequest(*permits, now);
   } else if (const auto* reply = std::get_if<permit_reply>(&message.value())) {
     OnPermitReply(*reply, now);
+  } else if (const auto* repeat =
+                 std::get_if<repeat_request>(&message.value())) {
+    OnRepeatRequest(*repeat);
   } else if (auto* hosts = std::get_if<hosts_record>(&message.value())) {
     assigner_.OnHosts(std::move(*hosts), now);
   } else if (auto* targets = std::get_if<targets_record>(&message.value())) {
@@ -484,19 +483,37 @@
     return;
   }
   const time_point as_of = now - milliseconds{view.age_ms};
-  const auto compare = [&](auto& follower, bool same) {
-    if (same) {
-      follower.Confirm(as_of, *until);
-    } else {
-      follower.Refresh(now, *until);
+  // Earlier releases tell only the revision.
+  const bool same_config = view.config_version != 0
+                               ? view.config_version == ConfigVersion()
+                               : view.config_revision == config_revision_;
+  const bool same_owners = view.owners_digest == assigner_.OwnersDigest();
+  const size_t hosts = assigner_.HostCount();
+  const auto repair_config =
+      config_repairs_.OnCompared(same_config, hosts, now);
+  const auto repair_owners = owner_repairs_.OnCompared(same_owners, hosts, now);
+  if (repair_config == copy_repair::kAsk ||
+      repair_owners == copy_repair::kAsk) {
+    AskForRepeat();
+  }
+  const auto compare = [&](auto& follower, copy_repair repair) {
+    switch (repair) {
+      case copy_repair::kNone:
+        follower.Confirm(as_of, *until);
+        break;
+      case copy_repair::kAsk:
+        follower.Spare(*until);
+        break;
+      case copy_repair::kRead:
+        follower.Refresh(now, *until);
+        break;
     }
   };
-  // Earlier releases tell only the revision.
-  compare(config_, view.config_version != 0
-                       ? view.config_version == ConfigVersion()
-                       : view.config_revision == config_revision_);
-  compare(targets_, view.targets_digest == shared_targets_.digest());
-  compare(own_, view.owners_digest == assigner_.OwnersDigest());
+  compare(config_, repair_config);
+  compare(targets_, view.targets_digest == shared_targets_.digest()
+                        ? copy_repair::kNone
+                        : copy_repair::kRead);
+  compare(own_, repair_owners);
   Arm();
 }
 
@@ -865,15 +882,18 @@
   evacuation_requests_.ReadNow(now);
 }
 
+shared_object edge_daemon::LeaseObject(const assigner_lease& lease) const {
+  return {.kind = shared_kind::kSystem,
+          .name = std::string{key_assigner::kLeaseName},
+          .revision = assigner_.lease_revision(),
+          .content = FormatLease(lease)};
+}
+
 /// Tells the other hosts who holds the lease now.
 void edge_daemon::ShareLease() {
   const auto& lease = assigner_.lease();
   if (lease) {
-    ShareObject({.kind = shared_kind::kSystem,
-                 .name = std::string{key_assigner::kLeaseName},
-                 .revision = assigner_.lease_revision(),
-                 .content = FormatLease(*lease)},
-                Now());
+    ShareObject(LeaseObject(*lease), Now());
   }
 }
 
@@ -922,6 +942,7 @@
 }
 
 void edge_daemon::CarryOne(const share_owners_action& action) {
+  announced_.Add(action.record);
   SendToHosts(action.hops, FormatHostMessage(action.record));
 }
 
--- a/src/edge/edge_metrics.cc
+++ b/src/edge/edge_metrics.cc
@@ -41,6 +41,10 @@
   }
   AppendHistogram(text, "loop_lag_seconds", "", loop_lag_);
   AppendMetric(text, "keys_moved_total", "", static_cast<double>(keys_moved_));
+  AppendMetric(text, "announcements_asked_again_total", "",
+               static_cast<double>(repeats_asked_));
+  AppendMetric(text, "announcements_repeated_total", "",
+               static_cast<double>(repeats_sent_));
   return text;
 }
 
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -23,6 +23,10 @@
   /// The loop ran `late` after it was due.
   void OnLoopLag(duration late) { loop_lag_.Add(late); }
   void OnKeysMoved() { ++keys_moved_; }
+  /// This host asked the lease holder to repeat announcements.
+  void OnRepeatAsked() { ++repeats_asked_; }
+  /// This host repeated `count` announcements to one that asked.
+  void OnRepeated(size_t count) { repeats_sent_ += count; }
 
   /// All of it as Prometheus text.
   std::string Text() const;
@@ -42,6 +46,8 @@
   std::map<std::string, service_metrics> services_;
   bounded_histogram loop_lag_;
   uint64_t keys_moved_ = 0;
+  uint64_t repeats_asked_ = 0;
+  uint64_t repeats_sent_ = 0;
 };
 
 }  // namespace foxtailspread
