Sum the requests of all hosts at each target

Dozens of hosts share the few slots of a target, and a target that tells no load has a queue that none of them sees.

Each host tells the host that sums loads which requests it has at which target, what was served and rejected and how long answers took with a free slot; the sums go to all hosts with the loads that targets report, in the same datagrams. Services share only if their targets report loads or if one request of each host would take longer than the objective. A host that is late or gone leaves the sum, and a board that begins tells none until all hosts have had time to report. Reported loads are shared for keyed services too. Nothing chooses targets by it yet.

load_board_test, load_sharing_test, shared_loads_test, edge_parts_test, target_load_test, reported_load_test, request_router_test and worst_load_test pass.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -74,6 +74,8 @@
   kTargetsUnreachable = 351,
   kTargetsReachable = 352,
   kRequestRelayed = 353,
+  kLoadsShared = 354,
+  kLoadsNotShared = 355,
   kFaultsChanged = 800,
   kPoisonedRequest = 801,
   kWorkCancelled = 802,
@@ -277,6 +279,15 @@
      "reaches "
      "no target for it.",
      "Look at this host's links to the targets."},
+    {event_id::kLoadsShared, event_level::kInfo, "loads-shared",
+     "This host begins to tell the others of its requests at the targets of "
+     "the "
+     "service given: they report their load, or so many hosts share them that "
+     "one request of each would take longer than the objective given.",
+     "Nothing to do."},
+    {event_id::kLoadsNotShared, event_level::kInfo, "loads-not-shared",
+     "The loads of the service given need no sharing any more.",
+     "Nothing to do."},
     {event_id::kFaultsChanged, event_level::kInfo, "faults-changed",
      "A test has set the faults of a stand-in.", "Nothing to do."},
     {event_id::kPoisonedRequest, event_level::kError, "poisoned-request",
--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -16,6 +16,7 @@
 #include "foxtailspread/crash_mark.h"
 #include "foxtailspread/error.h"
 #include "foxtailspread/evacuations.h"
+#include "foxtailspread/load/load_samples.h"
 #include "foxtailspread/permit_issuer.h"
 #include "foxtailspread/reported_load.h"
 #include "foxtailspread/store_revision.h"
@@ -186,10 +187,16 @@
   bool operator==(const hosts_record&) const = default;
 };
 
-/// Loads that targets have reported: from a host to the lease holder those that
-/// this host has received, from the lease holder those of all hosts.
+/// Loads of targets: from a host to the lease holder what targets reported to
+/// it and its own requests, from the lease holder those of all hosts.
 struct loads_record {
-  std::vector<load_sample> loads;
+  std::vector<load_sample> loads{};  ///< As targets reported them.
+  /// The host whose requests these are; empty if it tells none.
+  std::string host{};
+  uint64_t sequence = 0;  ///< Grows with each record of the host.
+  /// All targets at which the host has requests, or had since the last record.
+  std::vector<activity_sample> activity{};
+  std::vector<load_sum> sums{};  ///< Over all hosts.
 
   bool operator==(const loads_record&) const = default;
 };
--- a/include/foxtailspread/load/target_load.h
+++ b/include/foxtailspread/load/target_load.h
@@ -56,6 +56,10 @@
   std::unordered_map<uint32_t, target_load> loads_;
 };
 
+/// Returns how many requests are at a target, with those that this host has
+/// sent since the load was measured.
+double ExpectedOccupancy(const target_load& load, size_t own_sent_since);
+
 /// Returns whether hosts have to share their view of a target to keep its queue
 /// short: if each of `host_count` hosts may have one request at a target with
 /// `slots` slots, the last of them is answered later than the objective.
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -27,6 +27,8 @@
 #include "foxtailspread/crash_watch.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_map.h"
+#include "foxtailspread/load/load_samples.h"
+#include "foxtailspread/load/target_load.h"
 #include "foxtailspread/permit_cache.h"
 #include "foxtailspread/relay_hosts.h"
 #include "foxtailspread/retry_budget.h"
@@ -206,11 +208,22 @@
   std::string path{};
 };
 
+/// Reports that this host begins or ceases to tell the others of its requests
+/// at a service's targets, see load_sharing, and why.
+struct load_sharing_action {
+  std::string service{};
+  bool is_on = false;
+  size_t hosts = 0;
+  int slots = 0;
+  duration work{};
+  duration objective{};
+};
+
 using router_action =
     std::variant<reach_change_action, probe_action, relay_action, send_action,
                  local_reply_action, deliver_action, cancel_action,
                  limit_change_action, leaving_action, backoff_action,
-                 permit_request_action>;
+                 permit_request_action, load_sharing_action>;
 using router_actions = std::vector<router_action>;
 
 /// How an attempt ended.
@@ -326,8 +339,23 @@
   /// Returns the loads that a service's targets reported since the last call.
   std::vector<load_sample> TakeLoads(const std::string& service,
                                      time_point now);
+  /// Returns this host's requests at a service's targets, without targets at
+  /// which it has had none since the last call; empty while the service's loads
+  /// are not shared.
+  std::vector<activity_sample> TakeActivity(const std::string& service,
+                                            time_point now);
+  /// Returns all of that for the host that sums the loads of all hosts; empty
+  /// if there is nothing to tell.
+  std::optional<loads_record> TakeLoadNews(std::string_view host,
+                                           time_point now);
+  /// Whether TakeLoadNews() has something to tell in a sharing period's time.
+  bool HasLoadNews() const { return has_load_news_; }
   /// Applies loads that targets reported to other hosts.
   void OnLoads(std::span<const load_sample> loads, time_point now);
+  /// Applies the loads of targets over all hosts.
+  void OnLoadSums(std::span<const load_sum> sums, time_point now);
+  /// The loads of targets over all hosts, as far as this host knows them.
+  const load_view& loads() const { return loads_; }
   /// Returns the mean latency of a service's targets since the last call,
   /// without the targets that served nothing.
   std::vector<target_latency> TakeLatencies(const std::string& service);
@@ -397,6 +425,8 @@
   bool RefuseIfItCrashesTargets(request& pending_request, time_point now,
                                 router_actions& out);
   int MaxConnections(const std::string& service) const;
+  /// Returns the smallest objective of the routes to a service.
+  duration LeastObjective(const std::string& service) const;
   /// The latency assumed of a target that is new to this host: the mean of the
   /// others, so that it gets its share of the requests at once.
   static duration InitialLatency(const service& service_state);
@@ -481,8 +511,24 @@
   static void AddStatements(const target& stating, time_point now,
                             target_statements& statements);
   /// Records the load that `reporter` reported with the end of an attempt.
-  static void RecordLoad(const request& ended_request, target& reporter,
-                         const attempt_report& report, time_point now);
+  void RecordLoad(const request& ended_request, target& reporter,
+                  const attempt_report& report, time_point now);
+  void UpdateReported(uint32_t target_id, const reported_load& load,
+                      time_point reported_at, time_point now);
+  /// Records a request about to be sent, and the end of an attempt, for the
+  /// load that this host tells the others.
+  void RecordSend(request& sent_request, const target& chosen, time_point now,
+                  router_actions& out);
+  void RecordActivity(const request& ended_request, target& attempted,
+                      attempt_verdict verdict, time_point now);
+  /// Returns the load of a target over all hosts; nullptr if it is not known.
+  const target_load* LoadOf(const target& known_target, time_point now) const;
+  /// Returns how many requests are at a target, with those that this host has
+  /// sent since its load was measured; empty if its load is not known.
+  std::optional<double> ExpectedOccupancyOf(const target& known_target,
+                                            time_point now) const;
+  /// Returns the time since which this host's sends are missing in a sum.
+  time_point SumAsOf(time_point summed_at) const;
   /// Applies what the answer of an attempt says of its target's limit.
   static void RecordLimit(const request& ended_request, target& answering,
                           const attempt_report& report, time_point now,
@@ -563,6 +609,11 @@
   relay_hosts relays_;
   target_paths paths_ = target_paths::kAll;  ///< As last reported.
   router_counts counts_;
+  load_view loads_;
+  bool has_load_news_ = false;
+  int last_records_ = 0;  ///< Still to be told after the last requests.
+  time_point loads_taken_at_{};
+  time_point former_loads_taken_at_{};
   /// Statements of targets that are not listed now, by id and start.
   std::map<std::pair<std::string, uint64_t>, kept_statements>
       unlisted_statements_;
--- a/include/foxtailspread/target_health.h
+++ b/include/foxtailspread/target_health.h
@@ -10,6 +10,7 @@
 /// freeze or fail. Only the outcomes of requests are current; the load that a
 /// target reports lags behind.
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <utility>
@@ -85,6 +86,8 @@
   /// their number.
   std::pair<duration, uint32_t> TakeRecentLatency();
   int in_flight() const { return in_flight_; }
+  /// Returns how many of the requests in flight were sent after `since`.
+  size_t SentSince(time_point since) const;
   double limit() const { return limit_; }
   uint64_t served() const { return served_; }
 
--- a/src/core/load/target_load.cc
+++ b/src/core/load/target_load.cc
@@ -6,7 +6,7 @@
 
 void load_view::Update(uint32_t target, const target_load& load) {
   const auto [found, is_new] = loads_.try_emplace(target, load);
-  if (!is_new && load.as_of > found->second.as_of) {
+  if (!is_new && load.as_of >= found->second.as_of) {
     found->second = load;
   }
 }
@@ -24,6 +24,10 @@
   });
 }
 
+double ExpectedOccupancy(const target_load& load, size_t own_sent_since) {
+  return load.occupied + static_cast<double>(own_sent_since);
+}
+
 bool NeedsSharedView(size_t host_count, int slots, duration work,
                      duration objective) {
   return work * static_cast<int64_t>(host_count) / std::max(slots, 1) >
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -205,6 +205,7 @@
   if (!pending_request.first_sent_time) {
     pending_request.first_sent_time = now;
   }
+  RecordSend(pending_request, *chosen, now, out);
   chosen->health.OnSent(now);
   reach_.OnSent(chosen->entry.life.id, now);
   if (chosen->limit.per_second()) {
@@ -280,6 +281,7 @@
       not_owner ? attempt_verdict::kNotOwner : report.verdict,
       pending_request.sent_time, pending_request.matched_route->objective, now);
   --service_state.in_flight;
+  RecordActivity(pending_request, *attempted_target, report.verdict, now);
   RecordReach(*attempted_target, report.verdict, now, out);
   if (report.load) {
     RecordLoad(pending_request, *attempted_target, report, now);
--- a/src/core/request_router_reports.cc
+++ b/src/core/request_router_reports.cc
@@ -1,9 +1,7 @@
-// Load and latency reports: those of targets, those for other hosts and those
-// of other hosts.
+// Statements of targets, and reports of keys and latencies for other hosts.
 
 #include <algorithm>
 #include <chrono>
-#include <unordered_map>
 #include <utility>
 
 #include "foxtailspread/request_router.h"
@@ -18,25 +16,6 @@
 
 }  // namespace
 
-void request_router::RecordLoad(const request& ended_request, target& reporter,
-                                const attempt_report& report, time_point now) {
-  // Most likely another target has taken over the address, so that the load is
-  // not that of this target.
-  if (report.verdict == attempt_verdict::kMisdirected) {
-    return;
-  }
-  reporter.health.OnLoadReport(*report.load, now, duration{0});
-  reporter.has_new_load = true;
-  const double load =
-      static_cast<double>(report.load->occupied()) / reporter.entry.slots;
-  ended_request.service_state->limit.OnResponse(
-      {.load_per_slot = load,
-       .served = report.verdict == attempt_verdict::kServed,
-       .latency = now - ended_request.sent_time,
-       .objective = ended_request.matched_route->objective},
-      ended_request.service_state->in_flight);
-}
-
 void request_router::RecordStatements(const request& ended_request,
                                       target& answering,
                                       const attempt_report& report,
@@ -161,51 +140,6 @@
   return counts;
 }
 
-std::vector<load_sample> request_router::TakeLoads(
-    const std::string& service_name, time_point now) {
-  std::vector<load_sample> samples;
-  const auto found = services_.find(service_name);
-  if (found == services_.end() || found->second->keyed) {
-    return samples;
-  }
-  for (const auto& known_target : found->second->targets) {
-    const reported_load* load = known_target->health.ReportedLoad(now);
-    if (!std::exchange(known_target->has_new_load, false) || load == nullptr) {
-      continue;
-    }
-    const auto [mean_latency, served] =
-        known_target->health.TakeRecentLatency();
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - known_target->health.reported_at());
-    samples.push_back(
-        {.target = known_target->short_id,
-         .load = *load,
-         .age_ms = static_cast<uint32_t>(age.count()),
-         .latency_us = static_cast<uint32_t>(mean_latency.count()),
-         .served = served});
-  }
-  return samples;
-}
-
-void request_router::OnLoads(std::span<const load_sample> loads,
-                             time_point now) {
-  std::unordered_map<uint32_t, const load_sample*> samples_by_target;
-  for (const load_sample& sample : loads) {
-    samples_by_target.emplace(sample.target, &sample);
-  }
-  for (auto& [name, service_state] : services_) {
-    for (const auto& known_target : service_state->targets) {
-      const auto found = samples_by_target.find(known_target->short_id);
-      if (found != samples_by_target.end()) {
-        const load_sample& sample = *found->second;
-        known_target->health.OnLoadReport(
-            sample.load, now - std::chrono::milliseconds{sample.age_ms},
-            duration{static_cast<int64_t>(sample.latency_us)});
-      }
-    }
-  }
-}
-
 std::vector<target_latency> request_router::TakeLatencies(
     const std::string& service_name) {
   std::vector<target_latency> latencies;
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "foxtailspread/load/load_sharing.h"
 #include "foxtailspread/permit_cache.h"
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/service_limit.h"
@@ -50,6 +51,16 @@
   std::map<int, list> ranks_;
 };
 
+/// This host's requests at one target that ended since it last told of them.
+struct target_activity {
+  uint32_t served = 0;
+  uint32_t rejected = 0;
+  uint32_t unqueued = 0;         ///< Served ones that found a free slot.
+  duration unqueued_latency{0};  ///< Sum of theirs.
+
+  bool operator==(const target_activity&) const = default;
+};
+
 /// One target. Requests in flight keep it alive after it is no longer listed.
 struct request_router::target
     : boost::intrusive_ref_counter<target, boost::thread_unsafe_counter> {
@@ -63,6 +74,7 @@
   uint32_t short_id;
   target_health health;
   bool has_new_load = false;  ///< It reported its load since TakeLoads().
+  target_activity activity;
   target_availability availability;
   target_limit limit;
   permit_cache permits;               ///< For its limit.
@@ -108,6 +120,8 @@
   waiting_queue* queue = nullptr;  ///< Queue that it waits in.
   target_ptr queue_owner;          ///< Target that `queue` belongs to, if any.
   time_point sent_time{};
+  /// Requests at its target when it was sent, without it, if that was known.
+  std::optional<double> occupancy_at_send{};
   std::optional<time_point> first_sent_time{};
   std::vector<target_ptr> tried_targets;
 
@@ -142,6 +156,7 @@
   cold_policy cold_start;
   int in_flight = 0;    ///< Attempts under way at its targets.
   service_limit limit;  ///< Of `in_flight`, if targets report their load.
+  load_sharing sharing;
   std::vector<boost::intrusive_ptr<target>> targets;
   key_map owners;
   /// When each range that is moving to a new owner was first seen moving, by
--- a/src/core/request_router_targets.cc
+++ b/src/core/request_router_targets.cc
@@ -1,6 +1,7 @@
 // Updates of the configuration, of the targets and of the owners of keys.
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <unordered_set>
 #include <utility>
@@ -35,6 +36,7 @@
     service& service_state = FindOrAddService(settings.name);
     service_state.keyed = settings.keyed;
     service_state.cold_start = ColdPolicyOf(settings);
+    service_state.sharing.SetObjective(LeastObjective(settings.name));
   }
   UpdateConnectionLimits();
   for (auto& [name, service_state] : services_) {
@@ -42,6 +44,18 @@
   }
 }
 
+duration request_router::LeastObjective(const std::string& service_name) const {
+  duration least = duration::max();
+  for (const route& each : table_->config().routes) {
+    for (const weighted_service& receiver : each.services) {
+      if (receiver.service == service_name) {
+        least = std::min(least, each.objective);
+      }
+    }
+  }
+  return least;
+}
+
 /// Returns this host's share of the connections that a target accepts from all
 /// hosts; 0 for no limit. A target resets connections above its limit, and it
 /// is not known whether a request on such a connection ran.
@@ -68,9 +82,12 @@
 
 void request_router::UpdateSlotShare(service& service_state) const {
   double slots = 0.0;
+  int least_slots = std::numeric_limits<int>::max();
   for (const auto& listed_target : service_state.targets) {
     slots += IsLeaving(*listed_target) ? 0.0 : listed_target->entry.slots;
+    least_slots = std::min(least_slots, listed_target->entry.slots);
   }
+  service_state.sharing.SetSlots(least_slots);
   if (slots > 0.0) {
     service_state.limit.SetCapacity(slots, host_count_);
   }
--- a/src/core/target_health.cc
+++ b/src/core/target_health.cc
@@ -234,12 +234,16 @@
   return fresh ? &reported_load_ : nullptr;
 }
 
+size_t target_health::SentSince(time_point since) const {
+  const auto first =
+      std::upper_bound(sent_times_.begin(), sent_times_.end(), since);
+  return static_cast<size_t>(sent_times_.end() - first);
+}
+
 duration target_health::ExpectedByReportedLoad(time_point now) const {
-  const auto first_after_report =
-      std::upper_bound(sent_times_.begin(), sent_times_.end(), reported_at_);
-  const auto sent_since = sent_times_.end() - first_after_report;
   const double requests_at_target =
-      static_cast<double>(reported_load_.occupied() + sent_since + 1);
+      static_cast<double>(reported_load_.occupied() + 1) +
+      static_cast<double>(SentSince(reported_at_));
   const double queue_factor = std::max(1.0, requests_at_target / slots_);
   const double relative_age =
       std::chrono::duration<double>(now - reported_at_) /
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -322,6 +322,9 @@
     std::visit([this](const auto& each) { CarryOne(each); }, action);
   }
   LogCrashes();
+  if (router_.HasLoadNews()) {
+    ShareLoadsSoon();
+  }
   Arm();
 }
 
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -19,6 +19,7 @@
 #include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_assigner.h"
+#include "foxtailspread/load/load_board.h"
 #include "foxtailspread/permit_issuer.h"
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/target_history.h"
@@ -128,6 +129,9 @@
   void ShareLoadsSoon();
   void ShareLoads();
   void OnLoads(const loads_record& record, time_point now);
+  /// Whether this host sums the loads that all hosts tell. It goes on while the
+  /// store is away, as nobody else can begin.
+  bool SumsLoads(time_point now) const;
   /// `is_own_answer`: the target told this host, not another one.
   void OnStatementChanged(const target_life& target, bool is_own_answer);
   void ShareStatementsSoon();
@@ -162,6 +166,7 @@
   void CarryOne(const probe_action& action);
   void CarryOne(const relay_action& action);
   void CarryOne(const permit_request_action& action);
+  void CarryOne(const load_sharing_action& action);
   void Carry(assigner_actions& actions);
   void CarryOne(const store_write& action);
   void CarryOne(const key_order& action);
@@ -207,7 +212,7 @@
   platform::store_follower<std::string> own_;
   platform::store_follower<evacuation_request> evacuation_requests_;
   evacuations evacuations_;
-  load_aggregator loads_;  ///< While this host holds the lease.
+  load_board loads_;       ///< While this host passes on reports.
   permit_issuer permits_;  ///< Likewise.
   request_router router_;
   key_assigner assigner_;
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -598,53 +598,6 @@
   ShareCrashesSoon();
 }
 
-/// Lets loads be shared soon. Nothing is armed where targets tell none.
-void edge_daemon::ShareLoadsSoon() {
-  if (!std::exchange(loads_due_, true)) {
-    share_loads_ = RunAfter(LoadSharingPeriod(assigner_.HostCount()),
-                            [this] { ShareLoads(); });
-  }
-}
-
-/// Tells the holder of the lease what targets told this host. The holder tells
-/// all hosts.
-void edge_daemon::ShareLoads() {
-  loads_due_ = false;
-  if (router_.table() == nullptr) {
-    return;
-  }
-  const time_point now = Now();
-  loads_record heard;
-  for (const service_settings& each : router_.table()->config().services) {
-    const auto loads = router_.TakeLoads(each.name, now);
-    heard.loads.insert(heard.loads.end(), loads.begin(), loads.end());
-  }
-  if (!assigner_.IsHolder(now)) {
-    const auto& lease = assigner_.lease();
-    if (!heard.loads.empty() && lease && !lease->address.empty()) {
-      hosts_.Send(lease->address, FormatHostMessage(heard));
-    }
-    return;
-  }
-  loads_.Add(heard.loads, now);
-  const loads_record all{loads_.TakeFresh(now)};
-  if (!all.loads.empty()) {
-    router_.OnLoads(all.loads, now);
-    SendToHosts(assigner_.OtherHosts(now), FormatHostMessage(all));
-  }
-}
-
-void edge_daemon::OnLoads(const loads_record& record, time_point now) {
-  // A former holder that has not learnt of its successor yet sends merged
-  // loads; added here they count once more, which harms nothing.
-  if (assigner_.IsHolder(now)) {
-    loads_.Add(record.loads, now);
-    ShareLoadsSoon();
-  } else {
-    router_.OnLoads(record.loads, now);
-  }
-}
-
 void edge_daemon::OnStatementChanged(const target_life& target,
                                      bool is_own_answer) {
   const time_point now = Now();
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 #include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/host_messages.h"
@@ -159,6 +160,50 @@
             host_message{record});
 }
 
+TEST_F(HostMessagesTest, ActivityAndSumsRoundTrip) {
+  const loads_record own{.host = "a",
+                         .sequence = 4'000'000'000'000,
+                         .activity = {{.target = 4'000'000'000,
+                                       .in_flight = 3,
+                                       .served = 2,
+                                       .rejected = 1,
+                                       .latency_us = 160'000,
+                                       .unqueued = 2}}};
+  EXPECT_EQ(ParseHostMessage(FormatHostMessage(own)).value(),
+            host_message{own});
+  const loads_record all{.sums = {{.target = 4'000'000'000,
+                                   .occupied = 3,
+                                   .served_per_second = 21.5,
+                                   .rejected_per_second = 0.5,
+                                   .latency_us = 160'000,
+                                   .age_ms = 20,
+                                   .is_reported = true}}};
+  EXPECT_EQ(ParseHostMessage(FormatHostMessage(all)).value(),
+            host_message{all});
+}
+
+// Guards against hosts of two releases, side by side during an update, that
+// refuse each other's loads.
+TEST_F(HostMessagesTest, LoadsOfTheEarlierReleaseAreRead) {
+  const auto earlier = nlohmann::json::array(
+      {"loads", nlohmann::json::array({7, 6, 2, 100, 70, 310'000, 4})});
+  const std::vector<uint8_t> packed = nlohmann::json::to_msgpack(earlier);
+  const loads_record record{{{.target = 7,
+                              .load = {.running = 6, .waiting = 2},
+                              .age_ms = 70,
+                              .latency_us = 310'000,
+                              .served = 4}}};
+  EXPECT_EQ(ParseHostMessage(std::string{packed.begin(), packed.end()}).value(),
+            host_message{record});
+  // The earlier release reads the first two elements and ignores others.
+  loads_record now = record;
+  now.host = "a";
+  now.activity = {{.target = 7, .in_flight = 1}};
+  const auto read = nlohmann::json::from_msgpack(FormatHostMessage(now));
+  EXPECT_EQ(read.at(0), "loads");
+  EXPECT_EQ(read.at(1), earlier.at(1));
+}
+
 TEST_F(HostMessagesTest, StatementsAndPermitsRoundTrip) {
   const limit_sample limited{.target = {.id = "t1", .started = 7},
                              .per_second = 2.8,
