Hold large bodies once, in one bounded count, and refuse them at their heads

A body on its way to a target was held twice, by its request and formatted by the connection to the target, and the second copy was counted nowhere; neither were answers that arrive. Uploads that began together were all let in, and then refused after part of their bodies. A caller that took no answers was read on.

One count now covers requests, answers and what targets have not taken. A body whose length is stated is charged at its head, and refused there as not run if it does not fit. A body of 16 KB or more is held once, and given away with the last attempt that its route allows; it comes back if nothing was written. Large bodies to one target are bounded by this host's part of its slots.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -74,6 +74,8 @@
   kTargetsUnreachable = 351,
   kTargetsReachable = 352,
   kRequestRelayed = 353,
+  kMemoryShort = 366,
+  kMemoryFree = 367,
   kFaultsChanged = 800,
   kPoisonedRequest = 801,
   kWorkCancelled = 802,
@@ -277,6 +279,14 @@
      "reaches "
      "no target for it.",
      "Look at this host's links to the targets."},
+    {event_id::kMemoryShort, event_level::kWarning, "memory-short",
+     "The host refuses requests with bodies: those and the answers that it "
+     "holds take the memory given, in bytes, that it has for them.",
+     "Look whether targets or callers read slowly; add hosts or memory."},
+    {event_id::kMemoryFree, event_level::kInfo, "memory-free",
+     "Half of the memory for requests and answers is free again; the number "
+     "of requests refused since the start is given.",
+     "Nothing to do."},
     {event_id::kFaultsChanged, event_level::kInfo, "faults-changed",
      "A test has set the faults of a stand-in.", "Nothing to do."},
     {event_id::kPoisonedRequest, event_level::kError, "poisoned-request",
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -51,6 +51,7 @@
   std::optional<key_point> key{};
   std::optional<duration> caller_timeout{};  ///< How long the caller waits.
   uint64_t content_hash = 0;  ///< Hash of the request's content; 0 for none.
+  size_t body_bytes = 0;
   /// Set if another host, which reaches no target, relays the request: how many
   /// attempts are left of those that its route allows.
   std::optional<int> relayed_attempts{};
@@ -62,6 +63,8 @@
   target_life target{};
   std::string address{};
   duration time_left{};  ///< Until the request's deadline.
+  /// Once it is written whole, the request is not sent again.
+  bool is_last = false;
 };
 
 /// The answer that the host itself gives when it has no target's answer to
@@ -444,6 +447,12 @@
                      time_point now, router_actions& out);
   /// Whether the rate limit of a target, if any, allows this host to send now.
   static bool HasPermit(const target& candidate, time_point now);
+  /// Whether this host may have the request's body at a target besides those
+  /// that it has there.
+  bool HasRoomForBody(const target& candidate,
+                      const request& pending_request) const;
+  /// Records that the current attempt of a request has ended.
+  static void ReleaseBody(const request& ended_request, target& attempted);
   /// Requests the permits that `waiting` requests to a target lack.
   void RequestPermits(target& limited, size_t waiting,
                       const request& pending_request, time_point now,
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -121,6 +121,7 @@
   new_request->matched_route = matched_route;
   new_request->key = incoming.key;
   new_request->content_hash = incoming.content_hash;
+  new_request->body_bytes = incoming.body_bytes;
   new_request->relayed_attempts = incoming.relayed_attempts;
   new_request->arrival_time = now;
   const duration caller_timeout =
@@ -206,6 +207,7 @@
     pending_request.first_sent_time = now;
   }
   chosen->health.OnSent(now);
+  chosen->bodies.OnSent(pending_request.body_bytes);
   reach_.OnSent(chosen->entry.life.id, now);
   if (chosen->limit.per_second()) {
     chosen->permits.Use(now);
@@ -219,7 +221,8 @@
   out.emplace_back(send_action{.id = pending_request.id,
                                .target = chosen->entry.life,
                                .address = chosen->entry.address,
-                               .time_left = pending_request.deadline - now});
+                               .time_left = pending_request.deadline - now,
+                               .is_last = AttemptsLeft(pending_request) < 1});
   return true;
 }
 
@@ -279,6 +282,7 @@
   attempted_target->health.OnEnded(
       not_owner ? attempt_verdict::kNotOwner : report.verdict,
       pending_request.sent_time, pending_request.matched_route->objective, now);
+  ReleaseBody(pending_request, *attempted_target);
   --service_state.in_flight;
   RecordReach(*attempted_target, report.verdict, now, out);
   if (report.load) {
@@ -366,6 +370,7 @@
     pending_request.current_target->health.OnEnded(
         attempt_verdict::kAbandoned, pending_request.sent_time,
         pending_request.matched_route->objective, now);
+    ReleaseBody(pending_request, *pending_request.current_target);
     reach_.OnAbandoned(pending_request.current_target->entry.life.id, now);
     --service_state.in_flight;
     out.emplace_back(cancel_action{id});
@@ -422,6 +427,7 @@
     pending_request.current_target->health.OnEnded(
         attempt_verdict::kTimedOut, pending_request.sent_time,
         pending_request.matched_route->objective, now);
+    ReleaseBody(pending_request, *pending_request.current_target);
     --service_state.in_flight;
     pending_request.current_target.reset();
     pending_request.may_have_run = true;
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -167,10 +167,10 @@
   }
   const bool grace_is_over =
       IsDrainGraceOver(*owner, now) || IsEvacuationGraceOver(*owner, now);
-  const bool usable = !grace_is_over && now >= owner->resumes_at &&
-                      !owner->availability.IsCold(now) &&
-                      owner->health.IsReachable(now) &&
-                      owner->health.HasCapacity(now);
+  const bool usable =
+      !grace_is_over && now >= owner->resumes_at &&
+      !owner->availability.IsCold(now) && owner->health.IsReachable(now) &&
+      owner->health.HasCapacity(now) && HasRoomForBody(*owner, pending_request);
   if (usable && !HasPermit(*owner, now)) {
     RequestPermits(*owner, owner->queue.Count(), pending_request, now, out);
     return nullptr;
@@ -191,6 +191,7 @@
                            now >= candidate->resumes_at &&
                            candidate->health.IsReachable(now) &&
                            candidate->health.HasCapacity(now) &&
+                           HasRoomForBody(*candidate, pending_request) &&
                            !pending_request.WasTried(candidate.get());
     if (!is_usable) {
       continue;
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "foxtailspread/load/body_room.h"
 #include "foxtailspread/permit_cache.h"
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/service_limit.h"
@@ -62,6 +63,7 @@
   target_entry entry;
   uint32_t short_id;
   target_health health;
+  body_room bodies;           ///< Of this host's requests under way to it.
   bool has_new_load = false;  ///< It reported its load since TakeLoads().
   target_availability availability;
   target_limit limit;
@@ -91,6 +93,7 @@
   service* service_state = nullptr;
   std::optional<key_point> key;
   uint64_t content_hash = 0;
+  size_t body_bytes = 0;
   time_point arrival_time{};
   time_point deadline{};         ///< Its deadline on this host.
   time_point caller_deadline{};  ///< When the caller gives up.
@@ -204,6 +207,17 @@
   return summary;
 }
 
+inline bool request_router::HasRoomForBody(
+    const target& candidate, const request& pending_request) const {
+  return candidate.bodies.HasRoom(pending_request.body_bytes,
+                                  candidate.entry.slots, host_count_);
+}
+
+inline void request_router::ReleaseBody(const request& ended_request,
+                                        target& attempted) {
+  attempted.bodies.OnEnded(ended_request.body_bytes);
+}
+
 }  // namespace foxtailspread
 
 #endif  // FOXTAILSPREAD_CORE_REQUEST_ROUTER_STATE_H_
--- a/src/core/request_router_waiting.cc
+++ b/src/core/request_router_waiting.cc
@@ -111,7 +111,8 @@
       // If a request that may go to every target of the queue finds no free
       // slot, the requests behind it find none either.
       const bool same_targets_for_all =
-          next->queue_owner || !next->service_state->keyed;
+          (next->queue_owner || !next->service_state->keyed) &&
+          next->body_bytes <= body_room::kSmallBody;
       if (!sent && same_targets_for_all && next->tried_targets.empty()) {
         return;
       }
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -36,12 +36,6 @@
 /// How often a stopping host looks whether it is done.
 constexpr duration kLeaveStep{milliseconds{100}};
 
-/// One part in so many of the memory is for bytes of callers' requests and
-/// answers: each is kept up to twice on its way, and the process itself needs
-/// some megabytes.
-constexpr size_t kCallersMemoryPart = 4;
-constexpr size_t kRelayedMemoryPart = 8;
-
 /// Set in the number of an exchange with a host that relays a request, to tell
 /// it from those with callers.
 constexpr exchange_id kRelayedExchange = exchange_id{1} << 63U;
@@ -113,30 +107,33 @@
                          std::function<void()> on_done)
     : settings_(std::move(settings)),
       on_done_(std::move(on_done)),
+      memory_(kDefaultMostBuffered),
       callers_(events_,
                {.on_request =
                     [this](exchange_id id, http_message request) {
                       OnRequest(id, std::move(request));
                     },
-                .on_gone = [this](exchange_id id) { OnCallerGone(id); }}),
+                .on_gone = [this](exchange_id id) { OnCallerGone(id); }},
+               &memory_),
       readiness_(events_,
                  {.on_request =
                       [this](exchange_id id, const http_message& request) {
                         OnReadinessRequest(id, request);
                       },
                   .on_gone = [](exchange_id) {}}),
-      relayed_(events_, {.on_request =
-                             [this](exchange_id id, http_message request) {
-                               OnRelayedRequest(id, std::move(request));
-                             },
-                         .on_gone =
-                             [this](exchange_id id) {
-                               OnCallerGone(id | kRelayedExchange);
-                             }}),
-      targets_pool_(events_, platform::TargetPoolSettings()),
+      relayed_(
+          events_,
+          {.on_request =
+               [this](exchange_id id, http_message request) {
+                 OnRelayedRequest(id, std::move(request));
+               },
+           .on_gone =
+               [this](exchange_id id) { OnCallerGone(id | kRelayedExchange); }},
+          &memory_),
+      targets_pool_(events_, platform::TargetPoolSettings(&memory_)),
       orders_pool_(events_, platform::OrderPoolSettings()),
       probes_pool_(events_, {}),
-      relays_pool_(events_, {}),
+      relays_pool_(events_, {.memory = &memory_}),
       hosts_(events_, [this](std::string_view bytes) { OnDatagram(bytes); }),
       store_(events_, settings_.store, [this](uint64_t era) { OnEra(era); }),
       config_(
@@ -175,11 +172,6 @@
   LimitMemory();
 }
 
-void edge_daemon::LimitMemory() {
-  callers_.SetMostBuffered((settings_.memory_mb << 20) / kCallersMemoryPart);
-  relayed_.SetMostBuffered((settings_.memory_mb << 20) / kRelayedMemoryPart);
-}
-
 status edge_daemon::Start() {
   for (const auto& [server, address] :
        {std::pair{&callers_, &settings_.callers},
@@ -295,6 +287,9 @@
   }
   flight& ended = found->second;
   ended.call.reset();
+  if (result.unsent_body) {
+    ended.request.large_body = std::move(result.unsent_body);
+  }
   const time_point now = Now();
   const attempt_verdict verdict = platform::Judge(result);
   attempt_report report{.id = id, .verdict = verdict};
@@ -322,6 +317,7 @@
     std::visit([this](const auto& each) { CarryOne(each); }, action);
   }
   LogCrashes();
+  LogMemory();
   Arm();
 }
 
@@ -356,13 +352,7 @@
   if (found == flights_.end()) {
     return;
   }
-  found->second.target = action.target;
-  found->second.is_relayed = false;
-  found->second.call =
-      targets_pool_.Send(platform::ToTarget(found->second.request, action),
-                         [this, id = action.id](call_result result) {
-                           OnAttemptEnded(id, std::move(result));
-                         });
+  SendToTarget(found->second, action);
 }
 
 void edge_daemon::CarryOne(const local_reply_action& action) {
@@ -643,6 +633,7 @@
        static_cast<double>(targets_pool_.connections_made()));
   line("callers_connections", static_cast<double>(callers_.connections()));
   line("callers_buffered_bytes", static_cast<double>(callers_.buffered()));
+  AppendMemoryMetrics(text);
   line("hosts_known", static_cast<double>(assigner_.HostCount()));
   line("assigner_lease_held", assigner_.IsHolder(now) ? 1.0 : 0.0);
   line("config_version",
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -19,6 +19,7 @@
 #include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_assigner.h"
+#include "foxtailspread/load/held_memory.h"
 #include "foxtailspread/permit_issuer.h"
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/target_history.h"
@@ -176,6 +177,11 @@
   void CarryOne(const assigner_note& action);
 
   void LimitMemory();
+  void LogMemory();
+  void AppendMemoryMetrics(std::string& text) const;
+  /// Sends a request to a target; the connection alone keeps its large body if
+  /// it is not sent again.
+  void SendToTarget(flight& sent, const send_action& action);
   void Step();
   void Arm();
   void LeaveStep();
@@ -193,6 +199,8 @@
   platform::edge_settings settings_;
   std::function<void()> on_done_;
   poller events_;
+  held_memory memory_;  ///< What requests and answers on their way hold.
+  bool memory_is_short_ = false;  ///< As last logged.
   caller_server callers_;
   caller_server readiness_;
   caller_server relayed_;  ///< Requests that other hosts hand over.
--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -26,6 +26,14 @@
 /// keeps more than this: refusing small ones frees nothing.
 constexpr size_t kSmallRequest = 4096;
 
+/// A body from this size on is kept once for the request and for the connection
+/// that sends it; below, copying it is cheaper.
+constexpr size_t kLargeBody = 16384;
+
+/// Bytes of answers that a caller may leave untaken before its next requests
+/// are read.
+constexpr size_t kMostUntaken = 65536;
+
 /// Retry-After of such a refusal, in seconds: about the time that a megabyte
 /// takes on the slowest of the users' links.
 constexpr char kRetryAfterMemory[] = "1";
@@ -65,7 +73,9 @@
     : server_(server),
       stream_(server.events_, HandlerFor<&caller_connection::OnReady>(this)),
       reader_(HTTP_REQUEST, server.limits_.sizes),
-      last_byte_(now) {
+      last_byte_(now),
+      arriving_(&server.memory_, held_kind::kRequests),
+      leaving_(&server.memory_, held_kind::kAnswers) {
   stream_.Adopt(fd);
 }
 
@@ -77,6 +87,7 @@
   }
   if (stream_.bytes_waiting() < waiting) {
     last_byte_ = Now();
+    UpdateReading();
   }
   const bool readable =
       (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
@@ -147,6 +158,7 @@
   if (!good && !closes_after_last_) {
     RefuseRest(StatusOf(reader_.error()));
   } else if (IsShortOfMemory()) {
+    server_.memory_.OnRefused();
     RefuseRest(HTTP_STATUS_SERVICE_UNAVAILABLE);
   } else if (reader_.expects_continue()) {
     stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -174,6 +186,15 @@
 }
 
 void caller_connection::AddRequest(http_message request) {
+  if (!std::exchange(has_room_, false) && IsTooMuch(request)) {
+    RefuseForMemory(request);
+    return;
+  }
+  if (request.body.size() >= kLargeBody) {
+    request.large_body =
+        body_ptr{new shared_body(std::move(request.body), &server_.memory_)};
+    request.body.clear();
+  }
   exchange& added = exchanges_.emplace_back();
   added.id = server_.Register(this);
   added.head = request.method == "HEAD";
@@ -192,8 +213,8 @@
 void caller_connection::RefuseRest(int status) {
   LogEvent(event_id::kRequestNotRead,
            {{"status", int64_t{status}},
-            {"bytes", static_cast<int64_t>(reader_.buffered())},
-            {"all_bytes", static_cast<int64_t>(server_.buffered_)}});
+            {"bytes", static_cast<int64_t>(reader_.announced())},
+            {"all_bytes", static_cast<int64_t>(server_.memory_.total())}});
   exchanges_.emplace_back().answer = PlainAnswer(status);
   discards_rest_ = true;
   CloseAfterLast();
@@ -201,20 +222,53 @@
 
 /// Whether the request that is arriving must be refused so that the process
 /// stays inside its memory. Callers that send large bodies slowly would fill it
-/// otherwise, and the host be killed with everybody's requests.
+/// otherwise, and the host be killed with everybody's requests. One that states
+/// its length is counted whole from its head on, and refused then or not at
+/// all.
 bool caller_connection::IsShortOfMemory() {
-  if (!reader_.in_message() || reader_.buffered() <= kSmallRequest) {
+  if (has_room_ || !reader_.in_message() ||
+      reader_.announced() <= kSmallRequest) {
+    return false;
+  }
+  CountBytes();
+  if (server_.IsFull()) {
+    return true;
+  }
+  has_room_ = reader_.headers_done() && reader_.has_length();
+  return false;
+}
+
+bool caller_connection::IsTooMuch(const http_message& request) {
+  if (request.body.size() <= kSmallRequest) {
     return false;
   }
   CountBytes();
-  return server_.buffered_ > server_.most_buffered_;
+  return !server_.HasRoom(request.body.size());
+}
+
+void caller_connection::RefuseForMemory(const http_message& request) {
+  server_.memory_.OnRefused();
+  LogEvent(event_id::kRequestNotRead,
+           {{"status", int64_t{HTTP_STATUS_SERVICE_UNAVAILABLE}},
+            {"bytes", static_cast<int64_t>(request.body.size())},
+            {"all_bytes", static_cast<int64_t>(server_.memory_.total())}});
+  exchanges_.emplace_back().answer =
+      PlainAnswer(HTTP_STATUS_SERVICE_UNAVAILABLE);
+  if (!request.keep_alive) {
+    CloseAfterLast();
+  }
 }
 
 void caller_connection::CountBytes() {
-  size_t bytes = reader_.buffered() + stream_.bytes_waiting();
+  size_t requests = reader_.announced();
+  size_t answers = stream_.bytes_waiting();
   for (const exchange& each : exchanges_) {
-    bytes += each.request_bytes + (each.answer ? BytesOf(*each.answer) : 0);
+    requests += each.request_bytes;
+    answers += each.answer ? BytesOf(*each.answer) : 0;
   }
+  arriving_.Set(requests);
+  leaving_.Set(answers);
+  const size_t bytes = requests + answers;
   server_.buffered_ += bytes;
   server_.buffered_ -= std::exchange(counted_bytes_, bytes);
 }
@@ -243,19 +297,25 @@
     const exchange done = std::move(exchanges_.front());
     exchanges_.pop_front();
     const bool closes = closes_after_last_ && exchanges_.empty();
-    stream_.Write(FormatAnswer(*done.answer, closes));
     last_byte_ = Now();
+    stream_.WriteMessage(FormatAnswer(*done.answer, closes), nullptr);
     if (closes) {
       BeginLingering(last_byte_);
       return;
     }
   }
-  if (exchanges_.size() < kMaxPipelined) {
-    stream_.PauseReading(false);
-  }
+  UpdateReading();
   CountBytes();
 }
 
+/// A caller that sends requests and takes no answers would fill the memory.
+void caller_connection::UpdateReading() {
+  if (!lingering_) {
+    stream_.PauseReading(exchanges_.size() >= kMaxPipelined ||
+                         stream_.bytes_waiting() > kMostUntaken);
+  }
+}
+
 void caller_connection::BeginLingering(time_point now) {
   lingering_ = true;
   reader_.Drop();
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -35,7 +35,8 @@
   struct exchange {
     exchange_id id = 0;  ///< 0 once it was answered.
     bool head = false;
-    size_t request_bytes = 0;  ///< Kept until it is answered.
+    /// Kept until it is answered, but for a large body.
+    size_t request_bytes = 0;
     /// Formatted when it is sent: only then is it known whether it is the last.
     std::optional<http_message> answer{};
   };
@@ -54,7 +55,12 @@
   void CloseAfterLast();
   void RefuseRest(int status);
   bool IsShortOfMemory();
+  /// The same for a request that is here whole.
+  bool IsTooMuch(const http_message& request);
+  void RefuseForMemory(const http_message& request);
   void CountBytes();
+  /// Reads no further while the caller takes no answers.
+  void UpdateReading();
   void Flush();
   /// Ends this side. Nothing is in work.
   void BeginLingering(time_point now);
@@ -67,8 +73,12 @@
   std::deque<exchange> exchanges_;
   time_point last_byte_;
   time_point message_began_{};
+  memory_charge arriving_;    ///< Of requests.
+  memory_charge leaving_;     ///< Of answers.
   size_t counted_bytes_ = 0;  ///< This connection's part of the server's sum.
-  bool handing_on_ = false;   ///< Answers wait for the end of the batch.
+  /// There is room for the request that is arriving, whose length is known.
+  bool has_room_ = false;
+  bool handing_on_ = false;  ///< Answers wait for the end of the batch.
   bool closes_after_last_ = false;
   bool lingering_ = false;
   bool discards_rest_ = false;  ///< The rest of a refused request may come.
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -12,10 +12,12 @@
 
 }  // namespace
 
-caller_server::caller_server(poller& events, caller_events owner)
+caller_server::caller_server(poller& events, caller_events owner,
+                             held_memory* memory)
     : events_(events),
       owner_(std::move(owner)),
-      listener_(events, [this](int fd) { OnAccepted(fd); }) {}
+      listener_(events, [this](int fd) { OnAccepted(fd); }),
+      memory_(memory != nullptr ? *memory : own_memory_) {}
 
 caller_server::~caller_server() {
   connections_.clear_and_dispose(std::default_delete<caller_connection>());
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -10,9 +10,11 @@
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <string_view>
 #include <unordered_map>
 
+#include "foxtailspread/load/held_memory.h"
 #include "foxtailspread/time.h"
 #include "net/caller_connection.h"
 #include "net/http_message.h"
@@ -49,7 +51,10 @@
 /// @endcode
 class caller_server {
  public:
-  caller_server(poller& events, caller_events owner);
+  /// `memory` counts what this server and others of the process hold; null for
+  /// a count of its own.
+  caller_server(poller& events, caller_events owner,
+                held_memory* memory = nullptr);
   ~caller_server();
   caller_server(const caller_server&) = delete;
   caller_server& operator=(const caller_server&) = delete;
@@ -63,8 +68,10 @@
   /// Changes the limits, for requests that begin later.
   void SetLimits(const caller_limits& limits) { limits_ = limits; }
 
-  /// Changes how many bytes of requests and answers all connections together
-  /// may keep. Beyond, a request that is still arriving is refused as not run.
+  /// Changes how many bytes all connections of this server together may keep
+  /// of requests that arrive and answers that leave. A request that would take
+  /// them, or the count of the process, beyond is refused as not run, before
+  /// its body is read if its length is stated.
   void SetMostBuffered(size_t bytes) { most_buffered_ = bytes; }
 
   /// Stops or resumes accepting connections, which wait in the backlog
@@ -78,11 +85,22 @@
   /// Requests handed on and not answered yet.
   size_t pending() const { return exchanges_.size(); }
   size_t connections() const { return connections_.size(); }
-  /// Bytes of requests and answers kept for all connections.
+  /// Bytes of requests and answers kept for all connections, but for the large
+  /// bodies of requests that were handed on.
   size_t buffered() const { return buffered_; }
+  const held_memory& memory() const { return memory_; }
 
  private:
   friend class caller_connection;
+  /// Whether the bytes kept, among them those of the request that asks, are
+  /// too many.
+  bool IsFull() const {
+    return buffered_ > most_buffered_ || memory_.IsExceeded();
+  }
+  /// Whether a request with a body of this size fits that is not counted yet.
+  bool HasRoom(size_t bytes) const {
+    return buffered_ + bytes <= most_buffered_ && memory_.HasRoom(bytes);
+  }
   using connection_list =
       boost::intrusive::list<caller_connection,
                              boost::intrusive::constant_time_size<true>>;
@@ -102,6 +120,8 @@
   connection_list connections_;
   std::unordered_map<exchange_id, caller_connection*> exchanges_;
   exchange_id last_id_ = 0;
+  held_memory own_memory_{std::numeric_limits<size_t>::max()};
+  held_memory& memory_;
   size_t buffered_ = 0;
   size_t most_buffered_ = kDefaultMostBuffered;
   bool closing_ = false;
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -119,6 +119,7 @@
 int http_reader::OnBegin() {
   current_ = {};
   header_bytes_ = 0;
+  body_bytes_ = 0;
   last_was_value_ = true;
   in_message_ = true;
   headers_done_ = false;
@@ -164,7 +165,8 @@
     return -1;
   }
   if (has_length) {
-    current_.body.reserve(parser_.content_length);
+    body_bytes_ = parser_.content_length;
+    current_.body.reserve(body_bytes_);
   }
   return no_body_ ? 1 : 0;
 }
@@ -193,6 +195,7 @@
   done_.push_back(std::move(current_));
   current_ = {};
   header_bytes_ = 0;
+  body_bytes_ = 0;
   return 0;
 }
 
@@ -237,6 +240,7 @@
 void http_reader::Drop() {
   current_ = {};
   header_bytes_ = 0;
+  body_bytes_ = 0;
   in_message_ = false;
   headers_done_ = false;
 }
@@ -259,7 +263,7 @@
 }
 
 void AppendBody(std::string& out, const http_message& message) {
-  AppendHeader(out, "Content-Length", std::to_string(message.body.size()));
+  AppendHeader(out, "Content-Length", std::to_string(message.Body().size()));
   out.append("\r\n").append(message.body);
 }
 
@@ -273,7 +277,7 @@
   for (const http_header& header : request.headers) {
     AppendHeader(out, header.name, header.value);
   }
-  const bool bodiless = request.body.empty() &&
+  const bool bodiless = request.Body().empty() &&
                         (request.method == "GET" || request.method == "HEAD" ||
                          request.method == "DELETE");
   if (bodiless) {
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -12,6 +12,7 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -20,6 +21,7 @@
 #include <vector>
 
 #include "net/http_types.h"
+#include "net/shared_body.h"
 
 namespace foxtailspread {
 
@@ -33,6 +35,13 @@
   bool keep_alive = true;  ///< The sender keeps the connection open.
   /// The body ended with the connection: nothing else marks its end.
   bool ended_by_close = false;
+  /// The body of a request if it is large; `body` is empty then.
+  body_ptr large_body{};
+
+  /// Returns the body, wherever it is.
+  std::string_view Body() const {
+    return large_body ? large_body->bytes() : std::string_view{body};
+  }
 
   /// Returns the first value of the header `name`, in any case of letters.
   std::optional<std::string_view> Header(std::string_view name) const;
@@ -94,6 +103,12 @@
   bool in_message() const { return in_message_; }
   /// Bytes kept of the message under way.
   size_t buffered() const { return header_bytes_ + current_.body.size(); }
+  /// Bytes that the message under way is known to need: those announced too.
+  size_t announced() const {
+    return header_bytes_ + std::max(current_.body.size(), body_bytes_);
+  }
+  /// True when the headers of the message under way state its length.
+  bool has_length() const { return body_bytes_ > 0; }
   /// True when the headers of the message under way are through.
   bool headers_done() const { return headers_done_; }
   /// True when the message under way announced that it waits for 100.
@@ -119,6 +134,7 @@
   std::vector<http_message> done_;
   size_t taken_ = 0;
   size_t header_bytes_ = 0;
+  size_t body_bytes_ = 0;  ///< As the headers state; 0 if they do not.
   bool last_was_value_ = true;
   bool in_message_ = false;
   bool headers_done_ = false;
@@ -128,7 +144,8 @@
 };
 
 /// Writes a request with its headers as they are and a Content-Length; none
-/// for a bodiless method without a body.
+/// for a bodiless method without a body. A large body is left out, to be
+/// written behind the rest.
 std::string FormatRequest(const http_message& request);
 
 /// Writes an answer likewise. One that already has a Content-Length answers a
--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -44,7 +44,14 @@
       number_(number),
       stream_(pool.events_, HandlerFor<&pooled_connection::OnReady>(this),
               pool.settings_.silence),
-      reader_(HTTP_RESPONSE, pool.settings_.limits) {}
+      reader_(HTTP_RESPONSE, pool.settings_.limits),
+      to_target_(pool.settings_.memory, held_kind::kToTargets),
+      answer_(pool.settings_.memory, held_kind::kAnswers) {}
+
+void pooled_connection::CountBytes() {
+  to_target_.Set(stream_.copied_waiting());
+  answer_.Set(reader_.buffered());
+}
 
 void pooled_connection::Connect(const socket_address& to, time_point give_up) {
   connect_until_ = give_up;
@@ -69,7 +76,8 @@
   fresh_ = fresh;
   sent_before_ = stream_.bytes_sent();
   reader_.ExpectNoBody(call.head);
-  stream_.Write(call.request);
+  stream_.WriteMessage(std::move(call.request), std::move(call.body));
+  CountBytes();
 }
 
 void pooled_connection::Open(std::string_view request, time_point give_up) {
@@ -84,6 +92,7 @@
     FailSend(was_connected);
     return;
   }
+  CountBytes();
   if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) == 0) {
     return;
   }
@@ -108,6 +117,7 @@
 
 void pooled_connection::OnBytes(std::string_view bytes) {
   spoiled_ = !reader_.Feed(bytes);
+  CountBytes();
   FinishIfWhole();
 }
 
@@ -185,7 +195,7 @@
     pool_.FinishOpening(this, end);
     return;
   }
-  pool_.Finish(this, {.end = end});
+  pool_.Finish(this, {.end = end, .unsent_body = stream_.TakeBody()});
 }
 
 }  // namespace foxtailspread
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -31,6 +31,9 @@
 struct call_result {
   call_end end = call_end::kUnreachable;
   http_message answer{};  ///< With kAnswered.
+  /// The large body of the call, unless it was written whole or cannot be sent
+  /// again.
+  body_ptr unsent_body{};
   /// The connection was made for this call.
   bool fresh_connection = false;
   /// Names the connection; the same number in two results means the same
@@ -42,6 +45,7 @@
 struct pool_call {
   std::string_view address;  ///< "IP:port".
   std::string request;       ///< As FormatRequest wrote it.
+  body_ptr body{};           ///< Written behind `request`, if any.
   bool head = false;
   /// The value of the echo header that the answer must carry; "" for any.
   std::string echo{};
@@ -80,6 +84,8 @@
   silence_limits silence = kNearSilence;
   http_parse_limits limits{.max_header_bytes = 65536,
                            .max_body_bytes = size_t{32} << 20};
+  /// Counts the bytes that the connections hold; null for none.
+  held_memory* memory = nullptr;
 };
 
 /// Names one call of one pool.
@@ -144,6 +150,7 @@
   void KeepIdle(const http_message& answer);
   void FailSend(bool was_connected);
   void Fail(call_end end);
+  void CountBytes();
 
   connection_pool& pool_;
   std::string address_;
@@ -163,6 +170,8 @@
   uint64_t sent_before_ = 0;
   time_point connect_until_{};
   time_point idle_until_{};
+  memory_charge to_target_;
+  memory_charge answer_;
 };
 
 }  // namespace foxtailspread
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -25,6 +26,10 @@
 /// which the peer repeats only after a second.
 constexpr int kBacklog = 512;
 
+/// A buffer that has been sent is kept for the next message up to this size; a
+/// kept connection would hold the largest one that it ever carried.
+constexpr size_t kKeptBuffer = 16384;
+
 void SetInteger(int fd, int level, int name, int value) {
   setsockopt(fd, level, name, &value, sizeof(value));
 }
@@ -86,28 +91,81 @@
 }
 
 void tcp_stream::Write(std::string_view bytes) {
+  Append(bytes);
+  WriteOut();
+}
+
+void tcp_stream::Append(std::string_view bytes) {
+  if (body_) {
+    out_.append(body_->bytes().substr(body_start_));
+    body_.reset();
+  }
   out_.append(bytes);
+}
+
+void tcp_stream::WriteOut() {
   if (!connecting_ && fd_ >= 0) {
     failed_ = !Flush() || failed_;
     Update();
   }
 }
 
+void tcp_stream::WriteMessage(std::string bytes, body_ptr body) {
+  if (bytes_waiting() > 0) {
+    Append(bytes);
+  } else {
+    out_ = std::move(bytes);
+    out_start_ = 0;
+  }
+  body_ = std::move(body);
+  body_start_ = 0;
+  WriteOut();
+}
+
 bool tcp_stream::Flush() {
-  while (out_start_ < out_.size()) {
-    const ssize_t sent = send(fd_, out_.data() + out_start_,
-                              out_.size() - out_start_, MSG_NOSIGNAL);
+  while (bytes_waiting() > 0) {
+    std::array<iovec, 2> parts{};
+    parts[0] = {.iov_base = out_.data() + out_start_,
+                .iov_len = copied_waiting()};
+    if (body_) {
+      const std::string_view rest = body_->bytes().substr(body_start_);
+      parts[1] = {.iov_base = const_cast<char*>(rest.data()),
+                  .iov_len = rest.size()};
+    }
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = parts.size();
+    const ssize_t sent = sendmsg(fd_, &message, MSG_NOSIGNAL);
     if (sent < 0) {
       return errno == EAGAIN || errno == EINTR;
     }
-    out_start_ += static_cast<size_t>(sent);
-    bytes_sent_ += static_cast<uint64_t>(sent);
+    OnTaken(static_cast<size_t>(sent));
   }
-  out_.clear();
-  out_start_ = 0;
   return true;
 }
 
+void tcp_stream::OnTaken(size_t sent) {
+  bytes_sent_ += sent;
+  const size_t copied = std::min(sent, copied_waiting());
+  out_start_ += copied;
+  body_start_ += sent - copied;
+  if (body_waiting() == 0) {
+    body_.reset();
+  }
+  if (copied_waiting() == 0) {
+    out_start_ = 0;
+    if (out_.capacity() > kKeptBuffer) {
+      std::string{}.swap(out_);
+    } else {
+      out_.clear();
+    }
+  } else if (out_start_ > out_.size() / 2) {
+    out_.erase(0, out_start_);
+    out_start_ = 0;
+    out_.shrink_to_fit();
+  }
+}
+
 bool tcp_stream::OnWritable(uint32_t events) {
   if (failed_) {
     return false;
@@ -152,7 +210,7 @@
 
 uint32_t tcp_stream::Wanted() const {
   uint32_t events = paused_ ? 0U : static_cast<uint32_t>(EPOLLIN | EPOLLRDHUP);
-  if (connecting_ || out_start_ < out_.size() || failed_) {
+  if (connecting_ || bytes_waiting() > 0 || failed_) {
     events |= EPOLLOUT;
   }
   return events;
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -11,9 +11,11 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "foxtailspread/address.h"
 #include "net/poller.h"
+#include "net/shared_body.h"
 
 namespace foxtailspread {
 
@@ -66,6 +68,11 @@
 
   /// Sends what the socket takes now and keeps the rest.
   void Write(std::string_view bytes);
+  /// The same without a copy: keeps `bytes`, and behind them `body`, which may
+  /// be null, until the socket has taken them.
+  void WriteMessage(std::string bytes, body_ptr body);
+  /// Gives back what WriteMessage() left of a body, whole, if any.
+  body_ptr TakeBody() { return std::exchange(body_, nullptr); }
 
   /// Ends a connect and sends what is left. False when the connection failed.
   bool OnWritable(uint32_t events);
@@ -90,7 +97,9 @@
   bool was_refused() const { return refused_; }
   /// Bytes that the kernel has taken. 0 proves that the peer saw none.
   uint64_t bytes_sent() const { return bytes_sent_; }
-  size_t bytes_waiting() const { return out_.size() - out_start_; }
+  size_t bytes_waiting() const { return copied_waiting() + body_waiting(); }
+  /// Of these, the ones that the stream alone holds.
+  size_t copied_waiting() const { return out_.size() - out_start_; }
   /// Bytes that the kernel has taken and the peer has not acknowledged. Closing
   /// with unread bytes makes a reset, which destroys them.
   size_t bytes_unacknowledged() const;
@@ -98,7 +107,14 @@
  private:
   uint32_t Wanted() const;
   void Update();
+  void Append(std::string_view bytes);
+  void WriteOut();
   bool Flush();
+  /// Forgets `sent` bytes of what waits.
+  void OnTaken(size_t sent);
+  size_t body_waiting() const {
+    return body_ ? body_->bytes().size() - body_start_ : 0;
+  }
   void SetOptions();
 
   poller& events_;
@@ -113,6 +129,8 @@
   uint32_t watched_ = 0;
   std::string out_;
   size_t out_start_ = 0;
+  body_ptr body_;  ///< Sent behind `out_`.
+  size_t body_start_ = 0;
   uint64_t bytes_sent_ = 0;
 };
 
--- a/tests/edge_daemon_test.cc
+++ b/tests/edge_daemon_test.cc
@@ -415,6 +415,30 @@
   EXPECT_EQ(fleet_.RunsOf("relayed-1"), 1);
 }
 
+// Guards against large bodies that are lost between a caller and its target, or
+// stay counted after their answers.
+TEST_F(EdgeDaemonTest, LargeBodyIsServedAndItsMemoryIsFreeAgain) {
+  http_message request;
+  request.method = "POST";
+  request.target = "/order/6";
+  request.headers = {{"Host", "orders.example"},
+                     {std::string{platform::kAttemptId}, "large-1"},
+                     {std::string{platform::kDeadline}, "9000"}};
+  request.body = std::string(360'000, 'x');
+  const http_message answer =
+      Exchange(hosts_[0]->callers_port(), FormatRequest(request));
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, "/order/6");
+  EXPECT_EQ(fleet_.RunsOf("large-1"), 1);
+  const http_message metrics = Exchange(
+      hosts_[0]->readiness_port(), "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_NE(metrics.body.find("held_bytes{kind=\"requests\"} 0.0\n"),
+            std::string::npos)
+      << metrics.body;
+  EXPECT_NE(metrics.body.find("refused_for_memory_total 0.0\n"),
+            std::string::npos);
+}
+
 TEST_F(EdgeDaemonTest, MetricsTellOfRequestsAndCalls) {
   Call(0, "orders");
   const http_message answer = Exchange(
