Bound the cost of shared loads, and show them in the metrics

Sums of 16 bytes for 250 targets made a relay of 28 hosts pass on 908 kB/s at full load, and the holder's own zone was told host by host.

The form of the records moves to a file of its own.

--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -316,7 +316,9 @@
   size_t HostCount() const;
   /// Returns the first receivers of a datagram that is to reach all hosts that
   /// report to this one, each with the hosts that it forwards to.
-  std::vector<fanout_hop> OtherHosts(time_point now) const;
+  /// With `through_relays` also those of its own zone get it from another host.
+  std::vector<fanout_hop> OtherHosts(time_point now,
+                                     bool through_relays = false) const;
   const std::optional<assigner_lease>& lease() const { return lease_; }
   store_revision lease_revision() const { return lease_revision_; }
   /// Returns the holder and the number of writes of the newest lease that this
--- a/include/foxtailspread/load/load_board.h
+++ b/include/foxtailspread/load/load_board.h
@@ -60,7 +60,8 @@
   /// one of the host changes nothing.
   void OnRecord(const loads_record& record, time_point now);
   /// Returns the loads that changed since the last call, and those that were
-  /// not told for a while: a datagram may be lost.
+  /// not told for a while, as a datagram may be lost: those told longest ago if
+  /// there are more than fit in one.
   loads_record TakeChanged(time_point now);
   /// Forgets everything, as this host tells the others no more.
   void Clear() { *this = load_board{}; }
--- a/include/foxtailspread/load/load_samples.h
+++ b/include/foxtailspread/load/load_samples.h
@@ -25,12 +25,13 @@
   bool operator==(const activity_sample&) const = default;
 };
 
-/// A target's load over all hosts, see target_load.
+/// A target's load over all hosts, see target_load. Counts above 255 and rates
+/// above 127 are sent as such.
 struct load_sum {
   uint32_t target = 0;  ///< ShortIdOf the target's id.
   uint32_t occupied = 0;
-  double served_per_second = 0.0;    ///< To a tenth.
-  double rejected_per_second = 0.0;  ///< To a tenth.
+  double served_per_second = 0.0;    ///< Sent to a half.
+  double rejected_per_second = 0.0;  ///< Sent to a half.
   uint32_t latency_us = 0;           ///< Mean with a free slot, 0 if not known.
   uint32_t age_ms = 0;               ///< Time since `occupied` was measured.
   bool is_reported = false;          ///< The target reported `occupied`.
--- a/include/foxtailspread/reported_load.h
+++ b/include/foxtailspread/reported_load.h
@@ -51,6 +51,10 @@
 /// receives the samples of all others, so the period grows with their number.
 duration LoadSharingPeriod(size_t host_count);
 
+/// Returns whether datagrams of `bytes` in each sharing period, sent to each of
+/// so many hosts, would take much of the sender's link.
+bool NeedsRelays(size_t bytes, size_t host_count);
+
 /// Merges the load samples of all hosts, at the host that broadcasts them.
 ///
 /// @code
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -246,6 +246,8 @@
   size_t limited_targets = 0;   ///< Limit the rate of requests to them.
   size_t leaving_targets = 0;   ///< Shut down, as their answers say.
   size_t backoff_targets = 0;   ///< Want no requests of this host now.
+  size_t known_loads = 0;       ///< Targets whose load over all hosts is known.
+  double occupied = 0.0;        ///< Requests at those, from all hosts.
   int in_flight = 0;            ///< Attempts of this host under way.
   double retries_left = 0.0;    ///< In this host's share of the retry budget.
 };
--- a/src/core/assigner_lease.cc
+++ b/src/core/assigner_lease.cc
@@ -513,7 +513,8 @@
   return addresses;
 }
 
-std::vector<fanout_hop> key_assigner::OtherHosts(time_point now) const {
+std::vector<fanout_hop> key_assigner::OtherHosts(time_point now,
+                                                 bool through_relays) const {
   std::vector<fanout_host> hosts;
   hosts.reserve(hosts_seen_.size());
   for (const auto& [name, host] : hosts_seen_) {
@@ -535,7 +536,8 @@
   // it is based on is ignored.
   const auto turn =
       static_cast<uint64_t>(now.time_since_epoch() / kHeartbeatPeriod);
-  return PlanFanout(hosts, settings_.zone, turn);
+  return PlanFanout(hosts, through_relays ? std::string_view{} : settings_.zone,
+                    turn);
 }
 
 /// Updates the time since which this host has been able to take the lease. All
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <span>
 
+#include "core/load/load_codec.h"
+
 namespace foxtailspread {
 namespace {
 
@@ -24,15 +26,6 @@
 constexpr std::string_view kPermitReplyTag = "permit-reply";
 constexpr std::string_view kRelayedTag = "relay";
 
-constexpr double kPercent = 100.0;
-/// Number of array elements that encode one load_sample.
-constexpr size_t kSampleFields = 7;
-/// The same of one activity_sample and one load_sum.
-constexpr size_t kActivityFields = 6;
-constexpr size_t kSumFields = 7;
-/// Rates are sent in tenths, so that most take two bytes.
-constexpr double kRateSteps = 10.0;
-
 /// Number of array elements that encode one limit_sample.
 constexpr size_t kLimitFields = 5;
 /// Number of array elements that encode one leaving_sample.
@@ -59,10 +52,6 @@
 constexpr size_t kOwnersEra = 6;
 constexpr size_t kTargetsEra = 4;
 constexpr size_t kObjectEra = 5;
-constexpr size_t kLoadsHost = 2;
-constexpr size_t kLoadsSequence = 3;
-constexpr size_t kLoadsActivity = 4;
-constexpr size_t kLoadsSums = 5;
 
 /// How long a store view is valid after it was read, as a fraction of the time
 /// that a draining target still accepts requests (2 s). Watches are renewed
@@ -101,48 +90,6 @@
       {std::move(marks), std::move(survivors), std::move(served)});
 }
 
-/// The fields of all samples in one flat array; the slowness in percent.
-json ToJson(const std::vector<load_sample>& loads) {
-  json flat = json::array();
-  for (const load_sample& sample : loads) {
-    flat.push_back(sample.target);
-    flat.push_back(sample.load.running);
-    flat.push_back(sample.load.waiting);
-    flat.push_back(std::lround(sample.load.slowness * kPercent));
-    flat.push_back(sample.age_ms);
-    flat.push_back(sample.latency_us);
-    flat.push_back(sample.served);
-  }
-  return flat;
-}
-
-json ToJson(const std::vector<activity_sample>& activity) {
-  json flat = json::array();
-  for (const activity_sample& sample : activity) {
-    flat.push_back(sample.target);
-    flat.push_back(sample.in_flight);
-    flat.push_back(sample.served);
-    flat.push_back(sample.rejected);
-    flat.push_back(sample.latency_us);
-    flat.push_back(sample.unqueued);
-  }
-  return flat;
-}
-
-json ToJson(const std::vector<load_sum>& sums) {
-  json flat = json::array();
-  for (const load_sum& sum : sums) {
-    flat.push_back(sum.target);
-    flat.push_back(sum.occupied);
-    flat.push_back(std::lround(sum.served_per_second * kRateSteps));
-    flat.push_back(std::lround(sum.rejected_per_second * kRateSteps));
-    flat.push_back(sum.latency_us);
-    flat.push_back(sum.age_ms);
-    flat.push_back(sum.is_reported ? 1 : 0);
-  }
-  return flat;
-}
-
 /// The fields of all samples in one flat array; null for no limit.
 json ToJson(std::span<const limit_sample> limits) {
   json flat = json::array();
@@ -196,12 +143,7 @@
 }
 
 json ToJson(const loads_record& record) {
-  json value = json::array({kLoadsTag, ToJson(record.loads)});
-  if (!record.host.empty() || !record.sums.empty()) {
-    value.insert(value.end(), {record.host, record.sequence,
-                               ToJson(record.activity), ToJson(record.sums)});
-  }
-  return value;
+  return load_codec::ToJson(kLoadsTag, record);
 }
 
 json ToJson(const load_report& report) {
@@ -338,59 +280,6 @@
   return evidence;
 }
 
-std::vector<load_sample> ReadLoads(const json& flat) {
-  std::vector<load_sample> loads;
-  for (size_t i = 0; i + kSampleFields <= flat.size(); i += kSampleFields) {
-    loads.push_back({.target = flat.at(i).get<uint32_t>(),
-                     .load = {.running = flat.at(i + 1).get<int>(),
-                              .waiting = flat.at(i + 2).get<int>(),
-                              .slowness = flat.at(i + 3).get<int>() / kPercent},
-                     .age_ms = flat.at(i + 4).get<uint32_t>(),
-                     .latency_us = flat.at(i + 5).get<uint32_t>(),
-                     .served = flat.at(i + 6).get<uint32_t>()});
-  }
-  return loads;
-}
-
-std::vector<activity_sample> ReadActivity(const json& flat) {
-  std::vector<activity_sample> activity;
-  for (size_t i = 0; i + kActivityFields <= flat.size(); i += kActivityFields) {
-    activity.push_back({.target = flat.at(i).get<uint32_t>(),
-                        .in_flight = flat.at(i + 1).get<uint32_t>(),
-                        .served = flat.at(i + 2).get<uint32_t>(),
-                        .rejected = flat.at(i + 3).get<uint32_t>(),
-                        .latency_us = flat.at(i + 4).get<uint32_t>(),
-                        .unqueued = flat.at(i + 5).get<uint32_t>()});
-  }
-  return activity;
-}
-
-std::vector<load_sum> ReadSums(const json& flat) {
-  std::vector<load_sum> sums;
-  for (size_t i = 0; i + kSumFields <= flat.size(); i += kSumFields) {
-    sums.push_back(
-        {.target = flat.at(i).get<uint32_t>(),
-         .occupied = flat.at(i + 1).get<uint32_t>(),
-         .served_per_second = flat.at(i + 2).get<uint32_t>() / kRateSteps,
-         .rejected_per_second = flat.at(i + 3).get<uint32_t>() / kRateSteps,
-         .latency_us = flat.at(i + 4).get<uint32_t>(),
-         .age_ms = flat.at(i + 5).get<uint32_t>(),
-         .is_reported = flat.at(i + 6).get<int>() != 0});
-  }
-  return sums;
-}
-
-loads_record ReadLoadsRecord(const json& value) {
-  loads_record record{.loads = ReadLoads(value.at(1))};
-  if (value.size() > kLoadsSums) {
-    record.host = value.at(kLoadsHost).get<std::string>();
-    record.sequence = ReadNumber(value, kLoadsSequence);
-    record.activity = ReadActivity(value.at(kLoadsActivity));
-    record.sums = ReadSums(value.at(kLoadsSums));
-  }
-  return record;
-}
-
 std::vector<limit_sample> ReadLimits(const json& flat) {
   std::vector<limit_sample> limits;
   for (size_t i = 0; i + kLimitFields <= flat.size(); i += kLimitFields) {
@@ -617,7 +506,7 @@
       return host_message{ReadHosts(value)};
     }
     if (tag == kLoadsTag) {
-      return host_message{ReadLoadsRecord(value)};
+      return host_message{load_codec::Read(value)};
     }
     if (tag == kStatementsTag) {
       return host_message{statements_record{ReadStatements(value.at(1))}};
--- a/src/core/load/load_board.cc
+++ b/src/core/load/load_board.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 #include "foxtailspread/load/target_load.h"
 
@@ -33,7 +34,9 @@
 /// Change of a rate or a latency that is worth telling, in parts of it.
 constexpr double kToldChange = 0.2;
 
-double Tenths(double value) { return std::round(value * 10.0) / 10.0; }
+/// Sums in one datagram, 10 KB; the loads that targets report take the
+/// rest.
+constexpr size_t kMaxSums = 1000;
 
 bool IsNoteworthy(double before, double after) {
   return std::abs(after - before) > 1.0 + kToldChange * before;
@@ -138,8 +141,8 @@
   load_sum sum{
       .target = target,
       .occupied = static_cast<uint32_t>(std::max<int64_t>(state.in_flight, 0)),
-      .served_per_second = Tenths(state.served.PerSecond(now)),
-      .rejected_per_second = Tenths(state.rejected.PerSecond(now)),
+      .served_per_second = state.served.PerSecond(now),
+      .rejected_per_second = state.rejected.PerSecond(now),
       .latency_us = static_cast<uint32_t>(state.latency_us)};
   if (state.reported_at && now - *state.reported_at < load_view::kTtl) {
     const auto age =
@@ -160,6 +163,7 @@
   if (!began_at_ || now - *began_at_ < HostLoadTtl(host_count_)) {
     return changed;
   }
+  std::vector<std::pair<target_state*, load_sum>> to_tell;
   for (auto& [target, state] : targets_) {
     const load_sum sum = Sum(target, state, now);
     // Occupied slots that the target reported are told with `loads`.
@@ -169,11 +173,21 @@
         IsNoteworthy(state.told.served_per_second, sum.served_per_second) ||
         IsNoteworthy(state.told.rejected_per_second, sum.rejected_per_second);
     if (!state.told_at || is_changed || now - *state.told_at >= kRepeatPeriod) {
-      state.told = sum;
-      state.told_at = now;
-      changed.sums.push_back(sum);
+      to_tell.emplace_back(&state, sum);
     }
   }
+  if (to_tell.size() > kMaxSums) {
+    std::nth_element(to_tell.begin(), to_tell.begin() + kMaxSums, to_tell.end(),
+                     [](const auto& a, const auto& b) {
+                       return a.first->told_at < b.first->told_at;
+                     });
+    to_tell.resize(kMaxSums);
+  }
+  for (const auto& [state, sum] : to_tell) {
+    state->told = sum;
+    state->told_at = now;
+    changed.sums.push_back(sum);
+  }
   return changed;
 }
 
--- a/src/core/reported_load.cc
+++ b/src/core/reported_load.cc
@@ -20,6 +20,10 @@
 constexpr duration kMinSharePeriod{milliseconds{100}};
 constexpr duration kSharePeriodPerHost{std::chrono::microseconds{1500}};
 
+/// Loads are sent to each host directly up to this rate, a tenth of the
+/// smallest links of 10 Mbit/s.
+constexpr double kMaxDirectBytesPerSecond = 125'000.0;
+
 /// A target without a report for this long is removed.
 constexpr duration kEntryTtl{std::chrono::seconds{10}};
 
@@ -34,6 +38,14 @@
       kMinSharePeriod, kSharePeriodPerHost * static_cast<int64_t>(host_count));
 }
 
+bool NeedsRelays(size_t bytes, size_t host_count) {
+  const double per_second =
+      1.0 /
+      std::chrono::duration<double>(LoadSharingPeriod(host_count)).count();
+  return static_cast<double>(bytes * host_count) * per_second >
+         kMaxDirectBytesPerSecond;
+}
+
 void load_aggregator::Add(std::span<const load_sample> samples,
                           time_point now) {
   for (const load_sample& sample : samples) {
--- a/src/core/request_router_reports.cc
+++ b/src/core/request_router_reports.cc
@@ -110,6 +110,10 @@
       service_gauge.leaving_targets += known_target->leaving_since ? 1 : 0;
       service_gauge.backoff_targets +=
           now < known_target->backoff_until ? 1 : 0;
+      if (const target_load* load = LoadOf(*known_target, now)) {
+        ++service_gauge.known_loads;
+        service_gauge.occupied += load->occupied;
+      }
     }
   }
   return gauges;
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -632,6 +632,9 @@
                  static_cast<double>(each.leaving_targets));
     AppendMetric(text, "targets_backoff", labels,
                  static_cast<double>(each.backoff_targets));
+    AppendMetric(text, "targets_load_known", labels,
+                 static_cast<double>(each.known_loads));
+    AppendMetric(text, "targets_occupied", labels, each.occupied);
     AppendMetric(text, "requests_in_flight", labels,
                  static_cast<double>(each.in_flight));
     AppendMetric(text, "repeats_left", labels, each.retries_left);
@@ -646,6 +649,7 @@
        static_cast<double>(targets_pool_.connections_made()));
   line("callers_connections", static_cast<double>(callers_.connections()));
   line("callers_buffered_bytes", static_cast<double>(callers_.buffered()));
+  line("hosts_telling_loads", static_cast<double>(loads_.reporting_hosts()));
   line("hosts_known", static_cast<double>(assigner_.HostCount()));
   line("assigner_lease_held", assigner_.IsHolder(now) ? 1.0 : 0.0);
   line("config_version",
--- a/src/edge/edge_daemon_loads.cc
+++ b/src/edge/edge_daemon_loads.cc
@@ -38,7 +38,10 @@
     if (!all.loads.empty() || !all.sums.empty()) {
       router_.OnLoads(all.loads, now);
       router_.OnLoadSums(all.sums, now);
-      SendToHosts(assigner_.OtherHosts(now), FormatHostMessage(all));
+      const std::string bytes = FormatHostMessage(all);
+      const size_t hosts = assigner_.HostCount();
+      SendToHosts(assigner_.OtherHosts(now, NeedsRelays(bytes.size(), hosts)),
+                  bytes);
     }
   } else {
     loads_.Clear();
