Tell refused callers when room is expected, by rank and age

Callers that were refused for a keyed service were told half a second with jitter whatever bound, and others the expected wait with jitter, so that many returned before there was room, the urgent among them. Some callers repeat at once, and their tries took the room that others waited for.

Where dozens of hosts share targets, return_schedule gives out this host's part of the expected room, more urgent and older callers first, and never more than a third of the time left. caller_age tells from the stated time how long a caller has been trying; a try earlier than any Retry-After is refused while others are promised room. Nothing changes where few hosts share targets.

--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -27,6 +27,8 @@
 #include "foxtailspread/crash_watch.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_map.h"
+#include "foxtailspread/load/caller_age.h"
+#include "foxtailspread/load/return_schedule.h"
 #include "foxtailspread/permit_cache.h"
 #include "foxtailspread/relay_hosts.h"
 #include "foxtailspread/retry_budget.h"
@@ -106,6 +108,8 @@
   std::string service{};  ///< Empty if no route was found.
   int attempts = 0;       ///< Attempts that reached a target.
   duration age{};         ///< Time since its arrival.
+  /// How long its caller had tried before, if that is known.
+  std::optional<duration> caller_age{};
   /// Time from its arrival to its first send; empty if it was never sent.
   std::optional<duration> queue_time{};
 };
@@ -244,8 +248,11 @@
 struct router_counts {
   uint64_t requests = 0;
   uint64_t retries = 0;
-  uint64_t limited_sends = 0;  ///< Attempts sent to targets with a limit.
-  uint64_t relayed = 0;        ///< Requests handed to other hosts.
+  uint64_t limited_sends = 0;      ///< Attempts sent to targets with a limit.
+  uint64_t relayed = 0;            ///< Requests handed to other hosts.
+  uint64_t returns_with_room = 0;  ///< Refused callers that were promised room.
+  uint64_t returns_without_room = 0;  ///< Those that could not wait for any.
+  uint64_t early_repeats = 0;  ///< Tries before any caller was to return.
 };
 
 /// Settings of a request_router.
@@ -526,6 +533,20 @@
                         const request& pending_request, time_point now) const;
   duration RetryAfter(const request& refused_request, refusal_reason reason,
                       time_point now);
+  /// Whether so many hosts share the targets that returns are scheduled.
+  bool SchedulesReturns(const service& service_state, const target* owner,
+                        duration objective) const;
+  static return_schedule& ReturnsFor(service& service_state, target* owner);
+  /// Returns the room that the request lacked; empty if it is not known.
+  std::optional<expected_room> RoomFor(const request& refused_request,
+                                       refusal_reason reason, time_point now);
+  /// Returns when the caller is to return; empty if that is not scheduled.
+  std::optional<duration> ScheduledReturn(const request& refused_request,
+                                          refusal_reason reason,
+                                          time_point now);
+  /// Whether a request came again earlier than its caller was asked to, and
+  /// would take room that other callers were promised.
+  bool TakesPromisedRoom(const request& new_request, time_point now);
   void Schedule(time_point due_time, request_id id);
   /// Whether `candidate` may get new requests now, if it has a free slot.
   static bool AcceptsRequests(const target& candidate, time_point now);
@@ -563,6 +584,7 @@
   std::set<std::string> evacuated_zones_;
   std::unordered_map<std::string, std::unique_ptr<service>> services_;
   std::unordered_map<std::string, weighted_round_robin> splits_;
+  std::unordered_map<std::string, caller_age> caller_ages_;  ///< By route.
   std::unordered_map<request_id, std::unique_ptr<request>> requests_;
   std::priority_queue<timer, std::vector<timer>, std::greater<>> timers_;
   size_t host_count_ = 8;
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -409,6 +409,9 @@
   if (reason == refusal_reason::kCrashesTargets) {
     return crashes_.RefusedFor(refused_request.content_hash, now);
   }
+  if (const auto scheduled = ScheduledReturn(refused_request, reason, now)) {
+    return *scheduled;
+  }
   service& service_state = *refused_request.service_state;
   duration base_delay = service_state.keyed
                             ? kKeyedRetryAfter
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -64,6 +64,7 @@
   uint32_t short_id;
   target_health health;
   body_room bodies;           ///< Of this host's requests under way to it.
+  return_schedule returns;    ///< Of callers refused for want of room at it.
   bool has_new_load = false;  ///< It reported its load since TakeLoads().
   target_availability availability;
   target_limit limit;
@@ -94,6 +95,7 @@
   std::optional<key_point> key;
   uint64_t content_hash = 0;
   size_t body_bytes = 0;
+  std::optional<duration> caller_age;  ///< At its arrival, if it is known.
   time_point arrival_time{};
   time_point deadline{};         ///< Its deadline on this host.
   time_point caller_deadline{};  ///< When the caller gives up.
@@ -146,6 +148,7 @@
   int in_flight = 0;    ///< Attempts under way at its targets.
   service_limit limit;  ///< Of `in_flight`, if targets report their load.
   std::vector<boost::intrusive_ptr<target>> targets;
+  return_schedule returns;  ///< Of callers refused for want of any target.
   key_map owners;
   /// When each range that is moving to a new owner was first seen moving, by
   /// fence.
@@ -200,7 +203,8 @@
 inline request_summary request_router::request::Summary(time_point now) const {
   request_summary summary{.service = service_state->name,
                           .attempts = attempt_count,
-                          .age = now - arrival_time};
+                          .age = now - arrival_time,
+                          .caller_age = caller_age};
   if (first_sent_time) {
     summary.queue_time = *first_sent_time - arrival_time;
   }
@@ -213,6 +217,11 @@
                                   candidate.entry.slots, host_count_);
 }
 
+inline return_schedule& request_router::ReturnsFor(service& service_state,
+                                                   target* owner) {
+  return owner != nullptr ? owner->returns : service_state.returns;
+}
+
 inline void request_router::ReleaseBody(const request& ended_request,
                                         target& attempted) {
   attempted.bodies.OnEnded(ended_request.body_bytes);
--- a/src/edge/edge_daemon_memory.cc
+++ b/src/edge/edge_daemon_memory.cc
@@ -53,6 +53,15 @@
                static_cast<double>(memory_.bound()));
   AppendMetric(text, "refused_for_memory_total", "",
                static_cast<double>(memory_.refused()));
+  const router_counts& counts = router_.counts();
+  for (const auto& [room, count] :
+       {std::pair{"yes", counts.returns_with_room},
+        std::pair{"no", counts.returns_without_room}}) {
+    AppendMetric(text, "returns_total", MetricLabel("has_room", room),
+                 static_cast<double>(count));
+  }
+  AppendMetric(text, "early_repeats_total", "",
+               static_cast<double>(counts.early_repeats));
 }
 
 void edge_daemon::SendToTarget(flight& sent, const send_action& action) {
