--- a/src/core/load/load_codec.cc
+++ b/src/core/load/load_codec.cc
@@ -31,7 +31,7 @@
 /// Units of a load_sum: rates in halves, its age in 4 ms, its latency in 0.1 ms
 /// and below a bit that tells whether it was reported.
 constexpr double kRateSteps = 2.0;
-constexpr uint32_t kAgeStepMs = 4;
+constexpr double kAgeStepMs = 4.0;
 constexpr unsigned kReportedBit = 1U << 15U;
 
 uint8_t Byte(double value) {
@@ -127,7 +127,7 @@
                     .served_per_second = bytes[i + 5] / kRateSteps,
                     .rejected_per_second = bytes[i + 6] / kRateSteps,
                     .latency_us = (latency & ~kReportedBit) * kLatencyStepUs,
-                    .age_ms = bytes[i + 7] * kAgeStepMs,
+                    .age_ms = static_cast<uint32_t>(bytes[i + 7] * kAgeStepMs),
                     .is_reported = (latency & kReportedBit) != 0});
   }
   return sums;
