Plan to move the hottest key to a fast target

A key that gets more requests than any target serves stayed with its owner, also when that is one of the slowest: with a hundred targets of speeds 0.7 and 1.7, for four of six keys. balance_limits asks for such a key to go to one of the fastest targets, if it has twice the capacity. The other keys of its owner move away as before, but for less than min_moved_load on each side.

--- a/include/foxtailspread/key_balance.h
+++ b/include/foxtailspread/key_balance.h
@@ -50,6 +50,8 @@
   /// loads. Differences within the random variation of that average move no
   /// keys: among hundreds of targets some always look overloaded or idle.
   duration load_time_constant{0};
+  /// Move a key that every target would be overloaded by to a fast one.
+  bool places_hottest_key = false;
 };
 
 /// Load of each key in requests per second; empty if there is no load.
--- a/src/core/key_balance.cc
+++ b/src/core/key_balance.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 namespace foxtailspread {
 namespace {
@@ -152,6 +153,10 @@
 
   /// Plans one more move. Returns false if none is needed or possible.
   bool PlanNextMove() {
+    if (limits_.places_hottest_key &&
+        !std::exchange(has_placed_hottest_key_, true) && PlaceHottestKey()) {
+      return true;
+    }
     while (true) {
       const size_t donor = MostLoadedDonor();
       const size_t receiver = LeastLoadedTarget();
@@ -188,6 +193,55 @@
   }
 
  private:
+  /// Moves the hottest key to a target that serves far more than its owner, if
+  /// every target would be overloaded by it. The other keys of the new owner
+  /// move away in later moves.
+  bool PlaceHottestKey() {
+    constexpr double kMinCapacityRatio = 2.0;
+    const std::optional<range_part> hottest = HottestKey();
+    if (!hottest) {
+      return false;
+    }
+    const size_t owner = ranges_[hottest->range_index].planned_owner;
+    size_t best = kNoTarget;
+    for (size_t i = 0; i < states_.size(); ++i) {
+      if (hottest->load <= states_[i].fair_load * limits_.overload_ratio) {
+        return false;
+      }
+      const bool is_faster =
+          targets_[i].capacity >= targets_[owner].capacity * kMinCapacityRatio;
+      const bool is_better = best == kNoTarget ||
+                             states_[i].fair_load > states_[best].fair_load ||
+                             (states_[i].fair_load == states_[best].fair_load &&
+                              states_[i].load < states_[best].load);
+      best = is_faster && is_better ? i : best;
+    }
+    if (best == kNoTarget || !IsOverloaded(states_[owner])) {
+      return false;
+    }
+    ApplyMove(*hottest, best);
+    return true;
+  }
+
+  /// Returns the granted key with the highest load, if it has any.
+  std::optional<range_part> HottestKey() const {
+    std::optional<range_part> hottest;
+    for (size_t i = 0; i < ranges_.size(); ++i) {
+      if (!ranges_[i].granted || ranges_[i].planned_owner == kNoTarget) {
+        continue;
+      }
+      for (uint32_t key = ranges_[i].first; key <= ranges_[i].last; ++key) {
+        const auto point = static_cast<key_point>(key);
+        const double load = loads_.Sum(point, point);
+        if (!hottest || load > hottest->load) {
+          hottest = range_part{
+              .range_index = i, .first = point, .last = point, .load = load};
+        }
+      }
+    }
+    return hottest;
+  }
+
   bool IsOverloaded(const target_state& state) const {
     return state.load > state.fair_load * limits_.overload_ratio &&
            state.load - state.fair_load > NoiseMargin(state.fair_load, limits_);
@@ -329,25 +383,22 @@
     states_[whole.planned_owner].load -= part.load;
     states_[receiver].load += part.load;
     states_[receiver].cannot_give = false;
-    planned_range moved = whole;
-    moved.first = part.first;
-    moved.last = part.last;
-    moved.planned_owner = receiver;
-    planned_range remainder = whole;
-    if (part.last == whole.last && part.first == whole.first) {
-      ranges_[part.range_index] = moved;
-      return;
+    std::vector<planned_range> pieces;
+    if (part.first > whole.first) {
+      pieces.push_back(whole);
+      pieces.back().last = static_cast<key_point>(part.first - 1);
     }
-    const bool is_front = part.first == whole.first;
-    if (is_front) {
-      remainder.first = static_cast<key_point>(part.last + 1);
-    } else {
-      remainder.last = static_cast<key_point>(part.first - 1);
+    pieces.push_back(whole);
+    pieces.back().first = part.first;
+    pieces.back().last = part.last;
+    pieces.back().planned_owner = receiver;
+    if (part.last < whole.last) {
+      pieces.push_back(whole);
+      pieces.back().first = static_cast<key_point>(part.last + 1);
     }
-    ranges_[part.range_index] = is_front ? moved : remainder;
-    ranges_.insert(
-        ranges_.begin() + static_cast<std::ptrdiff_t>(part.range_index) + 1,
-        is_front ? remainder : moved);
+    const auto at = ranges_.erase(
+        ranges_.begin() + static_cast<std::ptrdiff_t>(part.range_index));
+    ranges_.insert(at, pieces.begin(), pieces.end());
   }
 
   load_prefix_sums loads_;
@@ -355,6 +406,7 @@
   const balance_limits& limits_;
   std::vector<target_state> states_;
   std::vector<planned_range> ranges_;
+  bool has_placed_hottest_key_ = false;
 };
 
 }  // namespace
--- a/tests/key_balance_test.cc
+++ b/tests/key_balance_test.cc
@@ -169,6 +169,41 @@
   EXPECT_LT(MaxTargetLoad(), 80.0 * 1.15);
 }
 
+// A key gets many times what any of a hundred targets of unequal speed can
+// serve. Guards against many other keys that stay with it, and against a slow
+// owner of the hottest key.
+TEST_F(KeyBalanceTest, HottestKeyOfAHundredTargetsIsAloneOnAFastOne) {
+  const balance_limits limits{
+      .overload_ratio = 1.7,
+      .underload_ratio = 0.25,
+      .load_time_constant = std::chrono::milliseconds{700},
+      .places_hottest_key = true};
+  for (const key_point hot_key : {0, 9000, 32000, 32300, 50001, 65535}) {
+    targets_.clear();
+    for (size_t i = 0; i < 100; ++i) {
+      targets_.push_back({.life = {.id = "t" + std::to_string(i)},
+                          .capacity = i % 3 == 2 ? 1.7 : 0.7});
+    }
+    AddTargets(0);
+    std::fill(loads_.begin(), loads_.end(), 1250.0 / kKeyCount);
+    loads_[hot_key] = 250.0;
+    size_t moved = 0;
+    for (int plan = 0; plan < 8; ++plan) {
+      moved += PlanAndApplyMoves(limits);
+    }
+    const target_life& owner = map_.Find(hot_key)->owner;
+    EXPECT_LT(LoadByTarget().at(owner.id) - loads_[hot_key],
+              2 * limits.min_moved_load)
+        << hot_key;
+    const auto found =
+        std::ranges::find(targets_, owner, &balance_target::life);
+    ASSERT_NE(found, targets_.end());
+    EXPECT_EQ(found->capacity, 1.7) << hot_key;
+    EXPECT_LT(moved, kKeyCount / 20) << "keys that change hands are slow";
+    EXPECT_EQ(PlanAndApplyMoves(limits), 0U) << hot_key;
+  }
+}
+
 TEST_F(KeyBalanceTest, TargetOfTwiceTheCapacityGetsAboutTwiceTheLoad) {
   AddTargets(4);
   targets_[0].capacity = 2.0;
