Admit requests to owners of keys by their load over all hosts

Where a keyed service needs a shared view and the owner's load is known, hosts now send, hold or refuse by it; the lease holder has them admit fractions of the keys that get more than their share; the hottest key is placed by the speed that owners have with a free slot. Retry-After follows from when the owner is expected to have room.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -16,6 +16,7 @@
 #include "foxtailspread/crash_mark.h"
 #include "foxtailspread/error.h"
 #include "foxtailspread/evacuations.h"
+#include "foxtailspread/load/key_throttle.h"
 #include "foxtailspread/load/load_samples.h"
 #include "foxtailspread/permit_issuer.h"
 #include "foxtailspread/reported_load.h"
@@ -257,7 +258,7 @@
     std::variant<load_report, assigner_heartbeat, owners_record, targets_record,
                  shared_object, hosts_record, loads_record, statements_record,
                  crashes_record, relays_record, permit_request, permit_reply,
-                 relayed_message>;
+                 relayed_message, key_throttles>;
 
 /// Serialises a message as one datagram, and parses it.
 std::string FormatHostMessage(const host_message& message);
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -26,6 +26,7 @@
 #include "foxtailspread/key_load.h"
 #include "foxtailspread/key_map.h"
 #include "foxtailspread/kind_follower.h"
+#include "foxtailspread/load/key_throttle.h"
 #include "foxtailspread/routing_config.h"
 #include "foxtailspread/store_revision.h"
 #include "foxtailspread/target_availability.h"
@@ -266,6 +267,11 @@
   /// requests, and which of them shut down.
   void OnTargetStatements(const target_statements& statements);
 
+  /// Sets how fast owners of a service's keys answer while they have a free
+  /// slot. Only then is the hottest key placed by speed: the latency over all
+  /// requests is that of its owner's queue.
+  void OnOwnerSpeeds(const std::string& service,
+                     std::span<const owner_capacity> owners, time_point now);
   /// Process messages from other hosts.
   void OnReport(const load_report& report, time_point now);
   void OnHeartbeat(const assigner_heartbeat& heartbeat, time_point now);
@@ -325,6 +331,9 @@
   uint64_t former_lease_count() const { return former_lease_count_; }
   /// Returns the recorded map of a service, nullptr if there is none.
   const key_map* MapOf(const std::string& service) const;
+  /// Returns the request rate of each key over about the last second, while
+  /// this host holds the lease; empty if not known.
+  key_loads RecentRatesOf(const std::string& service) const;
   /// Returns the revision of that map's record, 0 if there is none.
   store_revision MapRevision(const std::string& service) const;
 
@@ -411,6 +420,7 @@
     bool update_pending = false;
     time_point balanced_at{};
     time_point steady_balanced_at{};
+    time_point speeds_known_until{};  ///< By OnOwnerSpeeds().
     cold_policy cold;
   };
 
@@ -426,6 +436,7 @@
     uint64_t sequence_at_failure = 0;
     int pending_grants = 0;   ///< Grants without an outcome yet.
     double latency_us = 0.0;  ///< Running mean over all hosts' requests.
+    double unqueued_latency_us = 0.0;  ///< By OnOwnerSpeeds(); 0 if unknown.
     /// Upper bound for the expiry of this host's grants that have an outcome.
     time_point grants_expire_at{};
     /// The same for the grants that were not answered.
--- a/include/foxtailspread/load/key_throttle.h
+++ b/include/foxtailspread/load/key_throttle.h
@@ -57,6 +57,7 @@
   target_life owner{};
   double per_second = 0.0;  ///< Requests, while all slots are in use.
   duration work{};          ///< Mean latency while it has a free slot.
+  bool has_queue = false;   ///< Requests wait at it.
 };
 
 /// A change of whether an owner's keys are throttled, for the log.
@@ -94,8 +95,9 @@
 /// Applies the fractions of a service at one host.
 class throttle_gate {
  public:
-  /// Time without word from the holder after which nothing is throttled.
-  static constexpr duration kTtl{std::chrono::seconds{1}};
+  /// Time without word from the holder after which nothing is throttled: longer
+  /// than a successor takes to follow and to learn of the load.
+  static constexpr duration kTtl{std::chrono::milliseconds{2500}};
 
   enum class verdict { kNotThrottled, kAdmitted, kRefused };
 
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -27,7 +27,9 @@
 #include "foxtailspread/crash_watch.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_map.h"
+#include "foxtailspread/load/key_throttle.h"
 #include "foxtailspread/load/load_samples.h"
+#include "foxtailspread/load/owner_admission.h"
 #include "foxtailspread/load/target_load.h"
 #include "foxtailspread/permit_cache.h"
 #include "foxtailspread/relay_hosts.h"
@@ -95,6 +97,8 @@
   kTargetLimited,
   kTargetBackoff,
   kTargetsUnreachable,
+  kOwnerBusy,     ///< The key's owner would answer too late.
+  kKeyThrottled,  ///< The key gets more requests than its share.
 };
 
 /// Returns the name of `reason` in log and metrics. Names are stable.
@@ -246,6 +250,7 @@
   size_t limited_targets = 0;   ///< Limit the rate of requests to them.
   size_t leaving_targets = 0;   ///< Shut down, as their answers say.
   size_t backoff_targets = 0;   ///< Want no requests of this host now.
+  size_t throttled_keys = 0;    ///< Entries of keys or ranges of keys.
   int in_flight = 0;            ///< Attempts of this host under way.
   double retries_left = 0.0;    ///< In this host's share of the retry budget.
 };
@@ -383,6 +388,12 @@
   /// Applies what other hosts know of the targets' limits.
   void OnLimits(std::span<const limit_sample> limits, time_point now,
                 router_actions& out);
+  /// Applies the keys that the lease holder has hosts throttle.
+  void OnKeyThrottles(const key_throttles& throttles, time_point now);
+  /// Returns what the owners of a service's keys serve, as far as it is known
+  /// and needed for admission.
+  std::vector<owner_capacity> OwnerCapacities(const std::string& service_name,
+                                              time_point now) const;
   /// Applies the lease holder's answer to a permit_request_action.
   void OnPermitReply(const permit_reply& reply, time_point now,
                      router_actions& out);
@@ -470,6 +481,33 @@
                            const request& pending_request);
   target* PickOwner(service& service_state, const request& pending_request,
                     time_point now, router_actions& out);
+  /// Number of ranks, more urgent than that of a request, of routes to its
+  /// service.
+  int MoreUrgentRanks(const request& pending_request) const;
+  /// Returns the state of an owner, if hosts need a shared view of it and have
+  /// one; else its requests are limited by this host's own counts.
+  std::optional<owner_state> OwnerStateOf(const service& service_state,
+                                          const target& owner,
+                                          time_point now) const;
+  admission_request AdmissionRequestFor(const target& owner,
+                                        const request& pending_request,
+                                        time_point now) const;
+  /// Whether an owner may get a request now.
+  bool HasRoomAt(const target& owner, const request& pending_request,
+                 time_point now) const;
+  /// Whether an owner would answer a request too late.
+  bool IsOwnerBusy(const target& owner, const request& pending_request,
+                   time_point now) const;
+  /// Whether the end of an attempt shows that an owner is full: such owners
+  /// reset connections.
+  bool IsResetByFullOwner(const service& service_state, const target& owner,
+                          attempt_verdict verdict, time_point now) const;
+  /// Refusal of a new request by what its key's owner can serve.
+  std::optional<refusal_reason> AdmissionRefusalFor(
+      service& service_state, const request& pending_request,
+      const target& owner, time_point now);
+  duration RetryAfterAdmission(const request& refused_request,
+                               refusal_reason reason, time_point now);
   target* PickPooled(service& service_state, const request& pending_request,
                      time_point now, router_actions& out);
   /// Whether the rate limit of a target, if any, allows this host to send now.
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <span>
 
+#include "load/key_throttle_message.h"
+
 namespace foxtailspread {
 namespace {
 
@@ -635,6 +637,9 @@
     if (tag == kPermitReplyTag) {
       return host_message{ReadPermitReply(value)};
     }
+    if (tag == kThrottlesTag) {
+      return host_message{ReadKeyThrottles(value)};
+    }
     if (tag == kRelayedTag) {
       return host_message{ReadRelayed(value)};
     }
--- a/src/core/key_assigner.cc
+++ b/src/core/key_assigner.cc
@@ -69,6 +69,12 @@
   return known ? &found->second.map : nullptr;
 }
 
+key_loads key_assigner::RecentRatesOf(const std::string& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? key_loads{}
+                                  : found->second.load.recent_rates();
+}
+
 store_revision key_assigner::MapRevision(const std::string& service) const {
   const auto found = services_.find(service);
   return found == services_.end() ? store_revision{} : found->second.revision;
--- a/src/core/key_assigner_moves.cc
+++ b/src/core/key_assigner_moves.cc
@@ -22,6 +22,8 @@
 constexpr double kSteadyUnderloadRatio = 0.5;
 /// Time between moves that balance the steady load.
 constexpr duration kSteadyBalancePeriod{std::chrono::seconds{2}};
+/// How long the speeds of owners are used.
+constexpr duration kOwnerSpeedsTtl{std::chrono::seconds{2}};
 
 /// Fraction of a target's limit that the balance of keys plans to use. Requests
 /// come at random, and what goes beyond the limit is refused.
@@ -210,6 +212,7 @@
   recent.load_time_constant = key_load::kRecentTimeConstant;
   recent.overload_ratio = kRecentOverloadRatio;
   recent.underload_ratio = kRecentUnderloadRatio;
+  recent.places_hottest_key = now < service.speeds_known_until;
   std::vector<key_move> moves =
       PlanMoves(draft, service.load.recent_rates(), candidates, recent);
   const bool moving =
@@ -247,6 +250,21 @@
   return !moves.empty();
 }
 
+void key_assigner::OnOwnerSpeeds(const std::string& service,
+                                 std::span<const owner_capacity> owners,
+                                 time_point now) {
+  const auto found = services_.find(service);
+  if (found == services_.end() || owners.empty()) {
+    return;
+  }
+  found->second.speeds_known_until = now + kOwnerSpeedsTtl;
+  for (const owner_capacity& each : owners) {
+    if (target_state* owner = FindTarget(each.owner)) {
+      owner->unqueued_latency_us = static_cast<double>(each.work.count());
+    }
+  }
+}
+
 std::set<std::string> key_assigner::UnansweringOwners(
     const std::string& service) const {
   std::set<std::string> silent;
@@ -283,6 +301,7 @@
   std::vector<balance_target> candidates;
   std::vector<double> latencies_us;
   double latency_sum_us = 0.0;
+  const bool knows_speeds = now < services_.at(service).speeds_known_until;
   size_t measured_count = 0;
   for (const target_state* target : usable) {
     candidates.push_back(
@@ -292,9 +311,12 @@
     if (limit != target_limits_.end()) {
       candidates.back().max_load = limit->second * kUsedLimitFraction;
     }
-    latencies_us.push_back(target->latency_us);
-    latency_sum_us += target->latency_us;
-    measured_count += target->latency_us > 0.0 ? 1 : 0;
+    const double latency_us = knows_speeds && target->unqueued_latency_us > 0.0
+                                  ? target->unqueued_latency_us
+                                  : target->latency_us;
+    latencies_us.push_back(latency_us);
+    latency_sum_us += latency_us;
+    measured_count += latency_us > 0.0 ? 1 : 0;
   }
   for (size_t i = 0; i < candidates.size(); ++i) {
     if (latencies_us[i] > 0.0) {
--- a/src/core/load/key_throttle.cc
+++ b/src/core/load/key_throttle.cc
@@ -6,6 +6,7 @@
 #include <limits>
 
 #include "foxtailspread/hash.h"
+#include "foxtailspread/key_load.h"
 
 namespace foxtailspread {
 namespace {
@@ -14,6 +15,10 @@
 /// are throttled. Requests come at random; at a higher use they queue.
 constexpr double kUsedFraction = 0.85;
 
+/// Demand within this many standard deviations of what an owner serves is
+/// random variation.
+constexpr double kNoiseDeviations = 2.0;
+
 /// Requests per second from which a key has a share of its own. The rate of a
 /// less busy key is known too badly within a second, so that it shares with
 /// those around it.
@@ -40,6 +45,13 @@
   std::vector<shared_keys> keys;
 };
 
+/// Returns the standard deviation of a measured rate.
+double Noise(double rate) {
+  constexpr std::chrono::duration<double> kMeasured =
+      2 * key_load::kRecentTimeConstant;
+  return kNoiseDeviations * std::sqrt(rate / kMeasured.count());
+}
+
 /// Appends the keys of `range` that have requests.
 void AddDemand(const key_range& range, key_loads rates, uint32_t owner,
                owner_demand& demand) {
@@ -149,8 +161,9 @@
     const double demand = found == demands.end() ? 0.0 : found->second.total;
     const double served = capacity.per_second;
     const double usable = served * kUsedFraction;
+    const bool begins = capacity.has_queue && demand > served + Noise(served);
     const bool exceeds =
-        served > 0.0 && demand > (was_throttled ? usable : served);
+        served > 0.0 && (begins || (was_throttled && demand > usable));
     if (exceeds != was_throttled) {
       notes_.push_back({.owner = capacity.owner,
                         .is_throttled = exceeds,
@@ -179,6 +192,7 @@
     cut.resize(kMaxEntries);
   }
   std::vector<throttled_keys> entries;
+  entries.reserve(cut.size());
   for (const shared_keys& each : cut) {
     entries.push_back({.first = each.first,
                        .last = each.last,
--- a/src/core/load/owner_admission.cc
+++ b/src/core/load/owner_admission.cc
@@ -15,6 +15,9 @@
 /// relative to what the work would let expect.
 constexpr double kMinMeasuredRatio = 0.4;
 constexpr double kMaxMeasuredRatio = 1.6;
+/// Most requests for each slot that are sent to wait at the owner. Its queue is
+/// short, and its load is known as of a moment ago.
+constexpr double kMaxQueuedPerSlot = 2.0;
 /// Maximum wait at the host as a fraction of the objective. A caller that is
 /// refused later could not be answered in time elsewhere.
 constexpr double kMaxWaitFraction = 0.125;
@@ -33,7 +36,8 @@
   // Rejections show that the owner has less room than its load lets expect.
   const double ends = owner.served_per_second + owner.rejected_per_second;
   const double accepted = ends > 0.0 ? owner.served_per_second / ends : 1.0;
-  return std::max(0.0, Seconds(queueing) * ServiceRate(owner) * accepted);
+  return std::clamp(Seconds(queueing) * ServiceRate(owner) * accepted, 0.0,
+                    kMaxQueuedPerSlot * owner.slots);
 }
 
 double SendDepth(const owner_state& owner, const admission_request& request) {
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -65,6 +65,10 @@
       return "target-backoff";
     case refusal_reason::kTargetsUnreachable:
       return "targets-unreachable";
+    case refusal_reason::kOwnerBusy:
+      return "owner-busy";
+    case refusal_reason::kKeyThrottled:
+      return "key-throttled";
   }
   return "unknown";
 }
@@ -91,6 +95,7 @@
   if (!found) {
     found = std::make_unique<service>(name, settings_.retries);
     found->budget.SetHostCount(host_count_);
+    found->throttles = throttle_gate{settings_.seed};
   }
   return *found;
 }
@@ -171,11 +176,14 @@
   }
   service& service_state = *new_request.service_state;
   target* owner = FindOwner(service_state, new_request);
+  const duration objective = new_request.matched_route->objective;
+  const bool is_admitted =
+      owner != nullptr && OwnerStateOf(service_state, *owner, now);
   const duration max_wait =
-      QueueFor(service_state, owner).IsOverloaded(now)
-          ? duration{0}
-          : MaxWait(new_request.matched_route->objective,
-                    LikelyLatency(service_state, owner, now));
+      QueueFor(service_state, owner).IsOverloaded(now) ? duration{0}
+      : is_admitted
+          ? MaxAdmissionWait(objective)
+          : MaxWait(objective, LikelyLatency(service_state, owner, now));
   new_request.wait_deadline =
       std::min(now + max_wait, new_request.deadline - kMinTimeToSend);
   StartWaiting(new_request, now);
@@ -293,6 +301,10 @@
                         now);
   }
   const bool shed = report.verdict == attempt_verdict::kShed;
+  if (shed || IsResetByFullOwner(service_state, *attempted_target,
+                                 report.verdict, now)) {
+    attempted_target->rejected_at = now;
+  }
   service_state.shed_fraction +=
       kShedWeight * ((shed ? 1.0 : 0.0) - service_state.shed_fraction);
   const bool idempotent =
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -120,8 +120,11 @@
     if (IsDrainGraceOver(*owner, now)) {
       return refusal_reason::kNoTarget;
     }
-    return owner->resumes_at > latest_send
-               ? std::optional{refusal_reason::kTargetBackoff}
+    if (owner->resumes_at > latest_send) {
+      return refusal_reason::kTargetBackoff;
+    }
+    return IsOwnerBusy(*owner, pending_request, now)
+               ? std::optional{refusal_reason::kOwnerBusy}
                : std::nullopt;
   }
   bool any_backs_off = false;
@@ -170,7 +173,7 @@
   const bool usable = !grace_is_over && now >= owner->resumes_at &&
                       !owner->availability.IsCold(now) &&
                       owner->health.IsReachable(now) &&
-                      owner->health.HasCapacity(now);
+                      HasRoomAt(*owner, pending_request, now);
   if (usable && !HasPermit(*owner, now)) {
     RequestPermits(*owner, owner->queue.Count(), pending_request, now, out);
     return nullptr;
@@ -325,13 +328,20 @@
     if (owner->resumes_at > now + max_wait) {
       return refusal_reason::kTargetBackoff;
     }
-    if (owner->health.PausedUntil() > now + max_wait) {
+    const bool has_shared_view =
+        OwnerStateOf(service_state, *owner, now).has_value();
+    if (!has_shared_view && owner->health.PausedUntil() > now + max_wait) {
       return refusal_reason::kQueueFull;
     }
     if (const auto reason =
             PermitRefusalFor(service_state, pending_request, owner, now)) {
       return reason;
     }
+    const auto refusal =
+        AdmissionRefusalFor(service_state, pending_request, *owner, now);
+    if (refusal || has_shared_view) {
+      return refusal;
+    }
     const size_t queued_before =
         owner->queue.CountAtLeastAsUrgent(pending_request.matched_route->rank);
     const duration latency = owner->health.mean_latency();
@@ -425,6 +435,10 @@
           .IsOverloaded(now)) {
     base_delay = RetryAfterOverload(refused_request.matched_route->objective);
   }
+  if (reason == refusal_reason::kOwnerBusy ||
+      reason == refusal_reason::kKeyThrottled) {
+    return RetryAfterAdmission(refused_request, reason, now);
+  }
   const duration time_left = refused_request.caller_deadline - now;
   if (reason == refusal_reason::kTargetBackoff) {
     return RetryAfterBackoff(
--- a/src/core/request_router_reports.cc
+++ b/src/core/request_router_reports.cc
@@ -111,6 +111,7 @@
       service_gauge.backoff_targets +=
           now < known_target->backoff_until ? 1 : 0;
     }
+    service_gauge.throttled_keys = service_state->throttles.size(now);
   }
   return gauges;
 }
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "foxtailspread/load/key_throttle.h"
 #include "foxtailspread/load/load_sharing.h"
 #include "foxtailspread/permit_cache.h"
 #include "foxtailspread/request_router.h"
@@ -93,6 +94,7 @@
   std::optional<time_point> missing_since;
   /// Requests that only this target can serve, as it owns their keys.
   waiting_queue queue;
+  time_point rejected_at{};  ///< It last rejected a request of this host.
 };
 
 /// One request from its arrival to its answer.
@@ -169,6 +171,7 @@
   /// Moving average of the fraction of attempts that targets shed.
   double shed_fraction = 0.0;
   std::vector<key_point> requested_keys;  ///< One entry for each request.
+  throttle_gate throttles;                ///< For keys that are too busy.
 };
 
 inline void request_router::waiting_queue::Add(request& waiting) {
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -632,6 +632,8 @@
                  static_cast<double>(each.leaving_targets));
     AppendMetric(text, "targets_backoff", labels,
                  static_cast<double>(each.backoff_targets));
+    AppendMetric(text, "keys_throttled", labels,
+                 static_cast<double>(each.throttled_keys));
     AppendMetric(text, "requests_in_flight", labels,
                  static_cast<double>(each.in_flight));
     AppendMetric(text, "repeats_left", labels, each.retries_left);
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -132,6 +132,10 @@
   /// Whether this host sums the loads that all hosts tell. It goes on while the
   /// store is away, as nobody else can begin.
   bool SumsLoads(time_point now) const;
+  /// While this host holds the lease: has all hosts throttle the keys that get
+  /// more requests than their owners serve.
+  void ThrottleKeys();
+  void OnKeyThrottles(const key_throttles& throttles, time_point now);
   /// `is_own_answer`: the target told this host, not another one.
   void OnStatementChanged(const target_life& target, bool is_own_answer);
   void ShareStatementsSoon();
@@ -214,6 +218,12 @@
   evacuations evacuations_;
   load_board loads_;       ///< While this host passes on reports.
   permit_issuer permits_;  ///< Likewise.
+  struct service_throttler {
+    key_throttle planner;
+    uint64_t sequence = 0;
+    int empty_sent = 0;  ///< Successive times that no key was throttled.
+  };
+  std::map<std::string, service_throttler> throttlers_;  ///< Likewise.
   request_router router_;
   key_assigner assigner_;
   std::unordered_map<exchange_id, flight> flights_;
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -390,6 +390,9 @@
     OnSharedObject(*object);
   } else if (const auto* loads = std::get_if<loads_record>(&message.value())) {
     OnLoads(*loads, now);
+  } else if (const auto* throttles =
+                 std::get_if<key_throttles>(&message.value())) {
+    OnKeyThrottles(*throttles, now);
   } else if (const auto* record =
                  std::get_if<statements_record>(&message.value())) {
     OnStatements(record->statements, now);
@@ -561,6 +564,7 @@
   if (lease && !lease->address.empty()) {
     hosts_.Send(lease->address, FormatHostMessage(report));
   }
+  ThrottleKeys();
 }
 
 bool edge_daemon::PassesOnReports() const {
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -17,6 +17,9 @@
 #include <string>
 #include <vector>
 
+#include "foxtailspread/key_load.h"
+#include "foxtailspread/load/key_throttle.h"
+#include "foxtailspread/load/load_board.h"
 #include "foxtailspread/request_router.h"
 #include "platform/stand_in/cut_off_rule.h"
 #include "platform/stand_in/target_rules.h"
@@ -76,6 +79,13 @@
   /// crashed is removed after three periods without a write.
   duration target_heartbeat{std::chrono::milliseconds{870}};
   retry_rule retry = retry_rule::kIdempotent;
+  /// Fraction of the requests that are for one key.
+  double hot_key_fraction = 0.0;
+  /// Full targets reset connections instead of shedding requests.
+  bool resets_when_full = false;
+  /// Hosts share their view of the targets' loads, and the lease holder has
+  /// them throttle keys.
+  bool shares_view = false;
 };
 
 /// Simulates hosts, targets and callers.
@@ -118,6 +128,13 @@
   /// the hosts and the keys; a target's share of the keys follows its capacity.
   caller_results Run(double rate_per_second, duration length);
 
+  /// Of the last Run(): the results of the requests for other keys of the hot
+  /// key's owner.
+  const caller_results& hot_owners_other_keys() const { return other_keys_; }
+  /// Of the last Run(): attempts, and those that full targets did not run.
+  size_t attempts() const { return attempts_; }
+  size_t attempts_not_run() const { return attempts_not_run_; }
+
   /// Multiplies the work time at every target by `factor` from now on.
   void SlowDown(double factor) { slowness_ = factor; }
 
@@ -209,6 +226,10 @@
 
   void SetUp();
   void ShareLoads();
+  void ShareSums();
+  void ShareThrottles();
+  key_point RandomKey();
+  bool IsOtherKeyOfHotOwner(key_point key) const;
   bool AreConnected(size_t host, size_t other) const;
   void ShareStatements(size_t host);
   void OnPermitRequest(size_t host, const permit_request_action& action);
@@ -269,6 +290,13 @@
   std::map<request_id, caller> callers_;
   std::priority_queue<event, std::vector<event>, std::greater<>> events_;
   caller_results results_;
+  caller_results other_keys_;
+  size_t attempts_ = 0;
+  size_t attempts_not_run_ = 0;
+  load_board board_;   ///< At the lease holder.
+  key_load key_load_;  ///< Likewise.
+  key_throttle throttle_;
+  uint64_t throttle_sequence_ = 0;
   time_point now_{std::chrono::seconds{1000}};
   uint64_t last_sequence_ = 0;
   uint64_t last_attempt_id_ = 0;
