--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -76,6 +76,8 @@
   kRequestRelayed = 353,
   kLoadsShared = 354,
   kLoadsNotShared = 355,
+  kKeysThrottled = 356,
+  kKeysUnthrottled = 357,
   kMemoryShort = 366,
   kMemoryFree = 367,
   kFaultsChanged = 800,
@@ -290,6 +292,13 @@
     {event_id::kLoadsNotShared, event_level::kInfo, "loads-not-shared",
      "The loads of the service given need no sharing any more.",
      "Nothing to do."},
+    {event_id::kKeysThrottled, event_level::kWarning, "keys-throttled",
+     "The keys of the target given get more requests than it serves in time; "
+     "the busiest of them are refused in part.",
+     "Look for the callers of these keys if it lasts."},
+    {event_id::kKeysUnthrottled, event_level::kInfo, "keys-unthrottled",
+     "The target given serves what its keys are asked for again.",
+     "Nothing to do."},
     {event_id::kMemoryShort, event_level::kWarning, "memory-short",
      "The host refuses requests with bodies: those and the answers that it "
      "holds take the memory given, in bytes, that it has for them.",
--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <span>
 
+#include "core/load/key_throttle_message.h"
 #include "core/load/load_codec.h"
 
 namespace foxtailspread {
@@ -554,6 +555,9 @@
     if (tag == kRepeatTag) {
       return host_message{ReadRepeatRequest(value)};
     }
+    if (tag == kThrottlesTag) {
+      return host_message{ReadKeyThrottles(value)};
+    }
     if (tag == kRelayedTag) {
       return host_message{ReadRelayed(value)};
     }
--- a/src/core/request_router_reports.cc
+++ b/src/core/request_router_reports.cc
@@ -115,6 +115,7 @@
         service_gauge.occupied += load->occupied;
       }
     }
+    service_gauge.throttled_keys = service_state->throttles.size(now);
   }
   return gauges;
 }
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -629,6 +629,8 @@
     AppendMetric(text, "targets_load_known", labels,
                  static_cast<double>(each.known_loads));
     AppendMetric(text, "targets_occupied", labels, each.occupied);
+    AppendMetric(text, "keys_throttled", labels,
+                 static_cast<double>(each.throttled_keys));
     AppendMetric(text, "requests_in_flight", labels,
                  static_cast<double>(each.in_flight));
     AppendMetric(text, "repeats_left", labels, each.retries_left);
