Keep pooled requests in their zone while it has room

Cause: of two random targets in each group of zones, the cheaper one by the host's own latencies got the request, with a fifth of the objective added for other zones.

Change: where the loads of most usable targets over all hosts are known, zone_placement keeps a request in its own zone unless that has no target, no slot, or would answer most such requests too late and another zone sooner. Elsewhere nothing changes, nor for targets that report their load. Setting `placement`, "balanced" keeps the former rule everywhere. Sends by zone and reasons of spills are metrics. Bytes by cause and zone are counted: requests and answers by service, datagrams by kind, calls of the store. PickPooled moves to a file of its own.

--- a/include/foxtailspread/host_messages.h
+++ b/include/foxtailspread/host_messages.h
@@ -263,6 +263,9 @@
 std::string FormatHostMessage(const host_message& message);
 result<host_message> ParseHostMessage(std::string_view bytes);
 
+/// Returns the kind of a formatted message as it stands in the metrics.
+std::string_view HostMessageKind(std::string_view bytes);
+
 }  // namespace foxtailspread
 
 #endif  // FOXTAILSPREAD_HOST_MESSAGES_H_
--- a/include/foxtailspread/key_assigner.h
+++ b/include/foxtailspread/key_assigner.h
@@ -318,6 +318,9 @@
   /// report to this one, each with the hosts that it forwards to.
   std::vector<fanout_hop> OtherHosts(time_point now) const;
   const std::optional<assigner_lease>& lease() const { return lease_; }
+  /// Returns the zone of the host that receives datagrams at `address`; "" if
+  /// this host has not been told.
+  std::string_view ZoneOfHost(std::string_view address) const;
   store_revision lease_revision() const { return lease_revision_; }
   /// Returns the holder and the number of writes of the newest lease that this
   /// host knows of from earlier eras.
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -7,6 +7,7 @@
 /// The router does no I/O and reads no clock: it is given events and the
 /// current time and returns actions to carry out. Each host has one router.
 
+#include <array>
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <cstdint>
@@ -29,6 +30,7 @@
 #include "foxtailspread/key_map.h"
 #include "foxtailspread/load/load_samples.h"
 #include "foxtailspread/load/target_load.h"
+#include "foxtailspread/load/zone_placement.h"
 #include "foxtailspread/permit_cache.h"
 #include "foxtailspread/relay_hosts.h"
 #include "foxtailspread/retry_budget.h"
@@ -64,6 +66,8 @@
   target_life target{};
   std::string address{};
   duration time_left{};  ///< Until the request's deadline.
+  std::string service{};
+  std::string zone{};  ///< The target's.
 };
 
 /// The answer that the host itself gives when it has no target's answer to
@@ -240,14 +244,15 @@
 /// Current state of one service for the metrics.
 struct service_gauges {
   std::string service;
-  size_t waiting_requests = 0;  ///< Requests not sent yet.
-  size_t usable_targets = 0;    ///< Listed, not draining and reachable.
-  size_t cold_targets = 0;      ///< Not warmed up yet after their start.
-  size_t limited_targets = 0;   ///< Limit the rate of requests to them.
-  size_t leaving_targets = 0;   ///< Shut down, as their answers say.
-  size_t backoff_targets = 0;   ///< Want no requests of this host now.
-  int in_flight = 0;            ///< Attempts of this host under way.
-  double retries_left = 0.0;    ///< In this host's share of the retry budget.
+  size_t waiting_requests = 0;    ///< Requests not sent yet.
+  size_t usable_targets = 0;      ///< Listed, not draining and reachable.
+  size_t cold_targets = 0;        ///< Not warmed up yet after their start.
+  size_t limited_targets = 0;     ///< Limit the rate of requests to them.
+  size_t leaving_targets = 0;     ///< Shut down, as their answers say.
+  size_t backoff_targets = 0;     ///< Want no requests of this host now.
+  int in_flight = 0;              ///< Attempts of this host under way.
+  double retries_left = 0.0;      ///< In this host's share of the retry budget.
+  zone_send_counts zone_sends{};  ///< Since the start of the host.
 };
 
 /// Counters since the start of the host.
@@ -268,6 +273,7 @@
   /// Period at which targets write to the store.
   duration target_heartbeat{std::chrono::milliseconds{870}};
   uint64_t seed = 1;
+  zone_preference placement = zone_preference::kOwnZoneFirst;
 };
 
 /// Routes the requests of one host.
@@ -472,6 +478,22 @@
                     time_point now, router_actions& out);
   target* PickPooled(service& service_state, const request& pending_request,
                      time_point now, router_actions& out);
+  /// Targets of the own zone, and those of the others.
+  using zone_groups = std::array<std::vector<target*>, 2>;
+  /// Whether requests of a pooled service go to the own zone while it has room:
+  /// if the loads of most of the usable targets are known.
+  bool OwnZoneGoesFirst(const service& service_state, const zone_groups& usable,
+                        time_point now) const;
+  /// Returns the expected latency of one more request, by the load of all hosts
+  /// if that is known.
+  duration ExpectedLatency(const target& candidate, time_point now) const;
+  /// Takes random targets out of `members` and returns the best of them;
+  /// nullptr if there are none.
+  target* BestOf(std::vector<target*>& members, time_point now);
+  /// Returns a target of the own zone, or of the others if that has no room;
+  /// nullptr if there are none.
+  target* PickByZone(zone_groups& usable, const request& pending_request,
+                     time_point now);
   /// Whether the rate limit of a target, if any, allows this host to send now.
   static bool HasPermit(const target& candidate, time_point now);
   /// Requests the permits that `waiting` requests to a target lack.
--- a/include/foxtailspread/target_health.h
+++ b/include/foxtailspread/target_health.h
@@ -78,6 +78,11 @@
 
   /// Returns the expected latency of one more request.
   duration ExpectedLatency(time_point now) const;
+  /// Returns the age of the oldest request in flight; 0 if there is none.
+  duration OldestAge(time_point now) const {
+    return sent_times_.empty() ? duration{0}
+                               : duration{now - sent_times_.front()};
+  }
   duration mean_latency() const { return mean_latency_; }
   /// Returns the latency that most responses stay below: the mean plus the
   /// mean deviation.
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -213,6 +213,9 @@
     ++counts_.limited_sends;
   }
   ++pending_request.service_state->in_flight;
+  zone_send_counts& zone_sends = pending_request.service_state->zone_sends;
+  ++(chosen->entry.zone == settings_.zone ? zone_sends.own_zone
+                                          : zone_sends.other_zones);
   if (!pending_request.WasTried(chosen)) {
     pending_request.tried_targets.emplace_back(chosen);
   }
@@ -220,7 +223,9 @@
   out.emplace_back(send_action{.id = pending_request.id,
                                .target = chosen->entry.life,
                                .address = chosen->entry.address,
-                               .time_left = pending_request.deadline - now});
+                               .time_left = pending_request.deadline - now,
+                               .service = chosen->entry.service,
+                               .zone = chosen->entry.zone});
   return true;
 }
 
@@ -300,6 +305,8 @@
   switch (report.verdict) {
     case attempt_verdict::kServed:
       crashes_.OnServed(pending_request.content_hash, now);
+      service_state.zones.OnServed(pending_request.matched_route->objective,
+                                   now - pending_request.sent_time);
       out.emplace_back(deliver_action{.id = pending_request.id,
                                       .summary = pending_request.Summary(now)});
       RemoveRequest(pending_request);
--- a/src/core/request_router_placing.cc
+++ b/src/core/request_router_placing.cc
@@ -5,7 +5,6 @@
 // another owner or whose owner is lost.
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 #include "foxtailspread/request_router.h"
@@ -15,20 +14,6 @@
 namespace foxtailspread {
 namespace {
 
-/// Penalty for a target in another zone when targets are compared, as a
-/// fraction of the latency objective: traffic between zones is billed, and a
-/// network partition can cut it off. With a larger penalty the targets of the
-/// own zone would be overloaded before any request goes to another zone.
-constexpr double kOtherZonePenaltyFraction = 0.2;
-
-/// Number of random targets compared for one request. Hosts don't see each
-/// other's requests; comparing only two random targets keeps them from all
-/// sending to the one that looks best.
-constexpr int kChoices = 2;
-/// The same for services whose targets report their load: the hosts know the
-/// load better there and can compare more.
-constexpr int kChoicesWithReportedLoad = 3;
-
 /// Fraction of the drain timeout in which requests still go to a keyed target
 /// that is draining, while its keys move to a new owner. It counts from the
 /// earliest time at which the target can have begun to drain: this host hears
@@ -178,73 +163,6 @@
   return usable ? owner : nullptr;
 }
 
-request_router::target* request_router::PickPooled(
-    service& service_state, const request& pending_request, time_point now,
-    router_actions& out) {
-  std::array<std::vector<target*>, 2> usable;  // Own zone, other zones.
-  // Used only if there is no other: a target that fails part of its requests or
-  // is missing from the list.
-  target* last_resort = nullptr;
-  std::vector<target*> without_permit;
-  for (const auto& candidate : service_state.targets) {
-    const bool is_usable = AcceptsRequests(*candidate, now) &&
-                           now >= candidate->resumes_at &&
-                           candidate->health.IsReachable(now) &&
-                           candidate->health.HasCapacity(now) &&
-                           !pending_request.WasTried(candidate.get());
-    if (!is_usable) {
-      continue;
-    }
-    if (!HasPermit(*candidate, now)) {
-      without_permit.push_back(candidate.get());
-      continue;
-    }
-    if (candidate->missing_since || !candidate->health.IsHealthy(now)) {
-      const bool is_better =
-          last_resort == nullptr ||
-          candidate->health.in_flight() < last_resort->health.in_flight();
-      last_resort = is_better ? candidate.get() : last_resort;
-      continue;
-    }
-    // A permit that is not used soon is lost to all hosts.
-    if (candidate->limit.per_second() &&
-        candidate->health.ExpectedLatency(now) <=
-            pending_request.matched_route->objective) {
-      return candidate.get();
-    }
-    usable[candidate->entry.zone == settings_.zone ? 0 : 1].push_back(
-        candidate.get());
-  }
-  if (!without_permit.empty()) {
-    RequestPooledPermit(without_permit, usable[0].size() + usable[1].size(),
-                        pending_request, now, out);
-  }
-  const duration other_zone_penalty = duration{static_cast<int64_t>(
-      static_cast<double>(pending_request.matched_route->objective.count()) *
-      kOtherZonePenaltyFraction)};
-  const int choices = service_state.limit.has_load_reports()
-                          ? kChoicesWithReportedLoad
-                          : kChoices;
-  target* best = nullptr;
-  duration best_cost{};
-  for (size_t group = 0; group < usable.size(); ++group) {
-    auto& members = usable[group];
-    for (int choice = 0; choice < choices && !members.empty(); ++choice) {
-      const size_t index = random_() % members.size();
-      target* candidate = members[index];
-      members[index] = members.back();
-      members.pop_back();
-      const duration cost = candidate->health.ExpectedLatency(now) +
-                            (group == 0 ? duration{0} : other_zone_penalty);
-      if (best == nullptr || cost < best_cost) {
-        best = candidate;
-        best_cost = cost;
-      }
-    }
-  }
-  return best != nullptr ? best : last_resort;
-}
-
 duration request_router::ExpectedWait(const service& service_state,
                                       const request& pending_request,
                                       time_point now) const {
--- a/src/core/request_router_reports.cc
+++ b/src/core/request_router_reports.cc
@@ -98,6 +98,7 @@
     service_gauge.service = name;
     service_gauge.waiting_requests = service_state->waiting_count;
     service_gauge.in_flight = service_state->in_flight;
+    service_gauge.zone_sends = service_state->zone_sends;
     service_gauge.retries_left = service_state->budget.RemainingRetries(now);
     for (const auto& known_target : service_state->targets) {
       const bool is_usable = AcceptsRequests(*known_target, now) &&
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "foxtailspread/load/load_sharing.h"
+#include "foxtailspread/load/zone_placement.h"
 #include "foxtailspread/permit_cache.h"
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/service_limit.h"
@@ -157,6 +158,8 @@
   int in_flight = 0;    ///< Attempts under way at its targets.
   service_limit limit;  ///< Of `in_flight`, if targets report their load.
   load_sharing sharing;
+  zone_placement zones;  ///< If pooled.
+  zone_send_counts zone_sends;
   std::vector<boost::intrusive_ptr<target>> targets;
   key_map owners;
   /// When each range that is moving to a new owner was first seen moving, by
--- a/src/core/target_health.cc
+++ b/src/core/target_health.cc
@@ -258,16 +258,11 @@
 
 duration target_health::ExpectedLatency(time_point now) const {
   if (ReportedLoad(now) != nullptr) {
-    const duration oldest_age =
-        sent_times_.empty() ? duration{0} : duration{now - sent_times_.front()};
-    return std::max(ExpectedByReportedLoad(now), oldest_age);
+    return std::max(ExpectedByReportedLoad(now), OldestAge(now));
   }
   // A frozen target sends no responses that could raise its mean latency; only
   // the age of the oldest request in flight reveals it.
-  duration latency = mean_latency_;
-  if (!sent_times_.empty()) {
-    latency = std::max(latency, now - sent_times_.front());
-  }
+  const duration latency = std::max(mean_latency_, OldestAge(now));
   return latency + latency * in_flight_ / slots_;
 }
 
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -81,6 +81,15 @@
   return static_cast<double>(used.ru_maxrss) * kKilobyte;
 }
 
+/// Returns the size of a message's content, about that on the wire.
+size_t SizeOf(const http_message& message) {
+  size_t size = message.body.size();
+  for (const http_header& header : message.headers) {
+    size += header.name.size() + header.value.size();
+  }
+  return size;
+}
+
 std::optional<std::string> ReadText(std::string_view /*name*/,
                                     const nlohmann::json& content) {
   return content.dump();
@@ -162,7 +171,8 @@
                .retries = settings_.retries,
                .drain_timeout = settings_.drain,
                .target_heartbeat = settings_.target_heartbeat,
-               .seed = HashText(settings_.name)}),
+               .seed = HashText(settings_.name),
+               .placement = settings_.placement}),
       assigner_(
           {.host = settings_.name,
            .zone = settings_.zone,
@@ -299,6 +309,9 @@
   const attempt_verdict verdict = platform::Judge(result);
   attempt_report report{.id = id, .verdict = verdict};
   if (result.end == call_end::kAnswered) {
+    traffic_.Count("answer", ended.service,
+                   PeerZoneOf(ended.zone, settings_.zone),
+                   SizeOf(result.answer));
     report.load = platform::ReadLoad(result.answer);
     report.limit = platform::ReadLimit(result.answer);
     report.leaving = platform::ReadLeaving(result.answer);
@@ -361,11 +374,15 @@
   }
   found->second.target = action.target;
   found->second.is_relayed = false;
-  found->second.call =
-      targets_pool_.Send(platform::ToTarget(found->second.request, action),
-                         [this, id = action.id](call_result result) {
-                           OnAttemptEnded(id, std::move(result));
-                         });
+  found->second.service = action.service;
+  found->second.zone = action.zone;
+  pool_call call = platform::ToTarget(found->second.request, action);
+  traffic_.Count("request", action.service,
+                 PeerZoneOf(action.zone, settings_.zone), call.request.size());
+  found->second.call = targets_pool_.Send(
+      std::move(call), [this, id = action.id](call_result result) {
+        OnAttemptEnded(id, std::move(result));
+      });
 }
 
 void edge_daemon::CarryOne(const local_reply_action& action) {
@@ -603,7 +620,7 @@
 
 std::string edge_daemon::MetricsText() {
   const time_point now = Now();
-  std::string text = metrics_.Text();
+  std::string text = metrics_.Text() + traffic_.Text() + store_.TrafficText();
   const auto line = [&](std::string_view name, double value) {
     AppendMetric(text, name, "", value);
   };
@@ -635,6 +652,7 @@
     AppendMetric(text, "requests_in_flight", labels,
                  static_cast<double>(each.in_flight));
     AppendMetric(text, "repeats_left", labels, each.retries_left);
+    AppendZoneSends(text, labels, each.zone_sends);
   }
   line("contents_refused",
        static_cast<double>(router_.crashes().QuarantinedCount(now)));
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -24,6 +24,7 @@
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/target_history.h"
 #include "foxtailspread/targets_sharing.h"
+#include "foxtailspread/traffic_by_zone.h"
 #include "net/caller_server.h"
 #include "net/connection_pool.h"
 #include "net/datagram.h"
@@ -76,6 +77,8 @@
     bool is_relayed = false;  ///< `call` goes to another host, not to a target.
     /// An attempt before it was relayed may have run.
     bool may_have_run = false;
+    std::string service{};  ///< Of the target.
+    std::string zone{};     ///< Of the target.
   };
 
   /// An order from its sending to its end.
@@ -119,6 +122,10 @@
   void OnDatagram(std::string_view bytes);
   void OnHostMessage(result<host_message> message);
   void SendToHosts(std::span<const fanout_hop> hops, const std::string& bytes);
+  void SendToHost(std::string_view address, std::string_view bytes);
+  /// Counts a datagram to or from the host at `address`.
+  void CountDatagram(std::string_view cause, std::string_view kind,
+                     std::string_view zone, size_t bytes);
   std::optional<store_view> View(time_point now) const;
   void OnView(const store_view& view, time_point now);
   void OnEvacuationView(const evacuation_view& view, time_point now);
@@ -235,6 +242,7 @@
   int failing_followers_ = 0;
   graceful_stop stop_;
   edge_metrics metrics_;
+  traffic_by_zone traffic_;
   bool closing_ = false;
   time_point armed_for_ = time_point::max();
   timer step_;
--- a/src/edge/edge_daemon_loads.cc
+++ b/src/edge/edge_daemon_loads.cc
@@ -44,7 +44,7 @@
     loads_.Clear();
     const auto& lease = assigner_.lease();
     if (heard && lease && !lease->address.empty()) {
-      hosts_.Send(lease->address, FormatHostMessage(*heard));
+      SendToHost(lease->address, FormatHostMessage(*heard));
     }
   }
   if (router_.HasLoadNews() || !loads_.empty()) {
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -327,11 +327,21 @@
   auto message = ParseHostMessage(bytes);
   const auto* relayed =
       message ? std::get_if<relayed_message>(&message.value()) : nullptr;
+  const auto* report =
+      message ? std::get_if<load_report>(&message.value()) : nullptr;
+  if (report != nullptr) {
+    // Its sender mostly doesn't know the zone of this host.
+    CountDatagram("datagram-received", HostMessageKind(bytes), report->zone,
+                  bytes.size());
+  }
   if (relayed == nullptr) {
     OnHostMessage(std::move(message));
     return;
   }
+  // A relay forwards within its zone.
   for (const std::string& address : relayed->forward_to) {
+    CountDatagram("datagram-sent", HostMessageKind(relayed->payload),
+                  settings_.zone, relayed->payload.size());
     hosts_.Send(address, relayed->payload);
   }
   OnHostMessage(ParseHostMessage(relayed->payload));
@@ -354,7 +364,7 @@
       const relays_record relays{
           assigner_.HostsReachingTargets(kMaxRelays, now)};
       if (!relays.addresses.empty()) {
-        hosts_.Send(report->address, FormatHostMessage(relays));
+        SendToHost(report->address, FormatHostMessage(relays));
       }
     }
   } else if (const auto* heartbeat =
@@ -449,14 +459,28 @@
                               const std::string& bytes) {
   for (const fanout_hop& hop : hops) {
     if (hop.forward_to.empty()) {
-      hosts_.Send(hop.address, bytes);
+      SendToHost(hop.address, bytes);
     } else {
-      hosts_.Send(hop.address,
-                  FormatHostMessage(relayed_message{hop.forward_to, bytes}));
+      const std::string relayed =
+          FormatHostMessage(relayed_message{hop.forward_to, bytes});
+      CountDatagram("datagram-sent", HostMessageKind(bytes),
+                    assigner_.ZoneOfHost(hop.address), relayed.size());
+      hosts_.Send(hop.address, relayed);
     }
   }
 }
 
+void edge_daemon::SendToHost(std::string_view address, std::string_view bytes) {
+  CountDatagram("datagram-sent", HostMessageKind(bytes),
+                assigner_.ZoneOfHost(address), bytes.size());
+  hosts_.Send(address, bytes);
+}
+
+void edge_daemon::CountDatagram(std::string_view cause, std::string_view kind,
+                                std::string_view zone, size_t bytes) {
+  traffic_.Count(cause, kind, PeerZoneOf(zone, settings_.zone), bytes);
+}
+
 /// What this host's copy of the store amounts to; empty if it is not complete
 /// or too old to vouch for others'.
 std::optional<store_view> edge_daemon::View(time_point now) const {
@@ -559,7 +583,7 @@
     }
   }
   if (lease && !lease->address.empty()) {
-    hosts_.Send(lease->address, FormatHostMessage(report));
+    SendToHost(lease->address, FormatHostMessage(report));
   }
 }
 
@@ -593,7 +617,7 @@
   if (!record.evidence.empty() && PassesOnReports()) {
     SendToHosts(assigner_.OtherHosts(now), FormatHostMessage(record));
   } else if (!record.evidence.empty() && lease && !lease->address.empty()) {
-    hosts_.Send(lease->address, FormatHostMessage(record));
+    SendToHost(lease->address, FormatHostMessage(record));
   }
   ShareCrashesSoon();
 }
@@ -660,7 +684,7 @@
   if (assigner_.IsHolder(now)) {
     SendToHosts(assigner_.OtherHosts(now), bytes);
   } else if (lease && !lease->address.empty()) {
-    hosts_.Send(lease->address, bytes);
+    SendToHost(lease->address, bytes);
   }
 }
 
@@ -681,11 +705,11 @@
 void edge_daemon::CarryOne(const permit_request_action& action) {
   const auto& lease = assigner_.lease();
   if (lease && !lease->address.empty()) {
-    hosts_.Send(lease->address,
-                FormatHostMessage(permit_request{.address = settings_.hosts,
-                                                 .sequence = action.sequence,
-                                                 .limit = action.limit,
-                                                 .demand = action.demand}));
+    SendToHost(lease->address,
+               FormatHostMessage(permit_request{.address = settings_.hosts,
+                                                .sequence = action.sequence,
+                                                .limit = action.limit,
+                                                .demand = action.demand}));
   }
 }
 
@@ -707,7 +731,7 @@
     reply.grant = permits_.Issue(request.limit.target, request.demand,
                                  fraction * SendRate(*per_second), now);
   }
-  hosts_.Send(request.address, FormatHostMessage(reply));
+  SendToHost(request.address, FormatHostMessage(reply));
 }
 
 void edge_daemon::OnPermitReply(const permit_reply& reply, time_point now) {
@@ -831,7 +855,7 @@
 }
 
 void edge_daemon::CarryOne(const share_hosts_action& action) {
-  hosts_.Send(action.address, FormatHostMessage(action.record));
+  SendToHost(action.address, FormatHostMessage(action.record));
 }
 
 void edge_daemon::CarryOne(const assigner_note& action) {
--- a/src/edge/edge_metrics.cc
+++ b/src/edge/edge_metrics.cc
@@ -44,4 +44,21 @@
   return text;
 }
 
+void AppendZoneSends(std::string& text, const std::string& service,
+                     const zone_send_counts& sends) {
+  AppendMetric(text, "zone_sends_total",
+               service + "," + MetricLabel("zone", "own"),
+               static_cast<double>(sends.own_zone));
+  AppendMetric(text, "zone_sends_total",
+               service + "," + MetricLabel("zone", "other"),
+               static_cast<double>(sends.other_zones));
+  for (size_t i = 0; i < sends.spills.size(); ++i) {
+    AppendMetric(
+        text, "zone_spills_total",
+        service + "," +
+            MetricLabel("reason", ToString(static_cast<spill_reason>(i))),
+        static_cast<double>(sends.spills.at(i)));
+  }
+}
+
 }  // namespace foxtailspread
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -44,6 +44,10 @@
   uint64_t keys_moved_ = 0;
 };
 
+/// Appends the sends of one service by zone. `service` is its label.
+void AppendZoneSends(std::string& text, const std::string& service,
+                     const zone_send_counts& sends);
+
 }  // namespace foxtailspread
 
 #endif  // FOXTAILSPREAD_EDGE_EDGE_METRICS_H_
--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -57,6 +57,13 @@
                              static_cast<double>(requests);
 }
 
+double caller_results::OwnZoneFraction() const {
+  const size_t sends = own_zone_sends + other_zone_sends;
+  return sends == 0
+             ? 1.0
+             : static_cast<double>(own_zone_sends) / static_cast<double>(sends);
+}
+
 duration caller_results::MeanTimeToRefusal() const {
   return refused == 0 ? duration{0}
                       : total_time_to_refusal / static_cast<int64_t>(refused);
@@ -71,6 +78,77 @@
   if (options_.reports_load) {
     ShareLoads();
   }
+  if (options_.shares_view) {
+    ShareView();
+  }
+}
+
+std::string router_world::ZoneName(size_t index) const {
+  return options_.zones == 1 ? "zone" : "zone" + std::to_string(index);
+}
+
+/// Each zone has targets of all speeds.
+size_t router_world::ZoneOfTarget(size_t target) const {
+  return target / options_.target_speeds.size() % options_.zones;
+}
+
+bool router_world::AreZonesConnected(size_t host, size_t target) const {
+  const bool is_host_cut = host % options_.zones == cut_off_zone_;
+  const bool is_target_cut = ZoneOfTarget(target) == cut_off_zone_;
+  return is_host_cut == is_target_cut;
+}
+
+size_t router_world::PickHost() {
+  if (options_.zone_rates.empty()) {
+    return random_() % routers_.size();
+  }
+  std::discrete_distribution<size_t> pick_zone(options_.zone_rates.begin(),
+                                               options_.zone_rates.end());
+  const size_t zone = pick_zone(random_);
+  const size_t hosts =
+      (routers_.size() - zone + options_.zones - 1) / options_.zones;
+  return zone + options_.zones * (random_() % hosts);
+}
+
+void router_world::ShareView() {
+  if (!options_.shares_view) {
+    return;
+  }
+  board_.SetHostCount(routers_.size());
+  for (size_t host = 0; host < routers_.size(); ++host) {
+    if (const auto news =
+            routers_[host]->TakeLoadNews(std::to_string(host), now_)) {
+      board_.OnRecord(*news, now_);
+    }
+  }
+  Schedule(now_ + kLoadShareDelay,
+           [this, sums = board_.TakeChanged(now_).sums]() mutable {
+             constexpr uint32_t kDelayMs =
+                 kLoadShareDelay / std::chrono::milliseconds{1};
+             for (load_sum& sum : sums) {
+               sum.age_ms += kDelayMs;
+             }
+             for (const auto& router : routers_) {
+               router->OnLoadSums(sums, now_);
+             }
+           });
+  Schedule(now_ + kShareLoadsPeriod, [this] { ShareView(); });
+}
+
+void router_world::LoseZone(size_t zone) {
+  for (size_t target = 0; target < targets_.size(); ++target) {
+    if (ZoneOfTarget(target) != zone) {
+      continue;
+    }
+    target_model& model = targets_[target];
+    BreakAttempts(target, std::nullopt);
+    model.is_running = false;
+    model.at_work.clear();
+    model.queue.clear();
+    model.busy_slots = 0;
+    Schedule(now_ + kMissedHeartbeats * options_.target_heartbeat,
+             [this, life = model.entry.life] { Lapse(life); });
+  }
 }
 
 void router_world::ShareLoads() {
@@ -107,7 +185,7 @@
     target.entry.life = {.id = "t" + std::to_string(i), .started = 1};
     target.entry.service = kService;
     target.entry.address = "10.0.0.1:" + std::to_string(1000 + i);
-    target.entry.zone = "zone";
+    target.entry.zone = ZoneName(ZoneOfTarget(i));
     target.entry.slots = options_.slots_per_target;
     target_index_by_id_[target.entry.life.id] = i;
     target.last_heartbeat = now_ + options_.target_heartbeat *
@@ -145,8 +223,11 @@
 }
 
 void router_world::AddHost(size_t host) {
-  routers_[host] = std::make_unique<request_router>(router_settings{
-      .zone = "zone", .retries = {}, .seed = options_.seed * 100 + host});
+  routers_[host] = std::make_unique<request_router>(
+      router_settings{.zone = ZoneName(host % options_.zones),
+                      .retries = {},
+                      .seed = options_.seed * 100 + host,
+                      .placement = options_.placement});
   timer_due_[host] = time_point::max();
   started_at_[host] = now_;
   router_actions ignored_actions;
@@ -198,7 +279,7 @@
     return;
   }
   Schedule(arrival, [this, rate_per_second, end] {
-    const size_t host = random_() % routers_.size();
+    const size_t host = PickHost();
     const auto key = static_cast<key_point>(random_());
     const uint64_t content =
         sends_one_content_ ? kCommonContent : last_request_id_ + 1;
@@ -703,6 +784,14 @@
     SendOverLostLink(target, sent);
     return;
   }
+  ++(ZoneOfTarget(target) == host % options_.zones ? results_.own_zone_sends
+                                                   : results_.other_zone_sends);
+  if (!AreZonesConnected(host, target)) {
+    Schedule(now_ + kConnectTimeout, [this, target, sent] {
+      ReportAttempt(target, sent, attempt_verdict::kUnreachable);
+    });
+    return;
+  }
   Schedule(now_ + kLinkDelay,
            [this, target, sent] { OnAttemptArrival(target, sent); });
 }
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "foxtailspread/load/load_board.h"
 #include "foxtailspread/request_router.h"
 #include "platform/stand_in/cut_off_rule.h"
 #include "platform/stand_in/target_rules.h"
@@ -30,6 +31,8 @@
   size_t answered_late = 0;
   size_t refused = 0;
   size_t failed = 0;  ///< Not answered before the caller's timeout.
+  size_t own_zone_sends = 0;
+  size_t other_zone_sends = 0;
   duration
       total_time_to_refusal{};  ///< Sum of the times from arrival to refusal.
 
@@ -38,6 +41,8 @@
 
   /// Fraction of the requests that were answered within the objective.
   double InTimeFraction() const;
+  /// Fraction of the sends that went to targets of the host's own zone.
+  double OwnZoneFraction() const;
   /// Mean time from arrival to refusal.
   duration MeanTimeToRefusal() const;
 };
@@ -76,6 +81,12 @@
   /// crashed is removed after three periods without a write.
   duration target_heartbeat{std::chrono::milliseconds{870}};
   retry_rule retry = retry_rule::kIdempotent;
+  size_t zones = 1;  ///< Hosts and targets are dealt to them in turn.
+  /// Relative rates of the zones' callers; empty for equal rates of all hosts.
+  std::vector<double> zone_rates{};
+  zone_preference placement = zone_preference::kOwnZoneFirst;
+  /// Hosts tell each other of their requests, where many share few slots.
+  bool shares_view = false;
 };
 
 /// Simulates hosts, targets and callers.
@@ -121,6 +132,17 @@
   /// Multiplies the work time at every target by `factor` from now on.
   void SlowDown(double factor) { slowness_ = factor; }
 
+  /// Changes the relative rates of the zones' callers.
+  void SetZoneRates(std::vector<double> rates) {
+    options_.zone_rates = std::move(rates);
+  }
+  /// Hosts learn nothing of the targets' loads from now on.
+  void LoseView() { options_.shares_view = false; }
+  /// All targets of a zone end for good, without a word.
+  void LoseZone(size_t zone);
+  /// Packets between this zone and the others are dropped from now on.
+  void CutOffZone(size_t zone) { cut_off_zone_ = zone; }
+
   /// The target states this limit in its answers from now on; empty for none.
   void SetLimit(size_t target, std::optional<double> per_second) {
     targets_[target].limit.OnLimit(per_second, now_);
@@ -209,6 +231,11 @@
 
   void SetUp();
   void ShareLoads();
+  void ShareView();
+  std::string ZoneName(size_t index) const;
+  size_t ZoneOfTarget(size_t target) const;
+  bool AreZonesConnected(size_t host, size_t target) const;
+  size_t PickHost();
   bool AreConnected(size_t host, size_t other) const;
   void ShareStatements(size_t host);
   void OnPermitRequest(size_t host, const permit_request_action& action);
@@ -260,6 +287,7 @@
   std::vector<time_point> started_at_;  ///< By host.
   std::vector<target_model> targets_;
   load_aggregator loads_;
+  load_board board_;
   size_t issuing_host_ = 0;
   bool issuer_is_lost_ = false;
   permit_issuer issuer_;
@@ -285,6 +313,7 @@
   link_loss loss_ = link_loss::kReset;
   stand_in::cut_off_rule cut_off_rule_;
   bool offers_relays_ = false;
+  std::optional<size_t> cut_off_zone_;
 };
 
 }  // namespace foxtailspread::testing
