--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -16,6 +16,7 @@
 #include "foxtailspread/load/body_room.h"
 #include "foxtailspread/load/key_throttle.h"
 #include "foxtailspread/load/load_sharing.h"
+#include "foxtailspread/load/zone_placement.h"
 #include "foxtailspread/permit_cache.h"
 #include "foxtailspread/request_router.h"
 #include "foxtailspread/service_limit.h"
@@ -164,6 +165,8 @@
   int in_flight = 0;    ///< Attempts under way at its targets.
   service_limit limit;  ///< Of `in_flight`, if targets report their load.
   load_sharing sharing;
+  zone_placement zones;  ///< If pooled.
+  zone_send_counts zone_sends;
   std::vector<boost::intrusive_ptr<target>> targets;
   return_schedule returns;  ///< Of callers refused for want of any target.
   key_map owners;
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -75,6 +75,15 @@
   return static_cast<double>(used.ru_maxrss) * kKilobyte;
 }
 
+/// Returns the size of a message's content, about that on the wire.
+size_t SizeOf(const http_message& message) {
+  size_t size = message.body.size();
+  for (const http_header& header : message.headers) {
+    size += header.name.size() + header.value.size();
+  }
+  return size;
+}
+
 std::optional<std::string> ReadText(std::string_view /*name*/,
                                     const nlohmann::json& content) {
   return content.dump();
@@ -159,7 +168,8 @@
                .retries = settings_.retries,
                .drain_timeout = settings_.drain,
                .target_heartbeat = settings_.target_heartbeat,
-               .seed = HashText(settings_.name)}),
+               .seed = HashText(settings_.name),
+               .placement = settings_.placement}),
       assigner_(
           {.host = settings_.name,
            .zone = settings_.zone,
@@ -294,6 +304,9 @@
   const attempt_verdict verdict = platform::Judge(result);
   attempt_report report{.id = id, .verdict = verdict};
   if (result.end == call_end::kAnswered) {
+    traffic_.Count("answer", ended.service,
+                   PeerZoneOf(ended.zone, settings_.zone),
+                   SizeOf(result.answer));
     report.load = platform::ReadLoad(result.answer);
     report.limit = platform::ReadLimit(result.answer);
     report.leaving = platform::ReadLeaving(result.answer);
@@ -597,7 +610,7 @@
 
 std::string edge_daemon::MetricsText() {
   const time_point now = Now();
-  std::string text = metrics_.Text();
+  std::string text = metrics_.Text() + traffic_.Text() + store_.TrafficText();
   const auto line = [&](std::string_view name, double value) {
     AppendMetric(text, name, "", value);
   };
@@ -634,6 +647,7 @@
     AppendMetric(text, "requests_in_flight", labels,
                  static_cast<double>(each.in_flight));
     AppendMetric(text, "repeats_left", labels, each.retries_left);
+    AppendZoneSends(text, labels, each.zone_sends);
   }
   line("contents_refused",
        static_cast<double>(router_.crashes().QuarantinedCount(now)));
--- a/src/edge/edge_daemon_memory.cc
+++ b/src/edge/edge_daemon_memory.cc
@@ -67,7 +67,13 @@
 void edge_daemon::SendToTarget(flight& sent, const send_action& action) {
   sent.target = action.target;
   sent.is_relayed = false;
-  sent.call = targets_pool_.Send(platform::ToTarget(sent.request, action),
+  sent.service = action.service;
+  sent.zone = action.zone;
+  pool_call call = platform::ToTarget(sent.request, action);
+  traffic_.Count("request", action.service,
+                 PeerZoneOf(action.zone, settings_.zone),
+                 call.request.size() + sent.request.Body().size());
+  sent.call = targets_pool_.Send(std::move(call),
                                  [this, id = action.id](call_result result) {
                                    OnAttemptEnded(id, std::move(result));
                                  });
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -50,6 +50,10 @@
   uint64_t repeats_sent_ = 0;
 };
 
+/// Appends the sends of one service by zone. `service` is its label.
+void AppendZoneSends(std::string& text, const std::string& service,
+                     const zone_send_counts& sends);
+
 }  // namespace foxtailspread
 
 #endif  // FOXTAILSPREAD_EDGE_EDGE_METRICS_H_
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -33,6 +33,8 @@
   size_t answered_late = 0;
   size_t refused = 0;
   size_t failed = 0;  ///< Not answered before the caller's timeout.
+  size_t own_zone_sends = 0;
+  size_t other_zone_sends = 0;
   duration
       total_time_to_refusal{};  ///< Sum of the times from arrival to refusal.
 
@@ -41,6 +43,8 @@
 
   /// Fraction of the requests that were answered within the objective.
   double InTimeFraction() const;
+  /// Fraction of the sends that went to targets of the host's own zone.
+  double OwnZoneFraction() const;
   /// Mean time from arrival to refusal.
   duration MeanTimeToRefusal() const;
 };
@@ -79,6 +83,10 @@
   /// crashed is removed after three periods without a write.
   duration target_heartbeat{std::chrono::milliseconds{870}};
   retry_rule retry = retry_rule::kIdempotent;
+  size_t zones = 1;  ///< Hosts and targets are dealt to them in turn.
+  /// Relative rates of the zones' callers; empty for equal rates of all hosts.
+  std::vector<double> zone_rates{};
+  zone_preference placement = zone_preference::kOwnZoneFirst;
   /// Fraction of the requests that are for one key.
   double hot_key_fraction = 0.0;
   /// Full targets reset connections instead of shedding requests.
@@ -138,6 +146,17 @@
   /// Multiplies the work time at every target by `factor` from now on.
   void SlowDown(double factor) { slowness_ = factor; }
 
+  /// Changes the relative rates of the zones' callers.
+  void SetZoneRates(std::vector<double> rates) {
+    options_.zone_rates = std::move(rates);
+  }
+  /// Hosts learn nothing of the targets' loads from now on.
+  void LoseView() { options_.shares_view = false; }
+  /// All targets of a zone end for good, without a word.
+  void LoseZone(size_t zone);
+  /// Packets between this zone and the others are dropped from now on.
+  void CutOffZone(size_t zone) { cut_off_zone_ = zone; }
+
   /// The target states this limit in its answers from now on; empty for none.
   void SetLimit(size_t target, std::optional<double> per_second) {
     targets_[target].limit.OnLimit(per_second, now_);
@@ -230,6 +249,10 @@
   void ShareThrottles();
   key_point RandomKey();
   bool IsOtherKeyOfHotOwner(key_point key) const;
+  std::string ZoneName(size_t index) const;
+  size_t ZoneOfTarget(size_t target) const;
+  bool AreZonesConnected(size_t host, size_t target) const;
+  size_t PickHost();
   bool AreConnected(size_t host, size_t other) const;
   void ShareStatements(size_t host);
   void OnPermitRequest(size_t host, const permit_request_action& action);
@@ -281,6 +304,7 @@
   std::vector<time_point> started_at_;  ///< By host.
   std::vector<target_model> targets_;
   load_aggregator loads_;
+  load_board board_;
   size_t issuing_host_ = 0;
   bool issuer_is_lost_ = false;
   permit_issuer issuer_;
@@ -313,6 +337,7 @@
   link_loss loss_ = link_loss::kReset;
   stand_in::cut_off_rule cut_off_rule_;
   bool offers_relays_ = false;
+  std::optional<size_t> cut_off_zone_;
 };
 
 }  // namespace foxtailspread::testing
