--- a/src/edge/edge_daemon_memory.cc
+++ b/src/edge/edge_daemon_memory.cc
@@ -70,9 +70,9 @@
   sent.service = action.service;
   sent.zone = action.zone;
   pool_call call = platform::ToTarget(sent.request, action);
-  traffic_.Count("request", action.service,
-                 PeerZoneOf(action.zone, settings_.zone),
-                 call.request.size() + sent.request.Body().size());
+  traffic_.Count(
+      "request", action.service, PeerZoneOf(action.zone, settings_.zone),
+      call.request.size() + (call.body ? call.body->bytes().size() : 0));
   sent.call = targets_pool_.Send(std::move(call),
                                  [this, id = action.id](call_result result) {
                                    OnAttemptEnded(id, std::move(result));
