--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -242,9 +242,9 @@
                                .target = chosen->entry.life,
                                .address = chosen->entry.address,
                                .time_left = pending_request.deadline - now,
+                               .is_last = AttemptsLeft(pending_request) < 1,
                                .service = chosen->entry.service,
-                               .zone = chosen->entry.zone,
-                               .is_last = AttemptsLeft(pending_request) < 1});
+                               .zone = chosen->entry.zone});
   return true;
 }
 
