--- a/tests/return_schedule_test.cc
+++ b/tests/return_schedule_test.cc
@@ -35,6 +35,7 @@
   const expected_room room{.begins = now_ + milliseconds{100},
                            .per_second = 20.0};
   std::vector<duration> times;
+  times.reserve(50);
   for (int i = 0; i < 8; ++i) {
     times.push_back(After(room, Caller(0)));
   }
@@ -114,6 +115,7 @@
 TEST_F(ReturnScheduleTest, ReturnsAreSpreadWhereTheRateIsNotKnown) {
   const expected_room room{.begins = now_ + milliseconds{100}};
   std::vector<duration> times;
+  times.reserve(50);
   for (int i = 0; i < 50; ++i) {
     times.push_back(After(room, Caller(0)));
   }
