Take early repeats for what they are, new requests to any host

The age of a caller was to be read from the time that it states.

Run: return_schedule_test 6, shared_targets_test 3, request_router_test 62 passed. edge_daemon_test was cut off after 62 s on a busy machine, 14 of 19 passed and none failed until then.

--- a/include/foxtailspread/load/return_schedule.h
+++ b/include/foxtailspread/load/return_schedule.h
@@ -26,7 +26,7 @@
 /// A caller that is refused.
 struct refused_caller {
   int rank = 0;                ///< 0 is the most urgent.
-  duration age{0};             ///< Since the caller's first try, if known.
+  duration age{0};             ///< Since its arrival at this host.
   duration objective{0};       ///< From its first try to an answer in time.
   duration time_left{0};       ///< Until it gives up.
   duration likely_latency{0};  ///< Of an answer, once the request is sent.
@@ -39,8 +39,7 @@
 /// @endcode
 class return_schedule {
  public:
-  /// The least time after which a caller returns: repeats before it were not
-  /// asked for.
+  /// The least time after which a caller returns.
   static constexpr duration kMinReturn{std::chrono::milliseconds{60}};
 
   struct return_time {
@@ -55,9 +54,6 @@
   return_time Next(const expected_room& room, const refused_caller& caller,
                    time_point now);
 
-  /// Whether callers that return from now on were promised room.
-  bool HasPromised(time_point now) const { return now < promised_until_; }
-
  private:
   /// The order of return; lower ones come first.
   struct level {
@@ -71,7 +67,6 @@
 
   /// The first time at which there is room for a caller of this level.
   std::map<level, time_point> next_room_;
-  time_point promised_until_{};
   uint32_t spread_count_ = 0;
 };
 
--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -27,7 +27,6 @@
 #include "foxtailspread/crash_watch.h"
 #include "foxtailspread/host_messages.h"
 #include "foxtailspread/key_map.h"
-#include "foxtailspread/load/caller_age.h"
 #include "foxtailspread/load/return_schedule.h"
 #include "foxtailspread/permit_cache.h"
 #include "foxtailspread/relay_hosts.h"
@@ -108,8 +107,6 @@
   std::string service{};  ///< Empty if no route was found.
   int attempts = 0;       ///< Attempts that reached a target.
   duration age{};         ///< Time since its arrival.
-  /// How long its caller had tried before, if that is known.
-  std::optional<duration> caller_age{};
   /// Time from its arrival to its first send; empty if it was never sent.
   std::optional<duration> queue_time{};
 };
@@ -252,7 +249,6 @@
   uint64_t relayed = 0;            ///< Requests handed to other hosts.
   uint64_t returns_with_room = 0;  ///< Refused callers that were promised room.
   uint64_t returns_without_room = 0;  ///< Those that could not wait for any.
-  uint64_t early_repeats = 0;  ///< Tries before any caller was to return.
 };
 
 /// Settings of a request_router.
@@ -544,9 +540,6 @@
   std::optional<duration> ScheduledReturn(const request& refused_request,
                                           refusal_reason reason,
                                           time_point now);
-  /// Whether a request came again earlier than its caller was asked to, and
-  /// would take room that other callers were promised.
-  bool TakesPromisedRoom(const request& new_request, time_point now);
   void Schedule(time_point due_time, request_id id);
   /// Whether `candidate` may get new requests now, if it has a free slot.
   static bool AcceptsRequests(const target& candidate, time_point now);
@@ -584,7 +577,6 @@
   std::set<std::string> evacuated_zones_;
   std::unordered_map<std::string, std::unique_ptr<service>> services_;
   std::unordered_map<std::string, weighted_round_robin> splits_;
-  std::unordered_map<std::string, caller_age> caller_ages_;  ///< By route.
   std::unordered_map<request_id, std::unique_ptr<request>> requests_;
   std::priority_queue<timer, std::vector<timer>, std::greater<>> timers_;
   size_t host_count_ = 8;
--- a/src/core/load/return_schedule.cc
+++ b/src/core/load/return_schedule.cc
@@ -70,7 +70,6 @@
       next = std::max(next, free) + each;
     }
   }
-  promised_until_ = std::max(promised_until_, free);
   return {.after = free - now, .has_room = true};
 }
 
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -127,10 +127,6 @@
   const duration caller_timeout =
       incoming.caller_timeout.value_or(kDefaultCallerTimeout);
   new_request->caller_deadline = now + caller_timeout;
-  if (incoming.caller_timeout && !incoming.relayed_attempts) {
-    new_request->caller_age =
-        caller_ages_[matched_route->name].OnTry(*incoming.caller_timeout);
-  }
   new_request->deadline =
       now + std::min(caller_timeout, matched_route->timeout);
   const size_t split_index =
@@ -163,10 +159,6 @@
     }
     return;
   }
-  if (TakesPromisedRoom(new_request, now)) {
-    Refuse(new_request, refusal_reason::kQueueFull, now, out);
-    return;
-  }
   if (const auto reason =
           RefusalReasonFor(*new_request.service_state, new_request, now)) {
     // Other hosts may reach a target that this one doesn't.
--- a/src/core/request_router_returns.cc
+++ b/src/core/request_router_returns.cc
@@ -1,8 +1,7 @@
-// When refused callers return, and whose tries take the room that they were
-// promised.
+// When refused callers return.
 //
 // Load pattern that these rules are made for: many hosts refuse callers of the
-// same targets in the same moment, and some callers repeat at once.
+// same targets in the same moment.
 
 #include <algorithm>
 
@@ -113,13 +112,11 @@
   if (!room) {
     return std::nullopt;
   }
-  const duration on_this_host = now - refused_request.arrival_time;
   const return_schedule::return_time next =
       ReturnsFor(service_state, owner)
           .Next(*room,
                 {.rank = matched_route.rank,
-                 .age = refused_request.caller_age.value_or(duration{0}) +
-                        on_this_host,
+                 .age = now - refused_request.arrival_time,
                  .objective = matched_route.objective,
                  .time_left = refused_request.caller_deadline - now,
                  .likely_latency = LikelyLatency(service_state, owner, now)},
@@ -128,17 +125,4 @@
   return next.after;
 }
 
-bool request_router::TakesPromisedRoom(const request& new_request,
-                                       time_point now) {
-  if (!new_request.caller_age || !IsEarlyRepeat(*new_request.caller_age)) {
-    return false;
-  }
-  ++counts_.early_repeats;
-  service& service_state = *new_request.service_state;
-  target* owner = FindOwner(service_state, new_request);
-  return SchedulesReturns(service_state, owner,
-                          new_request.matched_route->objective) &&
-         ReturnsFor(service_state, owner).HasPromised(now);
-}
-
 }  // namespace foxtailspread
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -95,7 +95,6 @@
   std::optional<key_point> key;
   uint64_t content_hash = 0;
   size_t body_bytes = 0;
-  std::optional<duration> caller_age;  ///< At its arrival, if it is known.
   time_point arrival_time{};
   time_point deadline{};         ///< Its deadline on this host.
   time_point caller_deadline{};  ///< When the caller gives up.
@@ -203,8 +202,7 @@
 inline request_summary request_router::request::Summary(time_point now) const {
   request_summary summary{.service = service_state->name,
                           .attempts = attempt_count,
-                          .age = now - arrival_time,
-                          .caller_age = caller_age};
+                          .age = now - arrival_time};
   if (first_sent_time) {
     summary.queue_time = *first_sent_time - arrival_time;
   }
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -368,10 +368,6 @@
             {"service", action.summary.service},
             {"attempts", int64_t{action.summary.attempts}},
             {"age_ms", action.summary.age.count() / 1000},
-            {"caller_age_ms",
-             action.summary.caller_age
-                 ? int64_t{action.summary.caller_age->count() / 1000}
-                 : int64_t{-1}},
             {"target", found->second.target.id},
             {"key", action.key ? int64_t{*action.key} : int64_t{-1}},
             {"config", static_cast<int64_t>(action.config_version)}});
--- a/src/edge/edge_daemon_memory.cc
+++ b/src/edge/edge_daemon_memory.cc
@@ -60,8 +60,6 @@
     AppendMetric(text, "returns_total", MetricLabel("has_room", room),
                  static_cast<double>(count));
   }
-  AppendMetric(text, "early_repeats_total", "",
-               static_cast<double>(counts.early_repeats));
 }
 
 void edge_daemon::SendToTarget(flight& sent, const send_action& action) {
