--- a/src/core/load/owner_admission.cc
+++ b/src/core/load/owner_admission.cc
@@ -33,9 +33,12 @@
                               : Part(request.objective, kLatestWithoutOverload);
   const duration useful = std::min(latest - request.age, request.time_left);
   const duration queueing = useful - Part(owner.work, kLikelyWorkRatio);
-  // Rejections show that the owner has less room than its load lets expect.
+  // Rejections by a busy owner show that it has less room than its load lets
+  // expect; those of one with free slots say nothing of its queue.
   const double ends = owner.served_per_second + owner.rejected_per_second;
-  const double accepted = ends > 0.0 ? owner.served_per_second / ends : 1.0;
+  const double accepted = ends > 0.0 && owner.occupied >= owner.slots
+                              ? owner.served_per_second / ends
+                              : 1.0;
   return std::clamp(Seconds(queueing) * ServiceRate(owner) * accepted, 0.0,
                     kMaxQueuedPerSlot * owner.slots);
 }
@@ -54,7 +57,8 @@
                     .occupied = occupied,
                     .served_per_second = load.served_per_second,
                     .rejected_per_second = load.rejected_per_second,
-                    .is_overloaded = load.rejected_per_second > 0.0};
+                    .is_overloaded = load.rejected_per_second > 0.0 &&
+                                     occupied >= std::max(slots, 1)};
   if (load.unqueued_latency && *load.unqueued_latency > duration{0}) {
     owner.work = *load.unqueued_latency;
     return owner;
--- a/tests/support/router_world.h
+++ b/tests/support/router_world.h
@@ -304,7 +304,7 @@
   std::vector<time_point> started_at_;  ///< By host.
   std::vector<target_model> targets_;
   load_aggregator loads_;
-  load_board board_;
+  load_board board_;  ///< At the lease holder.
   size_t issuing_host_ = 0;
   bool issuer_is_lost_ = false;
   permit_issuer issuer_;
@@ -317,7 +317,6 @@
   caller_results other_keys_;
   size_t attempts_ = 0;
   size_t attempts_not_run_ = 0;
-  load_board board_;   ///< At the lease holder.
   key_load key_load_;  ///< Likewise.
   key_throttle throttle_;
   uint64_t throttle_sequence_ = 0;
