Repair what the review of loads, admission, placement and returns found

A host that one owner rejected sent it nothing until the load was told again, up to half a second later; a rejection is now told at once. After a stall the lease holder's sums missed most hosts; the board begins anew. Time-outs count as answers of the own zone, so that a zone whose targets hang is left. The room promised to returning callers is at most this host's part of the slots, and hosts spread returns at unequal phases. Small bodies take no room of large ones.

--- a/include/foxtailspread/load/body_room.h
+++ b/include/foxtailspread/load/body_room.h
@@ -21,13 +21,13 @@
   /// hosts together: the largest body that a route takes by default.
   static constexpr size_t kBytesPerSlot = size_t{1} << 20;
 
-  void OnSent(size_t body_bytes) { bytes_ += body_bytes; }
-  void OnEnded(size_t body_bytes) { bytes_ -= body_bytes; }
+  void OnSent(size_t body_bytes) { bytes_ += LargeBytes(body_bytes); }
+  void OnEnded(size_t body_bytes) { bytes_ -= LargeBytes(body_bytes); }
 
   /// Whether a request with this body may be sent now. `slots` are the target's
   /// and shared by `host_count` hosts. One large body always may.
   bool HasRoom(size_t body_bytes, int slots, size_t host_count) const {
-    if (body_bytes <= kSmallBody || bytes_ <= kSmallBody) {
+    if (body_bytes <= kSmallBody || bytes_ == 0) {
       return true;
     }
     const size_t all =
@@ -37,6 +37,10 @@
   size_t bytes() const { return bytes_; }
 
  private:
+  static size_t LargeBytes(size_t body_bytes) {
+    return body_bytes > kSmallBody ? body_bytes : 0;
+  }
+
   size_t bytes_ = 0;
 };
 
--- a/include/foxtailspread/load/load_board.h
+++ b/include/foxtailspread/load/load_board.h
@@ -90,12 +90,16 @@
   };
 
   void RemoveRequests(const host_requests& former);
+  /// Begins anew after a stall of this host, in which the records of most hosts
+  /// were lost.
+  void NoteActivity(time_point now);
   void DropLateHosts(time_point now);
   static load_sum Sum(uint32_t target, const target_state& state,
                       time_point now);
 
   size_t host_count_ = 1;
   std::optional<time_point> began_at_;
+  time_point active_at_{};  ///< Of the last record or TakeChanged().
   std::map<std::string, host_requests> hosts_;
   std::unordered_map<uint32_t, target_state> targets_;
   load_aggregator reported_;
--- a/include/foxtailspread/load/return_schedule.h
+++ b/include/foxtailspread/load/return_schedule.h
@@ -30,6 +30,9 @@
   duration objective{0};       ///< From its first try to an answer in time.
   duration time_left{0};       ///< Until it gives up.
   duration likely_latency{0};  ///< Of an answer, once the request is sent.
+  /// Offset of the host's spread, from 0 to 1, so that callers of several hosts
+  /// don't return in the same moments.
+  double phase = 0.0;
 };
 
 /// The returns to one target, or to one service, that this host has given out.
@@ -63,7 +66,7 @@
   };
   static level LevelOf(const refused_caller& caller);
   /// Returns a part of the given time, spread evenly over successive calls.
-  duration Spread(duration time);
+  duration Spread(duration time, double phase);
 
   /// The first time at which there is room for a caller of this level.
   std::map<level, time_point> next_room_;
--- a/src/core/load/load_board.cc
+++ b/src/core/load/load_board.cc
@@ -38,6 +38,9 @@
 /// rest.
 constexpr size_t kMaxSums = 1000;
 
+/// Rates are told in tenths.
+double Tenths(double value) { return std::round(value * 10.0) / 10.0; }
+
 bool IsNoteworthy(double before, double after) {
   return std::abs(after - before) > 1.0 + kToldChange * before;
 }
@@ -94,7 +97,15 @@
   });
 }
 
+void load_board::NoteActivity(time_point now) {
+  if (began_at_ && now - active_at_ >= HostLoadTtl(host_count_)) {
+    began_at_ = now;
+  }
+  active_at_ = now;
+}
+
 void load_board::OnRecord(const loads_record& record, time_point now) {
+  NoteActivity(now);
   reported_.Add(record.loads, now);
   for (const load_sample& sample : record.loads) {
     target_state& state = targets_[sample.target];
@@ -126,6 +137,10 @@
     state.named_at = now;
     state.served.Add(sample.served, now);
     state.rejected.Add(sample.rejected, now);
+    if (sample.rejected > 0) {
+      // The host that was rejected sends nothing until it hears of this.
+      state.told_at.reset();
+    }
     if (sample.unqueued > 0) {
       const double weight =
           state.latency_us > 0.0
@@ -141,8 +156,8 @@
   load_sum sum{
       .target = target,
       .occupied = static_cast<uint32_t>(std::max<int64_t>(state.in_flight, 0)),
-      .served_per_second = state.served.PerSecond(now),
-      .rejected_per_second = state.rejected.PerSecond(now),
+      .served_per_second = Tenths(state.served.PerSecond(now)),
+      .rejected_per_second = Tenths(state.rejected.PerSecond(now)),
       .latency_us = static_cast<uint32_t>(state.latency_us)};
   if (state.reported_at && now - *state.reported_at < load_view::kTtl) {
     const auto age =
@@ -156,6 +171,7 @@
 
 loads_record load_board::TakeChanged(time_point now) {
   loads_record changed{.loads = reported_.TakeFresh(now)};
+  NoteActivity(now);
   DropLateHosts(now);
   std::erase_if(targets_, [now](const auto& target_and_state) {
     return now - target_and_state.second.named_at >= kTargetTtl;
--- a/src/core/load/owner_admission.cc
+++ b/src/core/load/owner_admission.cc
@@ -9,8 +9,9 @@
 /// Most answers take less than this multiple of the mean.
 constexpr double kLikelyWorkRatio = 1.5;
 /// How late an answer of an owner without overload may be, as a multiple of the
-/// objective: in a short burst a late answer is better than none.
-constexpr double kLatestWithoutOverload = 1.5;
+/// objective. A caller that is refused returns to the same owner, so that a
+/// late answer is better than none.
+constexpr double kLatestWithoutOverload = 2.5;
 /// Bounds of the throughput that is measured while all slots are in use,
 /// relative to what the work would let expect.
 constexpr double kMinMeasuredRatio = 0.4;
--- a/src/core/load/return_schedule.cc
+++ b/src/core/load/return_schedule.cc
@@ -23,11 +23,11 @@
           .is_young = caller.age < Part(caller.objective, kOldFraction)};
 }
 
-duration return_schedule::Spread(duration time) {
+duration return_schedule::Spread(duration time, double phase) {
   // Multiples of the golden ratio fall evenly into the unit interval, however
   // many there are.
   constexpr double kGoldenRatio = 0.6180339887498949;
-  const double at = kGoldenRatio * ++spread_count_;
+  const double at = phase + kGoldenRatio * ++spread_count_;
   return Part(time, at - std::floor(at));
 }
 
@@ -40,7 +40,7 @@
   const time_point first = std::max(room.begins, now + kMinReturn);
   const auto without_room = [&] {
     // Room may come sooner than expected; the callers come one by one.
-    return return_time{.after = latest - Spread(latest / 2)};
+    return return_time{.after = latest - Spread(latest / 2, caller.phase)};
   };
   if (first > now + latest) {
     return without_room();
@@ -48,7 +48,7 @@
   if (room.per_second <= 0.0) {
     const duration spread = std::min(
         now + latest - first, Part(caller.objective, kUnknownRateSpread));
-    return {.after = first - now + Spread(spread)};
+    return {.after = first - now + Spread(spread, caller.phase)};
   }
   const duration each = std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(1.0 / room.per_second));
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -448,6 +448,8 @@
     pending_request.current_target->health.OnEnded(
         attempt_verdict::kTimedOut, pending_request.sent_time,
         pending_request.matched_route->objective, now);
+    service_state.zones.OnServed(pending_request.matched_route->objective,
+                                 now - pending_request.sent_time);
     ReleaseBody(pending_request, *pending_request.current_target);
     --service_state.in_flight;
     pending_request.current_target.reset();
--- a/src/core/request_router_returns.cc
+++ b/src/core/request_router_returns.cc
@@ -13,10 +13,16 @@
 namespace foxtailspread {
 namespace {
 
+/// Number of offsets among which hosts spread the returns of callers.
+constexpr uint64_t kPhaseSteps = 1000;
+
 /// Returns how many requests a second this host's part of a target serves.
-double ServedPerSecond(const target_health& health) {
+double ServedPerSecond(const target_health& health, int slots,
+                       size_t host_count) {
   constexpr double kMicroseconds = 1e6;
-  return health.limit() * kMicroseconds /
+  const double part = static_cast<double>(slots) /
+                      static_cast<double>(std::max<size_t>(host_count, 1));
+  return std::min(health.limit(), part) * kMicroseconds /
          std::max(1.0, static_cast<double>(health.mean_latency().count()));
 }
 
@@ -68,7 +74,8 @@
   }
   expected_room room{.begins = now};
   if (owner != nullptr) {
-    room.per_second = ServedPerSecond(owner->health);
+    room.per_second =
+        ServedPerSecond(owner->health, owner->entry.slots, host_count_);
     const auto queued = static_cast<double>(
         owner->queue.CountAtLeastAsUrgent(refused_request.matched_route->rank));
     room.begins =
@@ -80,7 +87,8 @@
     for (const auto& candidate : service_state.targets) {
       if (AcceptsRequests(*candidate, now) &&
           candidate->health.IsReachable(now)) {
-        room.per_second += ServedPerSecond(candidate->health);
+        room.per_second += ServedPerSecond(candidate->health,
+                                           candidate->entry.slots, host_count_);
       }
     }
   }
@@ -119,7 +127,9 @@
                  .age = now - refused_request.arrival_time,
                  .objective = matched_route.objective,
                  .time_left = refused_request.caller_deadline - now,
-                 .likely_latency = LikelyLatency(service_state, owner, now)},
+                 .likely_latency = LikelyLatency(service_state, owner, now),
+                 .phase = static_cast<double>(settings_.seed % kPhaseSteps) /
+                          kPhaseSteps},
                 now);
   ++(next.has_room ? counts_.returns_with_room : counts_.returns_without_room);
   return next.after;
--- a/tests/support/router_world.cc
+++ b/tests/support/router_world.cc
@@ -130,6 +130,9 @@
 /// Hosts tell the lease holder of their requests and of the loads that targets
 /// reported, and it tells the hosts that reach it the loads over all hosts.
 void router_world::ShareSums() {
+  if (!options_.shares_view) {
+    return;
+  }
   board_.SetHostCount(options_.hosts);
   for (size_t host = 0; host < routers_.size(); ++host) {
     const auto news =
