--- a/tests/key_throttle_test.cc
+++ b/tests/key_throttle_test.cc
@@ -13,21 +13,23 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const target_life kOwner{.id = "a", .started = 1};
-const target_life kOther{.id = "b", .started = 1};
+const target_life first_owner{.id = "a", .started = 1};
+const target_life second_owner{.id = "b", .started = 1};
 constexpr key_point kLastOwnKey = 655;
 constexpr key_point kHotKey = 100;
 
 key_map TwoOwners() {
   key_map map;
   map.last_fence = 1;
-  map.ranges = {
-      {.first = 0,
-       .last = kLastOwnKey,
-       .owner = kOwner,
-       .fence = 1,
-       .granted = true},
-      {.first = kLastOwnKey + 1, .owner = kOther, .fence = 1, .granted = true}};
+  map.ranges = {{.first = 0,
+                 .last = kLastOwnKey,
+                 .owner = first_owner,
+                 .fence = 1,
+                 .granted = true},
+                {.first = kLastOwnKey + 1,
+                 .owner = second_owner,
+                 .fence = 1,
+                 .granted = true}};
   return map;
 }
 
@@ -43,7 +45,7 @@
 
   std::vector<throttled_keys> Plan(double served = 30.0) {
     const owner_capacity capacity{
-        .owner = kOwner, .per_second = served, .has_queue = has_queue_};
+        .owner = first_owner, .per_second = served, .has_queue = has_queue_};
     return planner_.Plan(map_, rates_, {&capacity, 1});
   }
 
@@ -69,7 +71,7 @@
   ASSERT_EQ(entries.size(), 1U);
   EXPECT_EQ(entries[0].first, kHotKey);
   EXPECT_EQ(entries[0].last, kHotKey);
-  EXPECT_EQ(entries[0].owner, ThrottleOwnerId(kOwner));
+  EXPECT_EQ(entries[0].owner, ThrottleOwnerId(first_owner));
   const double admitted = 250.0 * entries[0].admitted_permille / 1000.0;
   EXPECT_GT(admitted, 12.0);
   EXPECT_LT(admitted, 30.0 - 8.0);
@@ -112,8 +114,8 @@
   throttle_gate gate;
   ASSERT_TRUE(
       gate.Update({.service = "board", .sequence = 1, .entries = Plan()}, now));
-  EXPECT_LT(gate.AdmittedFraction(kHotKey, kOwner, now),
-            gate.AdmittedFraction(kHotKey + 1, kOwner, now));
+  EXPECT_LT(gate.AdmittedFraction(kHotKey, first_owner, now),
+            gate.AdmittedFraction(kHotKey + 1, first_owner, now));
 }
 
 // The demand wavers around what the owner serves. Guards against keys that are
@@ -168,7 +170,7 @@
             .sequence = sequence,
             .entries = {{.first = kHotKey,
                          .last = kHotKey,
-                         .owner = ThrottleOwnerId(kOwner),
+                         .owner = ThrottleOwnerId(first_owner),
                          .admitted_permille = permille}}};
   }
 
@@ -193,7 +195,7 @@
           gate.Update(Throttles(i + 1, 80), now_);
         }
       }
-      admitted += gates[random() % hosts].Decide(kHotKey, kOwner, now_) ==
+      admitted += gates[random() % hosts].Decide(kHotKey, first_owner, now_) ==
                           throttle_gate::verdict::kAdmitted
                       ? 1
                       : 0;
@@ -206,9 +208,9 @@
 
 TEST_F(ThrottleGateTest, OtherKeysAreNotThrottled) {
   gate_.Update(Throttles(1, 0), now_);
-  EXPECT_EQ(gate_.Decide(kHotKey, kOwner, now_),
+  EXPECT_EQ(gate_.Decide(kHotKey, first_owner, now_),
             throttle_gate::verdict::kRefused);
-  EXPECT_EQ(gate_.Decide(kHotKey + 1, kOwner, now_),
+  EXPECT_EQ(gate_.Decide(kHotKey + 1, first_owner, now_),
             throttle_gate::verdict::kNotThrottled);
 }
 
@@ -216,10 +218,10 @@
 // against cutting what a new owner could serve.
 TEST_F(ThrottleGateTest, EntriesOfAnotherLifeDoNotApply) {
   gate_.Update(Throttles(1, 0), now_);
-  const target_life next_life{.id = kOwner.id, .started = 2};
+  const target_life next_life{.id = first_owner.id, .started = 2};
   EXPECT_EQ(gate_.Decide(kHotKey, next_life, now_),
             throttle_gate::verdict::kNotThrottled);
-  EXPECT_EQ(gate_.Decide(kHotKey, kOther, now_),
+  EXPECT_EQ(gate_.Decide(kHotKey, second_owner, now_),
             throttle_gate::verdict::kNotThrottled);
 }
 
@@ -229,7 +231,7 @@
   gate_.Update(Throttles(1, 0), now_);
   EXPECT_EQ(gate_.size(now_), 1U);
   now_ += throttle_gate::kTtl;
-  EXPECT_EQ(gate_.Decide(kHotKey, kOwner, now_),
+  EXPECT_EQ(gate_.Decide(kHotKey, first_owner, now_),
             throttle_gate::verdict::kNotThrottled);
   EXPECT_EQ(gate_.size(now_), 0U);
 }
@@ -240,7 +242,7 @@
   EXPECT_TRUE(gate_.Update(Throttles(2, 500), now_));
   EXPECT_FALSE(gate_.Update(Throttles(2, 500), now_));
   EXPECT_FALSE(gate_.Update(Throttles(1, 0), now_));
-  EXPECT_EQ(gate_.AdmittedFraction(kHotKey, kOwner, now_), 0.5);
+  EXPECT_EQ(gate_.AdmittedFraction(kHotKey, first_owner, now_), 0.5);
 }
 
 // Guards against a late message being counted as a fresh one.
@@ -265,7 +267,7 @@
   next.lease_revision = 8;
   EXPECT_TRUE(gate_.Update(next, now_));
   EXPECT_FALSE(gate_.Update(Throttles(91, 0), now_));
-  EXPECT_EQ(gate_.AdmittedFraction(kHotKey, kOwner, now_), 0.5);
+  EXPECT_EQ(gate_.AdmittedFraction(kHotKey, first_owner, now_), 0.5);
   now_ += throttle_gate::kTtl;
   EXPECT_TRUE(gate_.Update(Throttles(92, 0), now_));
 }
@@ -276,10 +278,10 @@
   size_t admitted = 0;
   for (uint64_t i = 1; i <= 100; ++i) {
     gate_.Update(Throttles(i, 100), now_);
-    admitted +=
-        gate_.Decide(kHotKey, kOwner, now_) == throttle_gate::verdict::kAdmitted
-            ? 1
-            : 0;
+    admitted += gate_.Decide(kHotKey, first_owner, now_) ==
+                        throttle_gate::verdict::kAdmitted
+                    ? 1
+                    : 0;
   }
   EXPECT_NEAR(static_cast<double>(admitted), 10.0, 1.0);
 }
