--- a/src/core/load/owner_admission.cc
+++ b/src/core/load/owner_admission.cc
@@ -12,6 +12,8 @@
 /// objective. A caller that is refused returns to the same owner, so that a
 /// late answer is better than none.
 constexpr double kLatestWithoutOverload = 2.5;
+/// An owner that rejects more than this part of what it serves is overloaded.
+constexpr double kOverloadRejectedRatio = 0.1;
 /// Bounds of the throughput that is measured while all slots are in use,
 /// relative to what the work would let expect.
 constexpr double kMinMeasuredRatio = 0.4;
@@ -34,12 +36,9 @@
                               : Part(request.objective, kLatestWithoutOverload);
   const duration useful = std::min(latest - request.age, request.time_left);
   const duration queueing = useful - Part(owner.work, kLikelyWorkRatio);
-  // Rejections by a busy owner show that it has less room than its load lets
-  // expect; those of one with free slots say nothing of its queue.
+  // Rejections show that the owner has less room than its load lets expect.
   const double ends = owner.served_per_second + owner.rejected_per_second;
-  const double accepted = ends > 0.0 && owner.occupied >= owner.slots
-                              ? owner.served_per_second / ends
-                              : 1.0;
+  const double accepted = ends > 0.0 ? owner.served_per_second / ends : 1.0;
   return std::clamp(Seconds(queueing) * ServiceRate(owner) * accepted, 0.0,
                     kMaxQueuedPerSlot * owner.slots);
 }
@@ -54,12 +53,13 @@
 
 std::optional<owner_state> OwnerStateFrom(const target_load& load, int slots,
                                           double occupied) {
-  owner_state owner{.slots = std::max(slots, 1),
-                    .occupied = occupied,
-                    .served_per_second = load.served_per_second,
-                    .rejected_per_second = load.rejected_per_second,
-                    .is_overloaded = load.rejected_per_second > 0.0 &&
-                                     occupied >= std::max(slots, 1)};
+  owner_state owner{
+      .slots = std::max(slots, 1),
+      .occupied = occupied,
+      .served_per_second = load.served_per_second,
+      .rejected_per_second = load.rejected_per_second,
+      .is_overloaded = load.rejected_per_second >
+                       kOverloadRejectedRatio * load.served_per_second};
   if (load.unqueued_latency && *load.unqueued_latency > duration{0}) {
     owner.work = *load.unqueued_latency;
     return owner;
