--- a/src/core/load/owner_admission.cc
+++ b/src/core/load/owner_admission.cc
@@ -11,7 +11,7 @@
 /// How late an answer of an owner without overload may be, as a multiple of the
 /// objective. A caller that is refused returns to the same owner, so that a
 /// late answer is better than none.
-constexpr double kLatestWithoutOverload = 2.5;
+constexpr double kLatestWithoutOverload = 1.5;
 /// An owner that rejects more than this part of what it serves is overloaded.
 constexpr double kOverloadRejectedRatio = 0.1;
 /// Bounds of the throughput that is measured while all slots are in use,
