--- a/src/core/request_router_returns.cc
+++ b/src/core/request_router_returns.cc
@@ -16,13 +16,11 @@
 /// Number of offsets among which hosts spread the returns of callers.
 constexpr uint64_t kPhaseSteps = 1000;
 
-/// Returns how many requests a second this host's part of a target serves.
-double ServedPerSecond(const target_health& health, int slots,
-                       size_t host_count) {
+/// Returns how many requests a second a target serves while it has
+/// `concurrent` of this host's at a time.
+double ServedPerSecond(const target_health& health, double concurrent) {
   constexpr double kMicroseconds = 1e6;
-  const double part = static_cast<double>(slots) /
-                      static_cast<double>(std::max<size_t>(host_count, 1));
-  return std::min(health.limit(), part) * kMicroseconds /
+  return concurrent * kMicroseconds /
          std::max(1.0, static_cast<double>(health.mean_latency().count()));
 }
 
@@ -74,8 +72,7 @@
   }
   expected_room room{.begins = now};
   if (owner != nullptr) {
-    room.per_second =
-        ServedPerSecond(owner->health, owner->entry.slots, host_count_);
+    room.per_second = ServedPerSecond(owner->health, owner->health.limit());
     const auto queued = static_cast<double>(
         owner->queue.CountAtLeastAsUrgent(refused_request.matched_route->rank));
     room.begins =
@@ -87,8 +84,10 @@
     for (const auto& candidate : service_state.targets) {
       if (AcceptsRequests(*candidate, now) &&
           candidate->health.IsReachable(now)) {
-        room.per_second += ServedPerSecond(candidate->health,
-                                           candidate->entry.slots, host_count_);
+        room.per_second += ServedPerSecond(
+            candidate->health, std::min(candidate->health.limit(),
+                                        candidate->entry.slots /
+                                            static_cast<double>(host_count_)));
       }
     }
   }
