Admit to owners by their load only where full targets reset connections

A host now admits by the shared load, throttles keys and schedules returns only until a target of the service has answered a rejection.

--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -512,10 +512,10 @@
   /// Whether an owner would answer a request too late.
   bool IsOwnerBusy(const target& owner, const request& pending_request,
                    time_point now) const;
-  /// Whether the end of an attempt shows that an owner is full: such owners
-  /// reset connections.
-  bool IsResetByFullOwner(const service& service_state, const target& owner,
-                          attempt_verdict verdict, time_point now) const;
+  /// Whether an attempt ended with a reset by a target that is expected to be
+  /// full.
+  bool IsResetByFullTarget(const target& attempted, attempt_verdict verdict,
+                           time_point now) const;
   /// Refusal of a new request by what its key's owner can serve.
   std::optional<refusal_reason> AdmissionRefusalFor(
       service& service_state, const request& pending_request,
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -310,10 +310,16 @@
                         now);
   }
   const bool shed = report.verdict == attempt_verdict::kShed;
-  if (shed || IsResetByFullOwner(service_state, *attempted_target,
-                                 report.verdict, now)) {
+  const bool reset =
+      IsResetByFullTarget(*attempted_target, report.verdict, now);
+  if (shed || reset) {
     attempted_target->rejected_at = now;
   }
+  if (shed) {
+    service_state.rejections.OnRejectionAnswer();
+  } else if (reset) {
+    service_state.rejections.OnResetWhenFull();
+  }
   service_state.shed_fraction +=
       kShedWeight * ((shed ? 1.0 : 0.0) - service_state.shed_fraction);
   const bool idempotent =
--- a/src/core/request_router_admission.cc
+++ b/src/core/request_router_admission.cc
@@ -38,7 +38,7 @@
 
 std::optional<owner_state> request_router::OwnerStateOf(
     const service& service_state, const target& owner, time_point now) const {
-  if (!service_state.keyed) {
+  if (!service_state.keyed || !service_state.rejections.resets_connections()) {
     return std::nullopt;
   }
   const target_load* load = LoadOf(owner, now);
@@ -101,22 +101,19 @@
                                                   now)) == admission::kRefuse;
 }
 
-bool request_router::IsResetByFullOwner(const service& service_state,
-                                        const target& owner,
-                                        attempt_verdict verdict,
-                                        time_point now) const {
-  if (verdict != attempt_verdict::kBroken) {
-    return false;
-  }
-  const auto state = OwnerStateOf(service_state, owner, now);
-  return state && state->occupied >= state->slots;
+bool request_router::IsResetByFullTarget(const target& attempted,
+                                         attempt_verdict verdict,
+                                         time_point now) const {
+  const auto occupied = ExpectedOccupancyOf(attempted, now);
+  return verdict == attempt_verdict::kBroken && occupied &&
+         *occupied >= attempted.entry.slots;
 }
 
 std::optional<refusal_reason> request_router::AdmissionRefusalFor(
     service& service_state, const request& pending_request, const target& owner,
     time_point now) {
   const bool is_throttled =
-      pending_request.key &&
+      pending_request.key && service_state.rejections.resets_connections() &&
       service_state.throttles.Decide(*pending_request.key, owner.entry.life,
                                      now) == throttle_gate::verdict::kRefused;
   if (is_throttled) {
--- a/src/core/request_router_returns.cc
+++ b/src/core/request_router_returns.cc
@@ -33,7 +33,7 @@
   if (example == nullptr && !service_state.targets.empty()) {
     example = service_state.targets.front().get();
   }
-  return example != nullptr &&
+  return example != nullptr && service_state.rejections.resets_connections() &&
          NeedsSharedView(host_count_, example->entry.slots,
                          example->health.mean_latency(), objective);
 }
--- a/src/core/request_router_state.h
+++ b/src/core/request_router_state.h
@@ -16,6 +16,7 @@
 #include "foxtailspread/load/body_room.h"
 #include "foxtailspread/load/key_throttle.h"
 #include "foxtailspread/load/load_sharing.h"
+#include "foxtailspread/load/rejection_form.h"
 #include "foxtailspread/load/zone_placement.h"
 #include "foxtailspread/permit_cache.h"
 #include "foxtailspread/request_router.h"
@@ -165,6 +166,7 @@
   service_limit limit;  ///< Of `in_flight`, if targets report their load.
   load_sharing sharing;
   zone_placement zones;  ///< If pooled.
+  rejection_form rejections;
   zone_send_counts zone_sends;
   std::vector<boost::intrusive_ptr<target>> targets;
   return_schedule returns;  ///< Of callers refused for want of any target.
