--- a/review/stand_in/review_target.cc
+++ b/review/stand_in/review_target.cc
@@ -61,6 +61,10 @@
                            std::to_string(last) + " with " +
                            std::to_string(fence);
   log.Line(what);
+  if (is_at_work && is_at_work(server, first, last)) {
+    owner_faults.push_back(what + ", on which another is at work");
+    log.Line("broken: " + owner_faults.back());
+  }
   if (low) {
     owner_faults.push_back(what + ", not above the fences of others");
   }
@@ -162,9 +166,15 @@
   }
 }
 
-void review_target::Reject(link& to, int status) {
-  seen_.log.Line("reject " + std::to_string(status) + " at " + options_.id);
-  Answer(to, status, {{std::string{platform::kNotExecuted}, "1"}});
+void review_target::Reject(link& to, int status, const std::string& attempt) {
+  seen_.log.Line("reject " + attempt + " with " + std::to_string(status) +
+                 " at " + options_.id);
+  std::vector<http_header> headers = {
+      {std::string{platform::kNotExecuted}, "1"}};
+  if (rejects_with_id_) {
+    headers.push_back({std::string{platform::kAttemptId}, attempt});
+  }
+  Answer(to, status, std::move(headers));
 }
 
 void review_target::OnRequest(link& from, http_message request) {
@@ -198,7 +208,8 @@
   const time_point now = Now();
   const auto expected = request.Header(platform::kExpectedInstance);
   if (expected && *expected != options_.id) {
-    Reject(from, platform::kMisdirectedStatus);
+    Reject(from, platform::kMisdirectedStatus,
+           Text(request.Header(platform::kAttemptId)));
     return;
   }
   job added{.from = &from, .request = std::move(request)};
@@ -207,7 +218,7 @@
     added.key =
         std::atoi(Text(added.request.Header(platform::kShardKey)).c_str());
     if (!Holds(static_cast<size_t>(added.key), now)) {
-      Reject(from, platform::kMisdirectedStatus);
+      Reject(from, platform::kMisdirectedStatus, added.attempt);
       return;
     }
   }
@@ -216,7 +227,7 @@
       rejected_share_ > 0.0 && share(seen_.random) < rejected_share_;
   if (turns_away || (working_.size() >= options_.slots &&
                      waiting_.size() >= options_.queue)) {
-    Reject(from, kHttpUnavailable);
+    Reject(from, kHttpUnavailable, added.attempt);
   } else if (working_.size() < options_.slots) {
     Begin(std::move(added), now);
   } else {
@@ -224,6 +235,15 @@
   }
 }
 
+bool review_target::IsAtWork(key_point first, key_point last,
+                             time_point now) const {
+  return std::any_of(working_.begin(), working_.end(), [&](const job& running) {
+    return running.key >= first && running.key <= last &&
+           (Holds(static_cast<size_t>(running.key), now) ||
+            running.hold_until > now);
+  });
+}
+
 void review_target::Begin(job started, time_point now) {
   seen_.OnRun(started.attempt, options_.id);
   started.done = now + options_.work;
@@ -250,7 +270,7 @@
     job next = std::move(waiting_.front());
     waiting_.pop_front();
     if (next.key >= 0 && !Holds(static_cast<size_t>(next.key), now)) {
-      Reject(*next.from, platform::kMisdirectedStatus);
+      Reject(*next.from, platform::kMisdirectedStatus, next.attempt);
     } else {
       Begin(std::move(next), now);
     }
@@ -304,6 +324,12 @@
     Answer(from, kHttpBadRequest, {});
     return;
   }
+  for (job& running : working_) {
+    const auto key = static_cast<size_t>(running.key);
+    if (key >= first && key <= last && holds_[key].fence <= fence) {
+      running.hold_until = std::max(running.hold_until, holds_[key].until);
+    }
+  }
   for (size_t key = first; key <= last; ++key) {
     fences_[key] = std::max(fences_[key], fence);
     if (holds_[key].fence <= fence) {
--- a/review/stand_in/review_target.h
+++ b/review/stand_in/review_target.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <fstream>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -47,6 +48,10 @@
               key_point first, key_point last, fence_number fence);
 
   record& log;
+  /// Whether another server of the service is at work on these keys.
+  std::function<bool(const std::string& server, key_point first,
+                     key_point last)>
+      is_at_work;
   std::map<std::string, int> runs;  ///< By the identifier of the attempt.
   std::vector<std::string> owner_faults;
   std::mt19937 random{7};
@@ -90,6 +95,8 @@
   /// Rejects this part of the requests although there is room.
   void RejectSome(double share) { rejected_share_ = share; }
   uint64_t extras() const { return extras_; }
+  /// Leaves the identifier of the request out of rejections.
+  void RejectWithoutId() { rejects_with_id_ = false; }
 
   /// Ends work whose time is over and begins what waits.
   void Turn(time_point now);
@@ -100,6 +107,10 @@
     return options_.keyed && holds_[key].until > now;
   }
 
+  /// Whether it is still at work on one of these keys, before its hold of it
+  /// would have run out had it not been released.
+  bool IsAtWork(key_point first, key_point last, time_point now) const;
+
   bool draining = false;
 
  private:
@@ -110,6 +121,7 @@
     std::string attempt;
     int key = -1;
     time_point done{};
+    time_point hold_until{};  ///< As it stood when its key was released.
   };
   struct hold {
     fence_number fence = 0;
@@ -131,8 +143,8 @@
   void Answer(link& to, int status, std::vector<http_header> headers,
               std::string body = {});
   void AnswerReleases();
-  /// Says that the request did not run, as the wire's examples do.
-  void Reject(link& to, int status);
+  /// Says that the request did not run.
+  void Reject(link& to, int status, const std::string& attempt);
 
   poller& events_;
   server_options options_;
@@ -147,6 +159,7 @@
   std::vector<waiting_release> releases_;
   double extra_share_ = 0.0;
   double rejected_share_ = 0.0;
+  bool rejects_with_id_ = true;
   uint64_t extras_ = 0;
 };
 
--- a/review/stand_in/review_world.cc
+++ b/review/stand_in/review_world.cc
@@ -56,6 +56,7 @@
   std::string name;
   bool keyed = false;
   bool is_unsafe = false;
+  bool sends_keys = false;
   std::string method;
   std::string prefix;
   duration work{};
@@ -155,6 +156,7 @@
       added.name = each["name"];
       added.keyed = each["keyed"];
       added.is_unsafe = each["unsafe"];
+      added.sends_keys = each.value("sends_keys", added.keyed);
       added.method = each["method"];
       added.work = milliseconds{each["work_ms"].get<int>()};
       added.patience_ms = each["patience_ms"];
@@ -170,6 +172,13 @@
         AddServer(added, i);
       }
     }
+    seen_.is_at_work = [this](const std::string& taker, key_point first,
+                              key_point last) {
+      return std::ranges::any_of(servers_, [&](const auto& each) {
+        return each && each->options().keyed && each->options().id != taker &&
+               each->IsAtWork(first, last, Now());
+      });
+    };
     store_.Put("config", "main", deployment_["config"]);
     Heartbeat();
     turn_ = RunEvery(milliseconds{2}, [this] { Turn(); });
@@ -298,7 +307,7 @@
         {"Host", to.name + ".example"},
         {std::string{platform::kAttemptId}, attempt},
         {std::string{platform::kDeadline}, std::to_string(to.patience_ms)}};
-    if (to.keyed) {
+    if (to.sends_keys) {
       request.headers.push_back(
           {std::string{platform::kShardKey}, std::to_string(DrawKey())});
     }
@@ -473,6 +482,10 @@
           each->RejectSome(answers);
         }
       }
+    } else if (verb == "reject-without-id") {
+      for (const auto& each : servers_) {
+        each->RejectWithoutId();
+      }
     } else if (verb == "hot") {
       words >> hot_share_ >> hot_first_ >> hot_count_;
     } else if (verb == "foreign") {
