--- a/review/stand_in/review_world.cc
+++ b/review/stand_in/review_world.cc
@@ -407,16 +407,19 @@
       if (!each.keyed) {
         continue;
       }
+      std::vector<const review_target*> owners_of;
+      for (const auto& server : servers_) {
+        if (server && server->options().service == each.name) {
+          owners_of.push_back(server.get());
+        }
+      }
       auto& since = shared_since_[each.name];
       since.resize(size_t{kLastKey} + 1);
       for (size_t key = 0; key <= kLastKey; ++key) {
-        int owners = 0;
-        for (const auto& server : servers_) {
-          owners += server && server->options().service == each.name &&
-                            server->Holds(key, now)
-                        ? 1
-                        : 0;
-        }
+        const auto owners =
+            std::ranges::count_if(owners_of, [&](const review_target* server) {
+              return server->Holds(key, now);
+            });
         if (owners < 2) {
           since[key] = {};
         } else if (since[key] == time_point{}) {
@@ -592,6 +595,7 @@
       could_run = heads_ended_ > 0;
     } else if (rule == "OWNER") {
       broken = !seen_.owner_faults.empty();
+      could_run = ServedShare(phase_) >= 0.25;
     } else {
       could_run = false;
     }
@@ -646,24 +650,27 @@
   timer input_;
 };
 
-/// Prints free ports of the loopback address.
+/// Prints free ports of the loopback address, below those that the system gives
+/// to sockets that ask for any.
 int PrintPorts(int count) {
-  std::vector<int> sockets;
-  for (int i = 0; i < count; ++i) {
+  constexpr int kFirst = 18000;
+  constexpr int kLast = 31000;
+  std::random_device seed;
+  int port = std::uniform_int_distribution<int>(kFirst, kLast)(seed);
+  for (int tries = 0; count > 0; ++tries) {
+    port = port >= kLast ? kFirst : port + 1;
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* generic = reinterpret_cast<sockaddr*>(&address);
-    if (fd < 0 || bind(fd, generic, size) != 0 ||
-        getsockname(fd, generic, &size) != 0) {
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    if (fd < 0 || tries > kLast - kFirst) {
       return kExitCouldNotRun;
     }
-    sockets.push_back(fd);
-    std::cout << ntohs(address.sin_port) << '\n';
-  }
-  for (const int fd : sockets) {
+    if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+      std::cout << port << '\n';
+      --count;
+    }
     close(fd);
   }
   return kExitHeld;
