Report answers that no call awaited

Requests that were answered 503 have run, and neither logs nor metrics of a host tell whether a target said so or an answer was taken for another. The pool now reports each answer that no call awaited, also on an idle connection: event 358 and surplus_answers_total name the request, the connection and what was awaited instead. request-refused names the connection of the last answer, so that the true answer of a refused request is found on the connection that its refusal came by.

No decision changes. The bytes of a surplus answer are parsed before the connection is dropped.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -78,6 +78,7 @@
   kLoadsNotShared = 355,
   kKeysThrottled = 356,
   kKeysUnthrottled = 357,
+  kSurplusAnswer = 358,
   kMemoryShort = 366,
   kMemoryFree = 367,
   kFaultsChanged = 800,
@@ -299,6 +300,10 @@
     {event_id::kKeysUnthrottled, event_level::kInfo, "keys-unthrottled",
      "The target given serves what its keys are asked for again.",
      "Nothing to do."},
+    {event_id::kSurplusAnswer, event_level::kInfo, "surplus-answer",
+     "A target sent an answer that no request awaited, and it was dropped; the "
+     "request that it names and the one that was awaited are given.",
+     "Look at the target: it answers twice, or sends what is no answer."},
     {event_id::kMemoryShort, event_level::kWarning, "memory-short",
      "The host refuses requests with bodies: those and the answers that it "
      "holds take the memory given, in bytes, that it has for them.",
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -139,8 +139,9 @@
            .on_gone =
                [this](exchange_id id) { OnCallerGone(id | kRelayedExchange); }},
           &memory_),
-      targets_pool_(events_, platform::TargetPoolSettings(&memory_)),
-      orders_pool_(events_, platform::OrderPoolSettings()),
+      targets_pool_(events_,
+                    WithSurplusEvents(platform::TargetPoolSettings(&memory_))),
+      orders_pool_(events_, WithSurplusEvents(platform::OrderPoolSettings())),
       probes_pool_(events_, {}),
       relays_pool_(events_, {.memory = &memory_}),
       hosts_(events_, [this](std::string_view bytes) { OnDatagram(bytes); }),
@@ -182,6 +183,20 @@
   LimitMemory();
 }
 
+pool_settings edge_daemon::WithSurplusEvents(pool_settings settings) {
+  settings.on_surplus = [this](const surplus_answer& surplus) {
+    metrics_.OnSurplusAnswer();
+    LogEvent(event_id::kSurplusAnswer,
+             {{"address", surplus.address},
+              {"connection", static_cast<int64_t>(surplus.connection)},
+              {"status", int64_t{surplus.status}},
+              {"request", surplus.echo},
+              {"awaited", surplus.awaited},
+              {"idle", int64_t{surplus.is_idle ? 1 : 0}}});
+  };
+  return settings;
+}
+
 status edge_daemon::Start() {
   for (const auto& [server, address] :
        {std::pair{&callers_, &settings_.callers},
@@ -297,6 +312,7 @@
   }
   flight& ended = found->second;
   ended.call.reset();
+  ended.connection = result.connection;
   if (result.unsent_body) {
     ended.request.large_body = std::move(result.unsent_body);
   }
@@ -385,6 +401,7 @@
             {"attempts", int64_t{action.summary.attempts}},
             {"age_ms", action.summary.age.count() / 1000},
             {"target", found->second.target.id},
+            {"connection", static_cast<int64_t>(found->second.connection)},
             {"key", action.key ? int64_t{*action.key} : int64_t{-1}},
             {"config", static_cast<int64_t>(action.config_version)}});
   local_reply_action said = action;
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -83,8 +83,9 @@
     bool is_relayed = false;  ///< `call` goes to another host, not to a target.
     /// An attempt before it was relayed may have run.
     bool may_have_run = false;
-    std::string service{};  ///< Of the target.
-    std::string zone{};     ///< Of the target.
+    std::string service{};    ///< Of the target.
+    std::string zone{};       ///< Of the target.
+    uint64_t connection = 0;  ///< To the target, of the last attempt's end.
   };
 
   /// An order from its sending to its end.
@@ -201,6 +202,9 @@
   void CarryOne(const share_hosts_action& action);
   void CarryOne(const assigner_note& action);
 
+  /// Adds what this host does about surplus answers of targets.
+  pool_settings WithSurplusEvents(pool_settings settings);
+
   void LimitMemory();
   void LogMemory();
   void AppendMemoryMetrics(std::string& text) const;
--- a/src/edge/edge_metrics.cc
+++ b/src/edge/edge_metrics.cc
@@ -45,6 +45,8 @@
                static_cast<double>(repeats_asked_));
   AppendMetric(text, "announcements_repeated_total", "",
                static_cast<double>(repeats_sent_));
+  AppendMetric(text, "surplus_answers_total", "",
+               static_cast<double>(surplus_answers_));
   return text;
 }
 
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -28,6 +28,9 @@
   /// This host repeated `count` announcements to one that asked.
   void OnRepeated(size_t count) { repeats_sent_ += count; }
 
+  /// A target sent an answer that nothing awaited.
+  void OnSurplusAnswer() { ++surplus_answers_; }
+
   /// All of it as Prometheus text.
   std::string Text() const;
 
@@ -48,6 +51,7 @@
   uint64_t keys_moved_ = 0;
   uint64_t repeats_asked_ = 0;
   uint64_t repeats_sent_ = 0;
+  uint64_t surplus_answers_ = 0;
 };
 
 /// Appends the sends of one service by zone. `service` is its label.
--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -102,6 +102,8 @@
   }
   if (id_ == 0 && !opening_) {
     // Bytes or an end on an idle connection belong to no call.
+    reader_.Feed(read.bytes);
+    ReportLeftAnswers();
     pool_.Drop(this);
     return;
   }
@@ -124,7 +126,11 @@
 /// Looks for the awaited answer among those that came.
 void pooled_connection::FinishIfWhole() {
   while (auto answer = reader_.Take()) {
-    if (answer->status / 100 == 1 || !IsAwaited(*answer)) {
+    if (answer->status / 100 == 1) {
+      continue;
+    }
+    if (!IsAwaited(*answer)) {
+      ReportSurplus(*answer, false);
       continue;
     }
     Answered(std::move(*answer));
@@ -151,6 +157,32 @@
   return fresh_ || (!exempt.empty() && answer.Header(exempt));
 }
 
+bool pooled_connection::ReportLeftAnswers() {
+  bool any = false;
+  while (const auto answer = reader_.Take()) {
+    ReportSurplus(*answer, true);
+    any = true;
+  }
+  return any;
+}
+
+void pooled_connection::ReportSurplus(const http_message& answer,
+                                      bool is_idle) {
+  const pool_settings& settings = pool_.settings_;
+  if (!settings.on_surplus) {
+    return;
+  }
+  settings.on_surplus(
+      {.address = address_,
+       .connection = number_,
+       .status = answer.status,
+       .echo = settings.echo_header.empty()
+                   ? std::string_view{}
+                   : answer.Header(settings.echo_header).value_or(""),
+       .awaited = is_idle ? std::string_view{} : echo_,
+       .is_idle = is_idle});
+}
+
 void pooled_connection::Answered(http_message answer) {
   KeepIdle(answer);
   if (opening_) {
@@ -166,9 +198,10 @@
 void pooled_connection::KeepIdle(const http_message& answer) {
   // A peer that answered before the request was through would read the rest
   // of it as the next request.
+  const bool has_more = ReportLeftAnswers();
   const bool reusable = answer.keep_alive && !answer.ended_by_close &&
                         !spoiled_ && !closed_ && !reader_.in_message() &&
-                        !reader_.Take() && stream_.bytes_waiting() == 0;
+                        !has_more && stream_.bytes_waiting() == 0;
   const auto stated = StatedIdle(answer);
   const duration idle =
       stated ? std::chrono::duration_cast<duration>(*stated * kIdleShare)
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -63,6 +63,17 @@
   std::string opening{};
 };
 
+/// An answer that no call awaited: most likely a second one to a call that had
+/// ended, or the true one to a call that had taken another for its own.
+struct surplus_answer {
+  std::string_view address{};
+  uint64_t connection = 0;
+  int status = 0;
+  std::string_view echo{};     ///< The echo header's value; "" if none.
+  std::string_view awaited{};  ///< The value awaited; "" if idle or none.
+  bool is_idle = false;        ///< No call was under way.
+};
+
 /// What a pool goes by.
 struct pool_settings {
   /// An answer carries back the value that the request had here; "" for none.
@@ -86,6 +97,9 @@
                            .max_body_bytes = size_t{32} << 20};
   /// Counts the bytes that the connections hold; null for none.
   held_memory* memory = nullptr;
+  /// Runs for each surplus answer, which is then dropped. It must not use the
+  /// pool.
+  std::function<void(const surplus_answer&)> on_surplus{};
 };
 
 /// Names one call of one pool.
@@ -146,6 +160,10 @@
   void OnBytes(std::string_view bytes);
   void FinishIfWhole();
   bool IsAwaited(const http_message& answer) const;
+  /// Reports the whole answers that are left after the end of a call. Returns
+  /// whether there are any.
+  bool ReportLeftAnswers();
+  void ReportSurplus(const http_message& answer, bool is_idle);
   void Answered(http_message answer);
   void KeepIdle(const http_message& answer);
   void FailSend(bool was_connected);
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -3,6 +3,7 @@
 
 #include "net/connection_pool.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 
@@ -220,6 +221,31 @@
   EXPECT_TRUE(ended->answer.Header("Mark"));
 }
 
+// Guards against answers that disappear without a trace when a peer sends more
+// of them than it got calls.
+TEST_F(ConnectionPoolTest, SurplusAnswersAreReported) {
+  std::deque<std::string> reported;
+  connection_pool pool{
+      events_,
+      {.echo_header = "Echo", .on_surplus = [&](const surplus_answer& surplus) {
+         reported.push_back(std::string{surplus.echo} + " for " +
+                            std::string{surplus.awaited} +
+                            (surplus.is_idle ? " idle" : ""));
+       }}};
+  peer_.scripts = {
+      {.replies = {Ok("a"), Ok("a", "late") + Ok("b") + Ok("b", "late")}}};
+  for (const std::string echo : {"a", "b"}) {
+    const std::string to = peer_.address();
+    bool has_ended = false;
+    pool.Send({.address = to,
+               .request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+               .echo = echo},
+              [&](const call_result&) { has_ended = true; });
+    ASSERT_TRUE(RunUntil([&] { return has_ended; }));
+  }
+  EXPECT_THAT(reported, testing::ElementsAre("a for b", "b for  idle"));
+}
+
 TEST_F(ConnectionPoolTest, BytesBehindAnAnswerSpoilTheConnection) {
   peer_.scripts = {{.replies = {Ok("a") + "HTTP/1.1 200 OK\r\nEcho: a\r\n"}},
                    {.replies = {Ok("b")}}};
