Send a request again only over connections that have not carried it

Cause: all sends of one request bear the identifier of the caller's try, and a target may send a copy of an answer when the next one is due. After a rejection a keyed request goes to the same owner again, over the connection that was used last, mostly the one on which it was rejected. The copy of the rejection bears the awaited identifier and was taken for the answer to the second send, which ran.

Fix: a connection remembers what identifiers it has carried, and the pool sends no call over one that has carried the call's. A copy of an answer comes on the connection of the answer, so that no copy can bear an identifier that is awaited there, whatever the reason of the second send and however late the copy. A connection is replaced after 1000 calls, which bounds the list.

--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -23,7 +23,7 @@
 call_id connection_pool::Send(pool_call call, receiver on_ended) {
   const call_id id = ++last_call_;
   const std::string address{call.address};
-  if (pooled_connection* kept = TakeIdle(address, call.newest_connection)) {
+  if (pooled_connection* kept = TakeIdle(address, call)) {
     calls_.emplace(id, kept);
     kept->Begin(id, std::move(call), std::move(on_ended), false);
     return id;
@@ -70,7 +70,7 @@
   // The process may have stood still, so that the timer is late as well.
   EndOverdue();
   while (const waiting_call* first = waiting_.First(address)) {
-    pooled_connection* kept = TakeIdle(address, 0);
+    pooled_connection* kept = TakeIdle(address, first->call);
     if (kept == nullptr) {
       OpenConnection(*first);
       return;
@@ -129,7 +129,8 @@
 }
 
 pooled_connection* connection_pool::TakeIdle(const std::string& address,
-                                             uint64_t newest) {
+                                             const pool_call& call) {
+  const uint64_t newest = call.newest_connection;
   const time_point now = Now();
   for (;;) {
     const auto found = idle_.find(address);
@@ -139,7 +140,8 @@
     auto& idle = found->second;
     const auto last = std::find_if(
         idle.rbegin(), idle.rend(), [&](const pooled_connection* each) {
-          return newest == 0 || each->number() <= newest;
+          return (newest == 0 || each->number() <= newest) &&
+                 each->CanTellAnswerTo(call);
         });
     if (last == idle.rend()) {
       return nullptr;
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -8,6 +8,9 @@
 /// an answer whether any byte of it was handed to the network. Whether to send
 /// again is its caller's decision alone.
 ///
+/// A peer may repeat an answer at any later time. A call goes only over a
+/// connection on which its own answer can be told from a repeated one.
+///
 /// A call with an opening request goes out on no connection that the peer may
 /// not read yet. It waits for an idle one; while calls to an address wait, one
 /// connection is being opened there.
@@ -77,7 +80,10 @@
   /// Ends the calls whose time to be written is over.
   void EndOverdue();
   void ArmWriteTimer();
-  pooled_connection* TakeIdle(const std::string& address, uint64_t newest);
+  /// Takes the idle connection to `address` that was used last of those that
+  /// may carry `call`; nullptr if there is none.
+  pooled_connection* TakeIdle(const std::string& address,
+                              const pool_call& call);
   void Keep(pooled_connection* connection);
   void Drop(pooled_connection* connection);
   void Finish(pooled_connection* connection, call_result result);
--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -1,9 +1,11 @@
 #include "net/pooled_connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <utility>
 
+#include "foxtailspread/hash.h"
 #include "net/connection_pool.h"
 
 namespace foxtailspread {
@@ -14,6 +16,10 @@
 /// effects.
 constexpr double kIdleShare = 0.6;
 
+/// A connection is replaced after this many calls with an echo, all of which it
+/// remembers.
+constexpr size_t kMaxCallsWithEcho = 1000;
+
 /// Returns the idle time that the answer states, if any.
 std::optional<duration> StatedIdle(const http_message& answer) {
   const auto header = answer.Header("Keep-Alive");
@@ -71,6 +77,9 @@
   id_ = id;
   on_ended_ = std::move(on_ended);
   echo_ = std::move(call.echo);
+  if (!echo_.empty()) {
+    carried_echoes_.push_back(HashText(echo_));
+  }
   mark_ = call.mark;
   marked_ = call.marked;
   fresh_ = fresh;
@@ -80,6 +89,12 @@
   CountBytes();
 }
 
+bool pooled_connection::CanTellAnswerTo(const pool_call& call) const {
+  return call.echo.empty() ||
+         std::ranges::find(carried_echoes_, HashText(call.echo)) ==
+             carried_echoes_.end();
+}
+
 void pooled_connection::Open(std::string_view request, time_point give_up) {
   opening_ = true;
   opening_until_ = give_up;
@@ -201,7 +216,8 @@
   const bool has_more = ReportLeftAnswers();
   const bool reusable = answer.keep_alive && !answer.ended_by_close &&
                         !spoiled_ && !closed_ && !reader_.in_message() &&
-                        !has_more && stream_.bytes_waiting() == 0;
+                        !has_more && stream_.bytes_waiting() == 0 &&
+                        carried_echoes_.size() < kMaxCallsWithEcho;
   const auto stated = StatedIdle(answer);
   const duration idle =
       stated ? std::chrono::duration_cast<duration>(*stated * kIdleShare)
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "foxtailspread/address.h"
 #include "foxtailspread/time.h"
@@ -124,6 +125,10 @@
   /// Sends an opening request, which belongs to no call.
   void Open(std::string_view request, time_point give_up);
 
+  /// Whether a copy of an earlier answer on this connection, which the peer may
+  /// send at any later time, cannot be taken for the answer to `call`.
+  bool CanTellAnswerTo(const pool_call& call) const;
+
   /// Whether the peer has neither closed nor sent anything meanwhile.
   bool StillQuiet() { return stream_.Read().end == read_end::kNothing; }
 
@@ -178,6 +183,7 @@
   call_id id_ = 0;
   call_receiver on_ended_;
   std::string echo_;
+  std::vector<uint64_t> carried_echoes_;  ///< Hashed; of all calls so far.
   std::string_view mark_;
   bool marked_ = false;
   bool fresh_ = true;
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -199,6 +199,47 @@
   EXPECT_EQ(second.answer.body, "mine");
 }
 
+// Guards against a second copy of a rejection that is taken for the answer to
+// the next send of the same request, which runs.
+TEST_F(ConnectionPoolTest, CopyOfARejectionDoesNotAnswerTheNextSend) {
+  const std::string rejection =
+      "HTTP/1.1 503 No\r\nEcho: a\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n";
+  peer_.scripts = {{.replies = {rejection, rejection + Ok("a")}},
+                   {.replies = {Ok("a")}}};
+  EXPECT_EQ(Call("a").answer.status, 503);
+  EXPECT_EQ(Call("a").answer.status, 200);
+}
+
+// Guards against the same copy where other calls came between the two sends.
+TEST_F(ConnectionPoolTest, CopyOfAnEarlierRejectionDoesNotAnswerTheNextSend) {
+  const std::string rejection =
+      "HTTP/1.1 503 No\r\nEcho: a\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n";
+  peer_.scripts = {
+      {.replies = {rejection, Ok("b"), Ok("c"), rejection + Ok("a")}},
+      {.replies = {Ok("a")}}};
+  for (const char* const echo : {"a", "b", "c"}) {
+    Call(echo);
+  }
+  EXPECT_EQ(Call("a").answer.status, 200);
+  EXPECT_EQ(peer_.connections(), 2);
+}
+
+// Guards against a list of earlier calls that grows as long as its connection
+// lives.
+TEST_F(ConnectionPoolTest, ConnectionIsReplacedAfterManyCalls) {
+  constexpr int kCalls = 1000;
+  peer_script long_lived;
+  for (int i = 0; i < kCalls; ++i) {
+    long_lived.replies.push_back(Ok(std::to_string(i)));
+  }
+  peer_.scripts = {long_lived, {.replies = {Ok("next")}}};
+  for (int i = 0; i < kCalls; ++i) {
+    ASSERT_EQ(Call(std::to_string(i)).end, call_end::kAnswered);
+  }
+  EXPECT_EQ(peer_.connections(), 1);
+  EXPECT_TRUE(Call("next").fresh_connection);
+}
+
 // Guards against a late second answer that is taken for the success of a call
 // of another kind, where the peer echoes nothing.
 TEST_F(ConnectionPoolTest, SuccessWithoutItsMarkIsNotTakenForTheNext) {
