Close connections after answers without an identifier

Cause: an answer that says that the target did not run the request was taken without its identifier on any connection. A copy of such a rejection could be the answer to anything and was taken for the answer to the next request, whoever's. And a request without an identifier took any answer for its own.

Evidence: CopyOfARejectionWithoutEchoAnswersNoOtherCall got 503 for 200 and CopyOfAnAnswerWithEchoAnswersNoCallWithoutOne 200 for 400 on the code before, with the fix for copies of rejections in it.

Fix: a connection carries nothing more after an answer without an identifier, so that on a kept one none came before and a rejection without identifier is no copy.

SuccessWithoutItsMarkIsNotTakenForTheNext now uses a pool without an echo header, as orders do: its answers have none, and its connection would not be kept. It checks the same and, in addition, that one connection carries both calls.

--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -161,15 +161,22 @@
       answer.Header(mark_).has_value() != marked_) {
     return false;
   }
-  if (echo_.empty()) {
-    return true;
-  }
-  const auto echoed = answer.Header(pool_.settings_.echo_header);
-  if (echoed) {
+  if (const auto echoed = EchoOf(answer)) {
     return *echoed == echo_;
   }
+  // No answer without an echo came on this connection before: KeepIdle().
   const std::string& exempt = pool_.settings_.echo_exempt_header;
-  return fresh_ || (!exempt.empty() && answer.Header(exempt));
+  return echo_.empty() || fresh_ || (!exempt.empty() && answer.Header(exempt));
+}
+
+bool pooled_connection::IsWithoutEcho() const {
+  return opening_ || pool_.settings_.echo_header.empty();
+}
+
+std::optional<std::string_view> pooled_connection::EchoOf(
+    const http_message& answer) const {
+  const std::string& header = pool_.settings_.echo_header;
+  return header.empty() ? std::nullopt : answer.Header(header);
 }
 
 bool pooled_connection::ReportLeftAnswers() {
@@ -187,15 +194,12 @@
   if (!settings.on_surplus) {
     return;
   }
-  settings.on_surplus(
-      {.address = address_,
-       .connection = number_,
-       .status = answer.status,
-       .echo = settings.echo_header.empty()
-                   ? std::string_view{}
-                   : answer.Header(settings.echo_header).value_or(""),
-       .awaited = is_idle ? std::string_view{} : echo_,
-       .is_idle = is_idle});
+  settings.on_surplus({.address = address_,
+                       .connection = number_,
+                       .status = answer.status,
+                       .echo = EchoOf(answer).value_or(""),
+                       .awaited = is_idle ? std::string_view{} : echo_,
+                       .is_idle = is_idle});
 }
 
 void pooled_connection::Answered(http_message answer) {
@@ -209,7 +213,8 @@
   pool_.Finish(this, std::move(result));
 }
 
-/// Makes the connection idle, if it can carry another call after this answer.
+/// Makes the connection idle, if it can carry another call after this answer. A
+/// copy of an answer without an echo could pass for the answer to any call.
 void pooled_connection::KeepIdle(const http_message& answer) {
   // A peer that answered before the request was through would read the rest
   // of it as the next request.
@@ -217,7 +222,8 @@
   const bool reusable = answer.keep_alive && !answer.ended_by_close &&
                         !spoiled_ && !closed_ && !reader_.in_message() &&
                         !has_more && stream_.bytes_waiting() == 0 &&
-                        carried_echoes_.size() < kMaxCallsWithEcho;
+                        carried_echoes_.size() < kMaxCallsWithEcho &&
+                        (IsWithoutEcho() || EchoOf(answer));
   const auto stated = StatedIdle(answer);
   const duration idle =
       stated ? std::chrono::duration_cast<duration>(*stated * kIdleShare)
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -8,6 +8,7 @@
 #include <boost/intrusive/list_hook.hpp>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -80,7 +81,8 @@
   /// An answer carries back the value that the request had here; "" for none.
   /// It tells a late second answer to an earlier call from the one awaited.
   std::string echo_header{};
-  /// An answer with this header needs no echo.
+  /// An answer with this header needs no echo. A connection carries no further
+  /// call after an answer without one.
   std::string echo_exempt_header{};
   /// Idle connections are kept so long unless the peer says otherwise.
   duration keep_idle{std::chrono::seconds{6}};
@@ -165,6 +167,10 @@
   void OnBytes(std::string_view bytes);
   void FinishIfWhole();
   bool IsAwaited(const http_message& answer) const;
+  /// Whether no echo is expected of what is under way.
+  bool IsWithoutEcho() const;
+  /// The value of the echo header, if the pool has one and the answer too.
+  std::optional<std::string_view> EchoOf(const http_message& answer) const;
   /// Reports the whole answers that are left after the end of a call. Returns
   /// whether there are any.
   bool ReportLeftAnswers();
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -126,6 +126,19 @@
     return ended.value_or(call_result{});
   }
 
+  /// A call whose success has the header "Mark" if it is `marked`.
+  call_result CallMarked(connection_pool& pool, bool marked) {
+    std::optional<call_result> ended;
+    const std::string to = peer_.address();
+    pool.Send({.address = to,
+               .request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+               .mark = "Mark",
+               .marked = marked},
+              [&](const call_result& result) { ended = result; });
+    EXPECT_TRUE(RunUntil([&] { return ended.has_value(); }));
+    return ended.value_or(call_result{});
+  }
+
   static std::string Ok(const std::string& echo,
                         const std::string& body = "fine") {
     return "HTTP/1.1 200 OK\r\nEcho: " + echo +
@@ -224,6 +237,27 @@
   EXPECT_EQ(peer_.connections(), 2);
 }
 
+// Guards against a copy of a rejection without an identifier, which could be
+// the answer to anything, that is taken for the answer to the next call.
+TEST_F(ConnectionPoolTest, CopyOfARejectionWithoutEchoAnswersNoOtherCall) {
+  const std::string rejection =
+      "HTTP/1.1 503 No\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n";
+  peer_.scripts = {{.replies = {Ok("a"), rejection, rejection + Ok("c")}},
+                   {.replies = {Ok("c")}}};
+  Call("a");
+  EXPECT_EQ(Call("b").answer.status, 503);
+  EXPECT_EQ(Call("c").answer.status, 200);
+}
+
+// Guards against a call without an identifier that is given the answer to an
+// earlier one that had one.
+TEST_F(ConnectionPoolTest, CopyOfAnAnswerWithEchoAnswersNoCallWithoutOne) {
+  const std::string own = "HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n";
+  peer_.scripts = {{.replies = {Ok("a"), Ok("a", "late") + own}}};
+  Call("a");
+  EXPECT_EQ(Call("").answer.status, 400);
+}
+
 // Guards against a list of earlier calls that grows as long as its connection
 // lives.
 TEST_F(ConnectionPoolTest, ConnectionIsReplacedAfterManyCalls) {
@@ -243,23 +277,16 @@
 // Guards against a late second answer that is taken for the success of a call
 // of another kind, where the peer echoes nothing.
 TEST_F(ConnectionPoolTest, SuccessWithoutItsMarkIsNotTakenForTheNext) {
+  connection_pool pool{events_, {}};
   const std::string marked = "HTTP/1.1 200 OK\r\nMark: m\r\n";
   const std::string end = "Content-Length: 0\r\n\r\n";
   peer_.scripts = {{.replies = {"HTTP/1.1 200 OK\r\n" + end,
                                 "HTTP/1.1 200 OK\r\n" + end + marked + end}}};
-  Call("");
-  pool_call call;
-  const std::string address = peer_.address();
-  call.address = address;
-  call.request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-  call.mark = "Mark";
-  call.marked = true;
-  std::optional<call_result> ended;
-  pool_.Send(std::move(call),
-             [&](const call_result& result) { ended = result; });
-  ASSERT_TRUE(RunUntil([&] { return ended.has_value(); }));
-  EXPECT_EQ(ended->end, call_end::kAnswered);
-  EXPECT_TRUE(ended->answer.Header("Mark"));
+  EXPECT_EQ(CallMarked(pool, false).end, call_end::kAnswered);
+  const call_result second = CallMarked(pool, true);
+  EXPECT_EQ(second.end, call_end::kAnswered);
+  EXPECT_TRUE(second.answer.Header("Mark"));
+  EXPECT_EQ(peer_.connections(), 1);
 }
 
 // Guards against answers that disappear without a trace when a peer sends more
