Take a token that came before for no answer to a release

Cause: nothing tied the answer of a release to it but the presence of the handover header. A copy of one release's answer counted as the answer to the next release on that connection, and the keys as free.

Evidence: CopyOfAMarkedSuccessDoesNotAnswerTheNextMarkedCall was answered with the first token on the code before.

Fix: a connection remembers the tokens that came on it. A connection of its own for each release would wait in a busy target.

--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -16,9 +16,9 @@
 /// effects.
 constexpr double kIdleShare = 0.6;
 
-/// A connection is replaced after this many calls with an echo, all of which it
-/// remembers.
-constexpr size_t kMaxCallsWithEcho = 1000;
+/// A connection is replaced after this many calls with an echo or a mark, all
+/// of which it remembers.
+constexpr size_t kMaxRemembered = 1000;
 
 /// Returns the idle time that the answer states, if any.
 std::optional<duration> StatedIdle(const http_message& answer) {
@@ -148,6 +148,11 @@
       ReportSurplus(*answer, false);
       continue;
     }
+    if (marked_ && IsRepeatedMark(*answer)) {
+      ReportSurplus(*answer, false);
+      Fail(call_end::kBroken);
+      return;
+    }
     Answered(std::move(*answer));
     return;
   }
@@ -169,6 +174,19 @@
   return echo_.empty() || fresh_ || (!exempt.empty() && answer.Header(exempt));
 }
 
+bool pooled_connection::IsRepeatedMark(const http_message& answer) {
+  const auto mark = answer.Header(mark_);
+  if (!mark || answer.status != kHttpOk) {
+    return false;
+  }
+  const uint64_t hash = HashText(*mark);
+  if (std::ranges::find(seen_marks_, hash) != seen_marks_.end()) {
+    return true;
+  }
+  seen_marks_.push_back(hash);
+  return false;
+}
+
 bool pooled_connection::IsWithoutEcho() const {
   return opening_ || pool_.settings_.echo_header.empty();
 }
@@ -219,11 +237,11 @@
   // A peer that answered before the request was through would read the rest
   // of it as the next request.
   const bool has_more = ReportLeftAnswers();
-  const bool reusable = answer.keep_alive && !answer.ended_by_close &&
-                        !spoiled_ && !closed_ && !reader_.in_message() &&
-                        !has_more && stream_.bytes_waiting() == 0 &&
-                        carried_echoes_.size() < kMaxCallsWithEcho &&
-                        (IsWithoutEcho() || EchoOf(answer));
+  const bool reusable =
+      answer.keep_alive && !answer.ended_by_close && !spoiled_ && !closed_ &&
+      !reader_.in_message() && !has_more && stream_.bytes_waiting() == 0 &&
+      carried_echoes_.size() + seen_marks_.size() < kMaxRemembered &&
+      (IsWithoutEcho() || EchoOf(answer));
   const auto stated = StatedIdle(answer);
   const duration idle =
       stated ? std::chrono::duration_cast<duration>(*stated * kIdleShare)
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -54,7 +54,10 @@
   /// A header that tells successes of two kinds of calls apart; "" for none. A
   /// success that has it and should not, or the reverse, answers another call.
   std::string_view mark{};
-  bool marked = false;  ///< Whether a success of this call has `mark`.
+  /// Whether a success of this call has `mark`. Its value then belongs to this
+  /// call alone: with one that came on the connection before, the call ends as
+  /// broken.
+  bool marked = false;
   duration connect_timeout{std::chrono::milliseconds{500}};
   /// Use a kept connection with a number up to this one or none: the call must
   /// reach a process that was there when that one was made. 0 for any.
@@ -167,6 +170,9 @@
   void OnBytes(std::string_view bytes);
   void FinishIfWhole();
   bool IsAwaited(const http_message& answer) const;
+  /// Whether the value of a success's mark came on this connection before. The
+  /// answer may be a copy, or the peer may use one value twice. Remembers it.
+  bool IsRepeatedMark(const http_message& answer);
   /// Whether no echo is expected of what is under way.
   bool IsWithoutEcho() const;
   /// The value of the echo header, if the pool has one and the answer too.
@@ -190,6 +196,7 @@
   call_receiver on_ended_;
   std::string echo_;
   std::vector<uint64_t> carried_echoes_;  ///< Hashed; of all calls so far.
+  std::vector<uint64_t> seen_marks_;      ///< Hashed; of all successes so far.
   std::string_view mark_;
   bool marked_ = false;
   bool fresh_ = true;
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -314,6 +314,33 @@
   EXPECT_THAT(reported, testing::ElementsAre("a for b", "b for  idle"));
 }
 
+// Guards against a copy of one release's answer that is taken for the answer to
+// the next release, whose keys are still at work.
+TEST_F(ConnectionPoolTest, CopyOfAMarkedSuccessDoesNotAnswerTheNextMarkedCall) {
+  connection_pool pool{events_, {}};
+  const auto success = [](const std::string& token) {
+    return "HTTP/1.1 200 OK\r\nMark: " + token +
+           "\r\nContent-Length: 0\r\n\r\n";
+  };
+  peer_.scripts = {{.replies = {success("1"), success("1") + success("2")}},
+                   {.replies = {success("2")}}};
+  EXPECT_EQ(CallMarked(pool, true).answer.Header("Mark"), "1");
+  EXPECT_EQ(CallMarked(pool, true).end, call_end::kBroken);
+  EXPECT_EQ(CallMarked(pool, true).answer.Header("Mark"), "2");
+}
+
+TEST_F(ConnectionPoolTest, MarkedSuccessesThatDifferAreTaken) {
+  connection_pool pool{events_, {}};
+  peer_script two;
+  for (const char* const token : {"1", "2"}) {
+    two.replies.push_back("HTTP/1.1 200 OK\r\nMark: " + std::string{token} +
+                          "\r\nContent-Length: 0\r\n\r\n");
+  }
+  peer_.scripts = {two};
+  EXPECT_EQ(CallMarked(pool, true).answer.Header("Mark"), "1");
+  EXPECT_EQ(CallMarked(pool, true).answer.Header("Mark"), "2");
+}
+
 TEST_F(ConnectionPoolTest, BytesBehindAnAnswerSpoilTheConnection) {
   peer_.scripts = {{.replies = {Ok("a") + "HTTP/1.1 200 OK\r\nEcho: a\r\n"}},
                    {.replies = {Ok("b")}}};
