Keep the address of a connection that ServeWaiting may destroy

Seen by the review in the source only. Cause: Keep() passed its connection's address by reference to ServeWaiting(), which takes idle connections to that address and destroys those that have ended, among them this one, and goes on with the reference.

Evidence: ConnectionThatEndsAfterItsOpeningIsReplaced, built with AddressSanitizer, ends with heap-use-after-free in TakeIdle() before the change and passes with it; without the sanitizer it passes on both. What callers saw is not known.

Fix: ServeWaiting() has a copy of the address.

--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -66,7 +66,7 @@
   OpenConnection(*waiting_.First(address));
 }
 
-void connection_pool::ServeWaiting(const std::string& address) {
+void connection_pool::ServeWaiting(std::string address) {
   // The process may have stood still, so that the timer is late as well.
   EndOverdue();
   while (const waiting_call* first = waiting_.First(address)) {
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -71,8 +71,9 @@
                                     duration connect_timeout, bool may_connect);
   void Wait(call_id id, pool_call call, receiver on_ended);
   /// Gives calls that wait the idle connections to `address`, and opens one
-  /// more if that is not enough.
-  void ServeWaiting(const std::string& address);
+  /// more if that is not enough. `address` is a copy: it may be that of a
+  /// connection which is dropped on the way.
+  void ServeWaiting(std::string address);
   void OpenConnection(const waiting_call& waiting);
   /// Handles the end of an opening. If the connection is of no use, the calls
   /// that wait for it end as well.
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -158,9 +158,10 @@
   static constexpr duration kWriteTimeout{milliseconds{100}};
 
   /// Sends a call; its result is appended to `ended_`.
-  call_id Send(const std::string& echo) {
+  call_id Send(const std::string& echo) { return Send(echo, peer_); }
+  call_id Send(const std::string& echo, const scripted_peer& peer) {
     pool_call call;
-    const std::string to = peer_.address();
+    const std::string to = peer.address();
     call.address = to;
     call.request = "GET /" + echo + " HTTP/1.1\r\nHost: a\r\n\r\n";
     call.echo = echo;
@@ -531,6 +532,21 @@
   EXPECT_EQ(ended_[1].end, call_end::kRefused);
 }
 
+// Guards against a read of a destroyed connection: one that ends as soon as its
+// opening is answered, while a call waits for it and others are idle.
+TEST_F(OpeningCallTest, ConnectionThatEndsAfterItsOpeningIsReplaced) {
+  scripted_peer other{events_};
+  other.scripts = {{.replies = {Rejected(), Ok("b")}}};
+  Send("b", other);
+  ASSERT_TRUE(RunUntil([&] { return ended_.size() == 1; }));
+  peer_.scripts = {{.replies = {Rejected()}, .close_after = true},
+                   {.replies = {Rejected(), Ok("a")}}};
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return ended_.size() == 2; }));
+  EXPECT_EQ(ended_[1].end, call_end::kAnswered);
+  EXPECT_EQ(peer_.connections(), 2);
+}
+
 TEST_F(OpeningCallTest, ResetOfTheOpeningEndsTheCallAsNotSent) {
   peer_.scripts = {{.reset_after = true}};
   Send("a");
--- /dev/null
+++ b/tools/test-sanitized.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Builds the tests of connections and codecs with AddressSanitizer and
+# UndefinedBehaviorSanitizer and runs them.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build="${SANITIZED_BUILD_DIR:-build-sanitized}"
+tests=(connection_pool_test caller_server_test http_test platform_codec_test)
+flags="-fsanitize=address,undefined -fno-sanitize-recover=all"
+cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=Debug \
+  -DCMAKE_CXX_FLAGS="$flags -O1 -fno-omit-frame-pointer" >/dev/null
+cmake --build "$build" --target "${tests[@]}"
+for test in "${tests[@]}"; do
+  "$build/$test" --gtest_brief=1
+done
