Write answers to HEAD without a body

Cause: the exchange noted that its request was a HEAD, and nothing used it. An answer that was passed on without a length got the length 0.

Evidence: OwnAnswerToHeadHasNoBody and AnswerToHeadOfUnknownLengthStatesNone failed before.

Fix: whatever answers a HEAD request is written without its body, with the length of what is left out if that is known. It holds for all servers of the host, thus also for requests that another host hands over.

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -298,7 +298,8 @@
     exchanges_.pop_front();
     const bool closes = closes_after_last_ && exchanges_.empty();
     last_byte_ = Now();
-    stream_.WriteMessage(FormatAnswer(*done.answer, closes), nullptr);
+    stream_.WriteMessage(FormatAnswer(*done.answer, closes, done.head),
+                         nullptr);
     if (closes) {
       BeginLingering(last_byte_);
       return;
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -262,8 +262,12 @@
   out.append(name).append(": ").append(value).append("\r\n");
 }
 
-void AppendBody(std::string& out, const http_message& message) {
+void AppendLength(std::string& out, const http_message& message) {
   AppendHeader(out, "Content-Length", std::to_string(message.Body().size()));
+}
+
+void AppendBody(std::string& out, const http_message& message) {
+  AppendLength(out, message);
   out.append("\r\n").append(message.body);
 }
 
@@ -288,7 +292,7 @@
   return out;
 }
 
-std::string FormatAnswer(const http_message& answer, bool close) {
+std::string FormatAnswer(const http_message& answer, bool close, bool head) {
   std::string out;
   out.reserve(256 + answer.body.size());
   out.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ");
@@ -302,7 +306,10 @@
   }
   const bool bodiless = answer.status == 204 || answer.status == 304 ||
                         answer.Header("Content-Length").has_value();
-  if (bodiless) {
+  if (head && !bodiless && !answer.body.empty()) {
+    AppendLength(out, answer);
+  }
+  if (bodiless || head) {
     out.append("\r\n");
   } else {
     AppendBody(out, answer);
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -148,9 +148,11 @@
 /// written behind the rest.
 std::string FormatRequest(const http_message& request);
 
-/// Writes an answer likewise. One that already has a Content-Length answers a
-/// HEAD request and is sent without its body.
-std::string FormatAnswer(const http_message& answer, bool close);
+/// Writes an answer likewise. One that already has a Content-Length is sent
+/// without its body, and so is the answer to a HEAD request (`head`), which
+/// states the length of the body that is left out if it is known.
+std::string FormatAnswer(const http_message& answer, bool close,
+                         bool head = false);
 
 }  // namespace foxtailspread
 
--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -261,6 +261,32 @@
   EXPECT_TRUE(caller_.got().starts_with("HTTP/1.1 200")) << caller_.got();
 }
 
+// Guards against the body of an own answer to HEAD, which stands where the next
+// answer on the connection is due.
+TEST_F(CallerServerTest, OwnAnswerToHeadHasNoBody) {
+  caller_.Send("HEAD /a/ HTTP/1.1\r\nHost: h\r\n\r\n" + Get("/b/"));
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/b/"); }));
+  AnswerRequest("/a/");
+  AnswerRequest("/b/");
+  ASSERT_TRUE(RunUntil([&] { return caller_.got().ends_with("/b/"); }));
+  const size_t end = caller_.got().find("\r\n\r\n") + 4;
+  const std::string head = caller_.got().substr(0, end);
+  EXPECT_NE(head.find("Content-Length: 3\r\n"), std::string::npos) << head;
+  EXPECT_EQ(Answers(caller_.got().substr(end)),
+            (std::vector<seen_answer>{{.status = 200, .body = "/b/"}}));
+}
+
+// Guards against a length of 0 that a passed-on answer to HEAD did not state.
+TEST_F(CallerServerTest, AnswerToHeadOfUnknownLengthStatesNone) {
+  caller_.Send("HEAD /a/ HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return WasAsked("/a/"); }));
+  http_message answer;
+  answer.status = 200;
+  server_.Answer(*asked_, answer);
+  ASSERT_TRUE(RunUntil([&] { return caller_.got().ends_with("\r\n\r\n"); }));
+  EXPECT_EQ(caller_.got().find("Content-Length"), std::string::npos);
+}
+
 TEST_F(CallerServerTest, IdleConnectionIsClosedAtAStop) {
   server_.BeginClosing();
   ASSERT_TRUE(RunUntil([&] { return caller_.HasLeft(); }));
