Bound what a call reads that is no answer

A target in trouble may send bytes without end where an answer is due.

Cause: only one head and one body were bounded, the body by 32 MB whatever else the host held; interim answers and answers to others began the count anew; everything was read at the speed of the link.

Change: a call has 64 KB for all that is no body, 16 answers that it does not await, and 1/32 of the host's memory for the body. All answers that are arriving have 1/8; beyond, the longest one is given up, so that sound ones stay. Answers above 256 KB are read at a bounded pace. What is given up ends as broken with a reset (event 359): the target counts as failing, an order is answered as unknown.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -79,6 +79,7 @@
   kKeysThrottled = 356,
   kKeysUnthrottled = 357,
   kSurplusAnswer = 358,
+  kAnswerGivenUp = 359,
   kMemoryShort = 366,
   kMemoryFree = 367,
   kFaultsChanged = 800,
@@ -304,6 +305,10 @@
      "A target sent an answer that no request awaited, and it was dropped; the "
      "request that it names and the one that was awaited are given.",
      "Look at the target: it answers twice, or sends what is no answer."},
+    {event_id::kAnswerGivenUp, event_level::kWarning, "answer-given-up",
+     "The target given sent more bytes than an answer may have, or than there "
+     "is memory for; the connection was reset.",
+     "Look at the target; see docs/OPERATIONS.md for the bounds."},
     {event_id::kMemoryShort, event_level::kWarning, "memory-short",
      "The host refuses requests with bodies: those and the answers that it "
      "holds take the memory given, in bytes, that it has for them.",
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -75,6 +75,18 @@
   return static_cast<double>(used.ru_maxrss) * kKilobyte;
 }
 
+/// A probe whose answer is late has failed; a full target answers it when it
+/// has room.
+constexpr duration kProbeTimeout{seconds{5}};
+constexpr size_t kMaxProbeAnswer = 65536;
+
+pool_settings ProbePoolSettings() {
+  pool_settings made;
+  made.call_timeout = kProbeTimeout;
+  made.limits.max_body_bytes = kMaxProbeAnswer;
+  return made;
+}
+
 /// Returns the size of a message's content, about that on the wire.
 size_t SizeOf(const http_message& message) {
   size_t size = message.body.size();
@@ -142,7 +154,7 @@
       targets_pool_(events_,
                     WithSurplusEvents(platform::TargetPoolSettings(&memory_))),
       orders_pool_(events_, WithSurplusEvents(platform::OrderPoolSettings())),
-      probes_pool_(events_, {}),
+      probes_pool_(events_, ProbePoolSettings()),
       relays_pool_(events_, {.memory = &memory_}),
       hosts_(events_, [this](std::string_view bytes) { OnDatagram(bytes); }),
       store_(events_, settings_.store, [this](uint64_t era) { OnEra(era); }),
@@ -319,6 +331,12 @@
   const time_point now = Now();
   const attempt_verdict verdict = platform::Judge(result);
   attempt_report report{.id = id, .verdict = verdict};
+  if (result.excess_bytes > 0) {
+    LogEvent(event_id::kAnswerGivenUp,
+             {{"request", platform::AttemptId(ended.request)},
+              {"target", ended.target.id},
+              {"bytes", static_cast<int64_t>(result.excess_bytes)}});
+  }
   if (result.end == call_end::kAnswered) {
     traffic_.Count("answer", ended.service,
                    PeerZoneOf(ended.zone, settings_.zone),
--- a/src/edge/edge_daemon_memory.cc
+++ b/src/edge/edge_daemon_memory.cc
@@ -19,6 +19,11 @@
 constexpr size_t kCallersParts = 2;
 constexpr size_t kRelayedParts = 1;
 
+/// The parts of the memory that answers may take while they arrive: all of one
+/// pool, and one alone. A faulty target may send bytes without end.
+constexpr size_t kArrivingParts = 1;
+constexpr size_t kAnswersInPart = 4;
+
 }  // namespace
 
 void edge_daemon::LimitMemory() {
@@ -26,6 +31,9 @@
   memory_.SetBound(part * kHeldParts);
   callers_.SetMostBuffered(part * kCallersParts);
   relayed_.SetMostBuffered(part * kRelayedParts);
+  for (connection_pool* pool : {&targets_pool_, &relays_pool_}) {
+    pool->SetAnswerLimits(part / kAnswersInPart, part * kArrivingParts);
+  }
 }
 
 void edge_daemon::LogMemory() {
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -11,10 +11,17 @@
 /// How often connecting and idle connections are looked at.
 constexpr duration kSweepPeriod{std::chrono::milliseconds{250}};
 
+/// Reads of large answers in each period.
+constexpr duration kPacingPeriod{std::chrono::milliseconds{10}};
+constexpr int kPacedReads = 8;
+
 }  // namespace
 
 connection_pool::connection_pool(poller& events, pool_settings settings)
-    : events_(events), settings_(std::move(settings)) {}
+    : events_(events),
+      settings_(std::move(settings)),
+      arriving_(settings_.max_arriving_bytes),
+      paced_reads_left_(kPacedReads) {}
 
 connection_pool::~connection_pool() {
   all_.clear_and_dispose(std::default_delete<pooled_connection>());
@@ -214,6 +221,61 @@
           .written = connection.HasWritten()};
 }
 
+void connection_pool::SetAnswerLimits(size_t one, size_t all) {
+  settings_.limits.max_body_bytes = one;
+  arriving_.SetBound(all);
+}
+
+void connection_pool::PaceReading(pooled_connection& connection) {
+  if (connection.id() == 0) {
+    return;
+  }
+  if (paced_reads_left_ > 0) {
+    --paced_reads_left_;
+  } else {
+    connection.PauseReading(true);
+    paced_.push_back(connection.id());
+  }
+  ArmPacing();
+}
+
+void connection_pool::ArmPacing() {
+  if (!pacing_armed_ && paced_reads_left_ < kPacedReads) {
+    pacing_armed_ = true;
+    pacing_ = RunAfter(kPacingPeriod, [this] { ReadPaced(); });
+  }
+}
+
+void connection_pool::ReadPaced() {
+  pacing_armed_ = false;
+  for (paced_reads_left_ = kPacedReads;
+       paced_reads_left_ > 0 && !paced_.empty();) {
+    const auto found = calls_.find(paced_.front());
+    paced_.pop_front();
+    if (found != calls_.end()) {
+      found->second->PauseReading(false);
+      --paced_reads_left_;
+    }
+  }
+  ArmPacing();
+}
+
+void connection_pool::GiveUpLongestSoon() {
+  if (!std::exchange(give_up_due_, true)) {
+    give_up_ = RunAfter(duration{0}, [this] { GiveUpLongest(); });
+  }
+}
+
+void connection_pool::GiveUpLongest() {
+  give_up_due_ = false;
+  for (size_t before = arriving_.total() + 1;
+       arriving_.IsExceeded() && arriving_.total() < before;) {
+    before = arriving_.total();
+    std::ranges::max_element(all_, {}, &pooled_connection::arriving_bytes)
+        ->GiveUpAnswer();
+  }
+}
+
 void connection_pool::Sweep() {
   sweep_armed_ = false;
   const time_point now = Now();
@@ -223,7 +285,7 @@
   for (pooled_connection& each : all_) {
     if (each.IsOpeningLate(now)) {
       late_openings.push_back(&each);
-    } else if (each.IsConnectLate(now)) {
+    } else if (each.IsConnectLate(now) || each.IsAnswerLate(now)) {
       late.push_back(&each);
     } else if (each.IsIdleOver(now)) {
       over.push_back(&each);
@@ -241,7 +303,7 @@
   for (const call_id id : ids) {
     const auto found = calls_.find(id);
     if (found != calls_.end()) {
-      found->second->OnConnectLate();
+      found->second->OnLate();
     }
   }
   for (pooled_connection* connection : late_openings) {
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -17,6 +17,7 @@
 
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -61,6 +62,10 @@
   /// How far a call has come; the default value for one that is not under way.
   call_progress Progress(call_id id) const;
 
+  /// Changes what answers may take, one and all together; one that is arriving
+  /// keeps its own bound.
+  void SetAnswerLimits(size_t one, size_t all);
+
   uint64_t connections_made() const { return connections_made_; }
 
  private:
@@ -88,11 +93,21 @@
   void Keep(pooled_connection* connection);
   void Drop(pooled_connection* connection);
   void Finish(pooled_connection* connection, call_result result);
+  /// Counts a read of a large answer. Beyond the reads of a period, reading from
+  /// the connection stops until its turn: at the speed of the link, bytes
+  /// without end would take all the processor's time.
+  void PaceReading(pooled_connection& connection);
+  void ReadPaced();
+  void ArmPacing();
+  /// Gives answers up, the longest ones first, until the others fit.
+  void GiveUpLongest();
+  void GiveUpLongestSoon();
   void Sweep();
   void ArmSweep();
 
   poller& events_;
   pool_settings settings_;
+  held_memory arriving_;  ///< By answers of this pool.
   connection_list all_;
   std::unordered_map<std::string, std::vector<pooled_connection*>> idle_;
   std::unordered_map<call_id, pooled_connection*> calls_;
@@ -104,6 +119,12 @@
   timer sweep_;
   bool write_timer_armed_ = false;
   timer write_timer_;
+  std::deque<call_id> paced_;  ///< Calls whose connections wait to be read.
+  int paced_reads_left_;       ///< In this period.
+  bool pacing_armed_ = false;
+  timer pacing_;
+  bool give_up_due_ = false;
+  timer give_up_;
 };
 
 }  // namespace foxtailspread
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -103,6 +103,8 @@
   bool in_message() const { return in_message_; }
   /// Bytes kept of the message under way.
   size_t buffered() const { return header_bytes_ + current_.body.size(); }
+  /// Bytes of these that belong to its body.
+  size_t body_size() const { return current_.body.size(); }
   /// Bytes that the message under way is known to need: those announced too.
   size_t announced() const {
     return header_bytes_ + std::max(current_.body.size(), body_bytes_);
--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -20,6 +20,16 @@
 /// of which it remembers.
 constexpr size_t kMaxRemembered = 1000;
 
+/// Answers that a call does not await may come before its own: interim ones,
+/// and copies of earlier ones.
+constexpr int kMaxSkippedAnswers = 16;
+
+/// Bytes that frame one byte of a body which is sent in chunks of one byte.
+constexpr uint64_t kMaxFramingPerBodyByte = 6;
+
+/// From this size on an answer is read at a bounded pace.
+constexpr size_t kLargeAnswer = size_t{256} << 10;
+
 /// Returns the idle time that the answer states, if any.
 std::optional<duration> StatedIdle(const http_message& answer) {
   const auto header = answer.Header("Keep-Alive");
@@ -52,11 +62,19 @@
               pool.settings_.silence),
       reader_(HTTP_RESPONSE, pool.settings_.limits),
       to_target_(pool.settings_.memory, held_kind::kToTargets),
-      answer_(pool.settings_.memory, held_kind::kAnswers) {}
+      answer_(pool.settings_.memory, held_kind::kAnswers),
+      arriving_(&pool.arriving_, held_kind::kAnswers) {}
 
 void pooled_connection::CountBytes() {
   to_target_.Set(stream_.copied_waiting());
   answer_.Set(reader_.buffered());
+  arriving_.Set(reader_.buffered());
+}
+
+void pooled_connection::ExpectAnswer() {
+  received_bytes_ = 0;
+  skipped_bytes_ = 0;
+  skipped_answers_ = 0;
 }
 
 void pooled_connection::Connect(const socket_address& to, time_point give_up) {
@@ -83,6 +101,10 @@
   mark_ = call.mark;
   marked_ = call.marked;
   fresh_ = fresh;
+  ExpectAnswer();
+  if (pool_.settings_.call_timeout > duration{0}) {
+    answer_until_ = Now() + pool_.settings_.call_timeout;
+  }
   sent_before_ = stream_.bytes_sent();
   reader_.ExpectNoBody(call.head);
   stream_.WriteMessage(std::move(call.request), std::move(call.body));
@@ -98,6 +120,7 @@
 void pooled_connection::Open(std::string_view request, time_point give_up) {
   opening_ = true;
   opening_until_ = give_up;
+  ExpectAnswer();
   stream_.Write(request);
 }
 
@@ -133,14 +156,42 @@
 }
 
 void pooled_connection::OnBytes(std::string_view bytes) {
+  received_bytes_ += bytes.size();
   spoiled_ = !reader_.Feed(bytes);
   CountBytes();
+  if (reader_.buffered() > kLargeAnswer) {
+    pool_.PaceReading(*this);
+  }
+  if (pool_.arriving_.IsExceeded()) {
+    pool_.GiveUpLongestSoon();
+  }
   FinishIfWhole();
 }
 
+bool pooled_connection::IsEndless() const {
+  const http_parse_limits& limits = pool_.settings_.limits;
+  const uint64_t body = reader_.body_size();
+  const uint64_t framing =
+      std::min<uint64_t>(body * kMaxFramingPerBodyByte, limits.max_body_bytes);
+  return skipped_answers_ > kMaxSkippedAnswers ||
+         skipped_bytes_ > limits.max_body_bytes ||
+         received_bytes_ - skipped_bytes_ - body >
+             limits.max_header_bytes + framing;
+}
+
+void pooled_connection::GiveUpAnswer() {
+  if (id_ != 0 || opening_) {
+    Fail(call_end::kBroken, received_bytes_);
+  }
+}
+
 /// Looks for the awaited answer among those that came.
 void pooled_connection::FinishIfWhole() {
   while (auto answer = reader_.Take()) {
+    if (answer->status / 100 == 1 || !IsAwaited(*answer)) {
+      ++skipped_answers_;
+      skipped_bytes_ += answer->body.size();
+    }
     if (answer->status / 100 == 1) {
       continue;
     }
@@ -156,7 +207,12 @@
     Answered(std::move(*answer));
     return;
   }
-  if (spoiled_ || closed_) {
+  const bool too_long = IsEndless() ||
+                        reader_.error() == http_parse_error::kHeadersTooLarge ||
+                        reader_.error() == http_parse_error::kBodyTooLarge;
+  if (too_long) {
+    GiveUpAnswer();
+  } else if (spoiled_ || closed_) {
     Fail(call_end::kBroken);
   }
 }
@@ -247,6 +303,8 @@
       stated ? std::chrono::duration_cast<duration>(*stated * kIdleShare)
              : pool_.settings_.keep_idle;
   idle_until_ = reusable ? Now() + idle : time_point{};
+  answer_until_ = time_point::max();
+  stream_.PauseReading(false);
 }
 
 void pooled_connection::FailSend(bool was_connected) {
@@ -262,13 +320,15 @@
                                             : call_end::kBroken);
 }
 
-void pooled_connection::Fail(call_end end) {
+void pooled_connection::Fail(call_end end, uint64_t excess_bytes) {
   idle_until_ = time_point{};
   if (opening_) {
     pool_.FinishOpening(this, end);
     return;
   }
-  pool_.Finish(this, {.end = end, .unsent_body = stream_.TakeBody()});
+  pool_.Finish(this, {.end = end,
+                      .unsent_body = stream_.TakeBody(),
+                      .excess_bytes = excess_bytes});
 }
 
 }  // namespace foxtailspread
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -8,6 +8,7 @@
 #include <boost/intrusive/list_hook.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +42,9 @@
   /// Names the connection; the same number in two results means the same
   /// process answered both.
   uint64_t connection = 0;
+  /// With kBroken: the bytes that came, if the answer was given up because it
+  /// was longer than any that is awaited. 0 else.
+  uint64_t excess_bytes = 0;
 };
 
 /// One call.
@@ -97,10 +101,16 @@
   /// Connections always end with a reset, so that nothing of a call is
   /// delivered after the process has ended.
   bool reset_on_close = false;
+  /// A call that has no answer after this time ends as broken; 0 for no end.
+  duration call_timeout{0};
   /// How soon a silent peer is given up.
   silence_limits silence = kNearSilence;
+  /// What one answer may take. A peer may send bytes without end.
   http_parse_limits limits{.max_header_bytes = 65536,
                            .max_body_bytes = size_t{32} << 20};
+  /// What all answers that are arriving may take together. Beyond, the longest
+  /// one is given up.
+  size_t max_arriving_bytes = std::numeric_limits<size_t>::max();
   /// Counts the bytes that the connections hold; null for none.
   held_memory* memory = nullptr;
   /// Runs for each surplus answer, which is then dropped. It must not use the
@@ -147,8 +157,16 @@
   bool IsIdleOver(time_point now) const {
     return id_ == 0 && !opening_ && now >= idle_until_;
   }
-  void OnConnectLate() { FailSend(false); }
+  bool IsAnswerLate(time_point now) const {
+    return id_ != 0 && now >= answer_until_;
+  }
+  void OnLate() { FailSend(stream_.is_connected()); }
   void OnOpeningLate() { FailSend(stream_.is_connected()); }
+  /// Ends the call because its answer is too long.
+  void GiveUpAnswer();
+  /// Bytes of the answer that is arriving.
+  size_t arriving_bytes() const { return arriving_.bytes(); }
+  void PauseReading(bool paused) { stream_.PauseReading(paused); }
   void Abort() { stream_.Abort(); }
   void Close() { stream_.Close(); }
 
@@ -169,6 +187,10 @@
   void OnReady(uint32_t events);
   void OnBytes(std::string_view bytes);
   void FinishIfWhole();
+  /// Whether more has come than can belong to the answer awaited.
+  bool IsEndless() const;
+  /// Forgets what came for the call before.
+  void ExpectAnswer();
   bool IsAwaited(const http_message& answer) const;
   /// Whether the value of a success's mark came on this connection before. The
   /// answer may be a copy, or the peer may use one value twice. Remembers it.
@@ -184,7 +206,7 @@
   void Answered(http_message answer);
   void KeepIdle(const http_message& answer);
   void FailSend(bool was_connected);
-  void Fail(call_end end);
+  void Fail(call_end end, uint64_t excess_bytes = 0);
   void CountBytes();
 
   connection_pool& pool_;
@@ -205,10 +227,15 @@
   bool opening_ = false;  ///< The opening request is not answered yet.
   time_point opening_until_{};
   uint64_t sent_before_ = 0;
+  uint64_t received_bytes_ = 0;  ///< Since the call began.
+  uint64_t skipped_bytes_ = 0;   ///< Of these, in bodies of other answers.
+  int skipped_answers_ = 0;      ///< Interim ones too.
   time_point connect_until_{};
   time_point idle_until_{};
+  time_point answer_until_ = time_point::max();
   memory_charge to_target_;
   memory_charge answer_;
+  memory_charge arriving_;
 };
 
 }  // namespace foxtailspread
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "run_until.h"
+#include "support/endless_peer.h"
 
 namespace foxtailspread {
 namespace {
@@ -312,7 +313,7 @@
               [&](const call_result&) { has_ended = true; });
     ASSERT_TRUE(RunUntil([&] { return has_ended; }));
   }
-  EXPECT_THAT(reported, testing::ElementsAre("a for b", "b for  idle"));
+  EXPECT_THAT(reported, ::testing::ElementsAre("a for b", "b for  idle"));
 }
 
 // Guards against a copy of one release's answer that is taken for the answer to
@@ -404,6 +405,14 @@
   EXPECT_EQ(peer_.requests(), 1) << "sent once";
 }
 
+// Guards against calls of the host's own that no caller's deadline ends.
+TEST_F(ConnectionPoolTest, CallBeyondItsTimeIsBroken) {
+  connection_pool pool{events_, {.call_timeout = milliseconds{50}}};
+  peer_.scripts = {{.replies = {"HTTP/1.1 200 OK\r\n"}}};
+  EXPECT_EQ(CallMarked(pool, false).end, call_end::kBroken);
+  EXPECT_TRUE(RunUntil([&] { return peer_.resets() == 1; }));
+}
+
 TEST_F(ConnectionPoolTest, PortWithoutAListenerIsRefused) {
   const std::string address = peer_.address();
   peer_.Close();
@@ -547,6 +556,19 @@
   EXPECT_EQ(peer_.connections(), 2);
 }
 
+// Guards against calls that wait for an opening whose answer never ends.
+TEST_F(OpeningCallTest, OpeningAnsweredWithoutEndEndsTheCallAsNotSent) {
+  testing::endless_peer endless{
+      events_, {.beginning = "HTTP/1.1 ", .repeated = "400 No"}};
+  ASSERT_TRUE(endless.Listen());
+  const std::string to = endless.address();
+  opening_pool_.Send(
+      {.address = to, .request = "unused", .opening = "GET / HTTP/1.1\r\n\r\n"},
+      [this](const call_result& result) { ended_.push_back(result); });
+  ASSERT_TRUE(RunUntil([&] { return ended_.size() == 1; }));
+  EXPECT_EQ(ended_[0].end, call_end::kUnreachable);
+}
+
 TEST_F(OpeningCallTest, ResetOfTheOpeningEndsTheCallAsNotSent) {
   peer_.scripts = {{.reset_after = true}};
   Send("a");
