Count refused grants as ones that may hold

Keys get two owners when a copy of an earlier refusal (409) is taken for the answer to a grant that the target accepts, or for the answer to a release.

Cause: nothing in a grant's answer belongs to it alone. A refused grant did not count among those that may hold, and its range went on without a former owner, so that the next owner got the keys without a release. A release that was taken for refused marked the next grant as refused.

Fix: a grant that reached its target counts as one that may hold whatever the answer; a refused range gets a new fence and has to be released first; no release counts as refused. It costs a release for each refused grant.

--- a/src/core/key_assigner_moves.cc
+++ b/src/core/key_assigner_moves.cc
@@ -174,10 +174,8 @@
       continue;
     }
     if (fenced) {
-      draft.last_fence += 2;
-      range.fence = draft.last_fence;
-      range.former_owner.reset();
-      range.granted = false;
+      // The refusal may be a copy of an earlier answer, and the grant accepted.
+      Reassign(service, draft, range, target_life{range.owner});
       changed = true;
       continue;
     }
--- a/src/core/key_assigner_orders.cc
+++ b/src/core/key_assigner_orders.cc
@@ -335,9 +335,10 @@
   if (context.is_grant) {
     state.pending_grants = std::max(state.pending_grants - 1, 0);
   }
-  if (context.is_grant && reached && report.outcome != order_outcome::kFenced) {
-    // The target reads from the connection on which the grant was written, so
-    // that it has taken the grant by now or never will.
+  if (context.is_grant && reached) {
+    // A refusal may be a copy of an earlier answer. The target reads from the
+    // connection on which the grant was written, so that it has taken the grant
+    // by now or never will.
     state.grants_expire_at =
         std::max(state.grants_expire_at, now + MaxGrantValidity());
     if (report.outcome == order_outcome::kUnanswered) {
@@ -422,7 +423,7 @@
     }
     state.retry_at = now;
     UpdateRangeSoon(service, context.range, now, out);
-  } else if (report.outcome == order_outcome::kFenced) {
+  } else if (context.is_grant && report.outcome == order_outcome::kFenced) {
     state.grant_fenced = true;
     out.emplace_back(
         assigner_note{.note_kind = assigner_note::kind::kGrantFenced,
--- a/tests/key_assigner_proof_test.cc
+++ b/tests/key_assigner_proof_test.cc
@@ -47,6 +47,8 @@
   bool late_connections = false;
   /// The store returns to copies that are up to some seconds old.
   bool copies = false;
+  /// Targets send copies of answers to earlier orders.
+  bool copied_answers = false;
 };
 
 /// Injects random faults for about 40 s of virtual time.
@@ -74,6 +76,9 @@
       if (options.copies) {
         InjectCopy();
       }
+      if (options.copied_answers) {
+        world_.copied_answer_probability = RandomBelow(2) == 0 ? 0.0 : 0.3;
+      }
       world_.Run(milliseconds{RandomBelow(2500)});
     }
   }
@@ -86,6 +91,7 @@
     world_.lost_write_answer_probability = 0.0;
     world_.late_write_probability = 0.0;
     world_.late_order_probability = 0.0;
+    world_.copied_answer_probability = 0.0;
     world_.stall_after_write_probability = 0.0;
     for (size_t i = 0; i < world_.host_count(); ++i) {
       auto& host = world_.host(i);
@@ -368,6 +374,13 @@
                {.correlated_faults = true, .late_connections = true});
 }
 
+// Guards against copies of a target's earlier answers that are taken for the
+// answers to grants and releases.
+TEST(KeyAssignerProofTest, CopiedAnswersNeverGiveKeyTwoOwners) {
+  RunSchedules(kVariantScheduleCount,
+               {.correlated_faults = true, .copied_answers = true});
+}
+
 // Guards against keys with two owners when the store has lost leases and
 // records of owners, and gives out their revisions again.
 TEST(KeyAssignerProofTest, CopiesOfTheStoreNeverGiveKeyTwoOwners) {
--- a/tests/support/assigner_world.cc
+++ b/tests/support/assigner_world.cc
@@ -1,6 +1,7 @@
 #include "support/assigner_world.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace foxtailspread::testing {
@@ -579,10 +580,22 @@
                                 used_connection = connection.number] {
     order_report report = ApplyOrder(order, now_);
     report.connection_number = used_connection;
+    if (copied_answer_probability > 0.0 &&
+        DrawBernoulli(copied_answer_probability)) {
+      report.outcome = CopiedOutcome(order);
+    }
     DeliverReport(index, incarnation, report);
   });
 }
 
+order_outcome assigner_world::CopiedOutcome(const key_order& order) {
+  // A copy of a release's answer has a token that came before.
+  const std::array outcomes = {
+      order.is_grant ? order_outcome::kDone : order_outcome::kUnanswered,
+      order_outcome::kFenced, order_outcome::kRejected};
+  return outcomes.at(random_() % outcomes.size());
+}
+
 void assigner_world::SendOnceAnswered(size_t index, uint64_t incarnation,
                                       const key_order& order,
                                       time_point give_up_at) {
--- a/tests/support/assigner_world.h
+++ b/tests/support/assigner_world.h
@@ -176,6 +176,9 @@
   /// Probability that a target executes an order 2 to 9 s later, without an
   /// answer.
   double late_order_probability = 0.0;
+  /// Part of the orders whose answer is preceded by a copy of an earlier answer
+  /// on the connection, which is taken for it.
+  double copied_answer_probability = 0.0;
   /// Probability that a host stalls for up to 4 s after it has sent a store
   /// write. A stalled host handles answers and reads the store when the stall
   /// ends, in either order.
@@ -277,6 +280,8 @@
   /// Whether the store has dropped the target's entry.
   bool IsExpired(const world_target& target) const;
   bool DrawBernoulli(double probability);
+  /// What a copy of an earlier answer makes of an order that was executed.
+  order_outcome CopiedOutcome(const key_order& order);
 
   options options_;
   std::mt19937_64 random_;
