--- a/tests/key_assigner_proof_test.cc
+++ b/tests/key_assigner_proof_test.cc
@@ -424,6 +424,14 @@
   }
 }
 
+// Guards against keys that stay without an owner: a range whose owners were
+// unknown and whose grant was refused began the barrier of releases anew, which
+// made targets refuse the other grants.
+TEST(KeyAssignerProofTest, RefusedGrantBehindABarrierLeavesNoKeyUnowned) {
+  RunSchedule(70072,
+              {.correlated_faults = true, .stalls = true, .copies = true});
+}
+
 // Guards against a renewal that a target executes after it answered a release
 // of keys that it no longer held.
 TEST(KeyAssignerProofTest, FormerlyFailingForgottenReleaseSchedulesPass) {
