--- a/tools/test-sanitized.sh
+++ b/tools/test-sanitized.sh
@@ -9,6 +9,9 @@
 cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=Debug \
   -DCMAKE_CXX_FLAGS="$flags -O1 -fno-omit-frame-pointer" >/dev/null
 cmake --build "$build" --target "${tests[@]}"
+# Leaks of libraries are known by their functions, which takes whole stacks.
+export ASAN_OPTIONS=fast_unwind_on_malloc=0
+export LSAN_OPTIONS="suppressions=$PWD/tools/library-leaks.txt"
 for test in "${tests[@]}"; do
   "$build/$test" --gtest_brief=1
 done
