--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Exits 1 if rule OWNER was broken, 0 if it held, 2 if the case could not run.
-# With TROUBLE=0 the target joins and nothing is cut off, killed or taken back.
+# Exits 1 if rule LOST was broken, 0 if it held, 2 if the case could not run.
+# With TROUBLE=0 the callers read without a pause.
 set -uo pipefail
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
-case_program=target/review-2/owner_after_copy
+case_program=target/review-2/slow_reader
 [ -x "$case_program" ] && [ -x target/foxtail-edge ] || exit 2
 work="$(mktemp -d)"
 trap 'rm -rf "$work"' EXIT
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Exits 1 if rule LOST was broken, 0 if it held, 2 if the case could not run.
-# With TROUBLE=0 the callers read without a pause.
+# Exits 1 if rule MIXED was broken, 0 if it held, 2 if the case could not run.
+# With TROUBLE=0 the target spoils no answer.
 set -uo pipefail
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
-case_program=target/review-2/slow_reader
+case_program=target/review-2/malformed_answer
 [ -x "$case_program" ] && [ -x target/foxtail-edge ] || exit 2
 work="$(mktemp -d)"
 trap 'rm -rf "$work"' EXIT
