Accept only heads of HTTP/1.1, in both directions

In the other direction, a request with a space before the colon of a framing field went on to targets, which ended their connections; its caller got 502 instead of 400.

Cause: nothing in the project said what a head is. The packaged parser library is the lenient build, and whatever it let through was a message: statuses of any number, names that are no tokens, folded lines, a first line that begins with white space, control characters, any version, two Host fields. The reviewer's places (Judge, IsHopHeader) see a message that should not exist. The same reader waited for the body of a 304 with a length, and took 101 for an interim answer.

Change: net/http_head says what a head is, by RFC 9112 and RFC 9110. The reader passes the bytes of heads and trailers through it before the library sees them, so that a wrong byte is refused when it arrives, and checks framing, Host and target once the head is whole. All readers on the path use it: callers, hosts that hand requests over, targets, orders, probes, the store. The formatters write 500 in place of a status that no final answer has, and no text of others can leave its field. Event 360, malformed_answers_total and the field "problem" of event 311 tell a malformed message from a broken connection, which the log could not do.

Ruled out: the library's strict mode, which is chosen when it is built; checks at its callbacks alone, which see neither the digits of a status nor folded lines.

Existing tests and stand-ins needed no change.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -80,6 +80,7 @@
   kKeysUnthrottled = 357,
   kSurplusAnswer = 358,
   kAnswerGivenUp = 359,
+  kAnswerMalformed = 360,
   kMemoryShort = 366,
   kMemoryFree = 367,
   kRequestUnanswered = 368,
@@ -183,8 +184,8 @@
      "See docs/OPERATIONS.md for each reason."},
     {event_id::kRequestNotRead, event_level::kWarning, "request-not-read",
      "A caller's request was refused before it was read whole: malformed "
-     "(400), body too large (413), headers too large (431), or too many bytes "
-     "kept for all callers (503).",
+     "(400, 501; the problem is given), body too large (413), headers too "
+     "large (431), or too many bytes kept for all callers (503).",
      "For 400, 413 and 431 look at the caller; for 503 add hosts or memory."},
     {event_id::kCallerGone, event_level::kInfo, "caller-gone",
      "A caller's connection ended before the answer to this request; the host "
@@ -310,6 +311,10 @@
      "The target given sent more bytes than an answer may have, or than there "
      "is memory for; the connection was reset.",
      "Look at the target; see docs/OPERATIONS.md for the bounds."},
+    {event_id::kAnswerMalformed, event_level::kWarning, "answer-malformed",
+     "What the target given sent in answer to the request given is no answer of "
+     "HTTP/1.1, for the problem given; the connection was reset.",
+     "Look at the target; see docs/OPERATIONS.md for the problems."},
     {event_id::kMemoryShort, event_level::kWarning, "memory-short",
      "The host refuses requests with bodies: those and the answers that it "
      "holds take the memory given, in bytes, that it has for them.",
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -331,6 +331,13 @@
               {"target", ended.target.id},
               {"bytes", static_cast<int64_t>(result.excess_bytes)}});
   }
+  if (!result.malformed.empty()) {
+    metrics_.OnMalformedAnswer();
+    LogEvent(event_id::kAnswerMalformed,
+             {{"request", platform::AttemptId(ended.request)},
+              {"target", ended.target.id},
+              {"problem", result.malformed}});
+  }
   if (result.end == call_end::kAnswered) {
     traffic_.Count("answer", ended.service,
                    PeerZoneOf(ended.zone, settings_.zone),
--- a/src/edge/edge_metrics.cc
+++ b/src/edge/edge_metrics.cc
@@ -47,6 +47,8 @@
                static_cast<double>(repeats_sent_));
   AppendMetric(text, "surplus_answers_total", "",
                static_cast<double>(surplus_answers_));
+  AppendMetric(text, "malformed_answers_total", "",
+               static_cast<double>(malformed_answers_));
   return text;
 }
 
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -30,6 +30,8 @@
 
   /// A target sent an answer that nothing awaited.
   void OnSurplusAnswer() { ++surplus_answers_; }
+  /// What a target sent in answer to a request was no answer.
+  void OnMalformedAnswer() { ++malformed_answers_; }
 
   /// All of it as Prometheus text.
   std::string Text() const;
@@ -52,6 +54,7 @@
   uint64_t repeats_asked_ = 0;
   uint64_t repeats_sent_ = 0;
   uint64_t surplus_answers_ = 0;
+  uint64_t malformed_answers_ = 0;
 };
 
 /// Appends the sends of one service by zone. `service` is its label.
--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -61,6 +61,8 @@
       return HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
     case http_parse_error::kBodyTooLarge:
       return HTTP_STATUS_PAYLOAD_TOO_LARGE;
+    case http_parse_error::kUnsupported:
+      return HTTP_STATUS_NOT_IMPLEMENTED;
     default:
       return HTTP_STATUS_BAD_REQUEST;
   }
@@ -234,6 +236,7 @@
 void caller_connection::RefuseRest(int status) {
   LogEvent(event_id::kRequestNotRead,
            {{"status", int64_t{status}},
+            {"problem", reader_.problem()},
             {"bytes", static_cast<int64_t>(reader_.announced())},
             {"all_bytes", static_cast<int64_t>(server_.memory_.total())}});
   AddRefusal(status);
--- /dev/null
+++ b/src/net/http_head.cc
@@ -0,0 +1,343 @@
+#include "net/http_head.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+
+namespace foxtailspread {
+namespace {
+
+constexpr std::string_view kVersionBeginning = "HTTP/1.";
+constexpr size_t kStatusDigits = 3;
+
+constexpr std::string_view kContentLength = "Content-Length";
+constexpr std::string_view kTransferEncoding = "Transfer-Encoding";
+constexpr std::string_view kChunked = "chunked";
+
+/// What a character may be part of.
+enum character_class : uint8_t {
+  kInToken = 1,
+  kInTarget = 2,
+  kInHost = 4,
+  kInText = 8,  ///< A reason phrase or the value of a field.
+};
+
+constexpr void Allow(std::array<uint8_t, 256>& classes,
+                     std::string_view characters, unsigned int where) {
+  for (const char c : characters) {
+    classes[static_cast<unsigned char>(c)] |= static_cast<uint8_t>(where);
+  }
+}
+
+constexpr std::array<uint8_t, 256> MakeClasses() {
+  std::array<uint8_t, 256> classes{};
+  Allow(classes,
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~",
+        kInToken | kInTarget | kInHost);
+  Allow(classes, "!$&'*+%", kInToken | kInTarget | kInHost);
+  Allow(classes, "#^`|", kInToken);
+  Allow(classes, "(),;=:[]", kInTarget | kInHost);
+  Allow(classes, "/?@", kInTarget);
+  classes['\t'] |= kInText;
+  for (size_t c = ' '; c < classes.size(); ++c) {
+    classes[c] |= c == 0x7F ? 0 : kInText;
+  }
+  return classes;
+}
+
+constexpr std::array<uint8_t, 256> kClasses = MakeClasses();
+
+bool IsIn(character_class where, char c) {
+  return (kClasses[static_cast<unsigned char>(c)] & where) != 0;
+}
+
+bool AreIn(character_class where, std::string_view text) {
+  return std::ranges::all_of(text, [&](char c) { return IsIn(where, c); });
+}
+
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
+bool IsHexDigit(char c) {
+  return IsDigit(c) || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+}
+
+bool IsSpace(char c) { return c == ' ' || c == '\t'; }
+
+/// Whether each percent sign is followed by two hexadecimal digits.
+bool IsPercentEncoded(std::string_view text) {
+  for (size_t at = text.find('%'); at != std::string_view::npos;
+       at = text.find('%', at + 1)) {
+    if (text.size() - at < 3 || !IsHexDigit(text[at + 1]) ||
+        !IsHexDigit(text[at + 2])) {
+      return false;
+    }
+  }
+  return true;
+}
+
+head_problem CheckCodings(std::string_view codings) {
+  const size_t last_begins = codings.rfind(',') + 1;
+  if (!SameHeader(TrimSpaces(codings.substr(last_begins)), kChunked)) {
+    return head_problem::kTransferCoding;
+  }
+  return last_begins == 0 ? head_problem::kNone : head_problem::kUnknownCoding;
+}
+
+}  // namespace
+
+const char* ToString(head_problem problem) {
+  switch (problem) {
+    case head_problem::kNone:
+      return "";
+    case head_problem::kMethod:
+      return "method";
+    case head_problem::kRequestTarget:
+      return "request-target";
+    case head_problem::kVersion:
+      return "version";
+    case head_problem::kStatusCode:
+      return "status-code";
+    case head_problem::kReasonPhrase:
+      return "reason-phrase";
+    case head_problem::kLineEnding:
+      return "line-ending";
+    case head_problem::kFoldedLine:
+      return "folded-line";
+    case head_problem::kFieldName:
+      return "field-name";
+    case head_problem::kFieldValue:
+      return "field-value";
+    case head_problem::kHost:
+      return "host";
+    case head_problem::kContentLength:
+      return "content-length";
+    case head_problem::kTransferCoding:
+      return "transfer-coding";
+    case head_problem::kUnknownCoding:
+      return "unknown-coding";
+    case head_problem::kSwitchedProtocol:
+      return "switched-protocol";
+  }
+  return "";
+}
+
+bool SameHeader(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string_view TrimSpaces(std::string_view text) {
+  while (!text.empty() && IsSpace(text.front())) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && IsSpace(text.back())) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && AreIn(kInToken, text);
+}
+
+bool IsFieldValueCharacter(char c) { return IsIn(kInText, c); }
+
+head_problem CheckFraming(std::span<const http_header> fields,
+                          int minor_version) {
+  const http_header* length = nullptr;
+  const http_header* coding = nullptr;
+  for (const http_header& field : fields) {
+    if (SameHeader(field.name, kContentLength)) {
+      const std::string_view digits = TrimSpaces(field.value);
+      if (length != nullptr || digits.empty() ||
+          !std::ranges::all_of(digits, IsDigit)) {
+        return head_problem::kContentLength;
+      }
+      length = &field;
+    } else if (SameHeader(field.name, kTransferEncoding)) {
+      if (coding != nullptr) {
+        return head_problem::kTransferCoding;
+      }
+      coding = &field;
+    }
+  }
+  if (coding == nullptr) {
+    return head_problem::kNone;
+  }
+  // Senders of both, or of codings in HTTP/1.0, may frame the message otherwise
+  // than this process.
+  return length != nullptr || minor_version == 0 ? head_problem::kTransferCoding
+                                                 : CheckCodings(coding->value);
+}
+
+head_problem CheckHost(std::span<const http_header> fields, int minor_version) {
+  const http_header* host = nullptr;
+  for (const http_header& field : fields) {
+    if (!SameHeader(field.name, "Host")) {
+      continue;
+    }
+    const std::string_view value = TrimSpaces(field.value);
+    if (host != nullptr || !AreIn(kInHost, value) || !IsPercentEncoded(value)) {
+      return head_problem::kHost;
+    }
+    host = &field;
+  }
+  return host == nullptr && minor_version > 0 ? head_problem::kHost
+                                              : head_problem::kNone;
+}
+
+head_problem CheckRequestTarget(std::string_view method,
+                                std::string_view target) {
+  const bool is_form = target.starts_with('/') ||
+                       (target == "*" && method == "OPTIONS") ||
+                       target.find("://") != std::string_view::npos;
+  return is_form && IsPercentEncoded(target) ? head_problem::kNone
+                                             : head_problem::kRequestTarget;
+}
+
+void head_syntax::BeginMessage() {
+  next_ = type_ == HTTP_REQUEST ? part::kBlankLine : part::kVersion;
+  taken_ = 0;
+}
+
+head_syntax::head_part head_syntax::Check(std::string_view bytes) {
+  for (size_t at = SkipRun(bytes, 0); at < bytes.size();
+       at = SkipRun(bytes, at + 1)) {
+    const head_problem problem = Take(bytes[at]);
+    if (problem != head_problem::kNone) {
+      next_ = part::kNothing;
+      return {.size = at, .problem = problem};
+    }
+    if (next_ == part::kNothing) {
+      return {.size = at + 1, .is_last = true};
+    }
+  }
+  return {.size = bytes.size()};
+}
+
+size_t head_syntax::SkipRun(std::string_view bytes, size_t at) const {
+  if (next_ != part::kName && next_ != part::kValue) {
+    return at;
+  }
+  const character_class run = next_ == part::kName ? kInToken : kInText;
+  while (at < bytes.size() && IsIn(run, bytes[at])) {
+    ++at;
+  }
+  return at;
+}
+
+head_problem head_syntax::MoveIf(bool is_right, part next,
+                                 head_problem problem) {
+  if (!is_right) {
+    return problem;
+  }
+  next_ = next;
+  taken_ = 0;
+  return head_problem::kNone;
+}
+
+head_problem head_syntax::Take(char c) {
+  switch (next_) {
+    case part::kValue:
+      return IsIn(kInText, c) || TakeLineEnd(c) ? head_problem::kNone
+                                                : head_problem::kFieldValue;
+    case part::kName:
+      return IsIn(kInToken, c)
+                 ? head_problem::kNone
+                 : MoveIf(c == ':', part::kValue, head_problem::kFieldName);
+    case part::kLine:
+      return TakeLine(c);
+    case part::kLineEnd:
+      return MoveIf(c == '\n', part::kLine, head_problem::kLineEnding);
+    case part::kHeadEnd:
+      return MoveIf(c == '\n', part::kNothing, head_problem::kLineEnding);
+    case part::kBlankLine:
+      return TakeBlankLine(c);
+    case part::kBlankLineEnd:
+      return MoveIf(c == '\n', part::kBlankLine, head_problem::kLineEnding);
+    case part::kMethod:
+      return IsIn(kInToken, c)
+                 ? head_problem::kNone
+                 : MoveIf(c == ' ', part::kTarget, head_problem::kMethod);
+    case part::kTarget:
+      if (IsIn(kInTarget, c)) {
+        ++taken_;
+        return head_problem::kNone;
+      }
+      return MoveIf(c == ' ' && taken_ > 0, part::kVersion,
+                    head_problem::kRequestTarget);
+    case part::kVersion:
+      return TakeVersion(c);
+    case part::kAfterVersion:
+      return TakeAfterVersion(c);
+    case part::kStatusCode:
+      return TakeStatusCode(c);
+    case part::kAfterStatusCode:
+      return TakeLineEnd(c) ? head_problem::kNone
+                            : MoveIf(c == ' ', part::kReasonPhrase,
+                                     head_problem::kStatusCode);
+    case part::kReasonPhrase:
+      return IsIn(kInText, c) || TakeLineEnd(c) ? head_problem::kNone
+                                                : head_problem::kReasonPhrase;
+    case part::kNothing:
+      break;
+  }
+  return head_problem::kLineEnding;
+}
+
+head_problem head_syntax::TakeBlankLine(char c) {
+  if (c == '\n') {
+    return head_problem::kNone;
+  }
+  return c == '\r'
+             ? MoveIf(true, part::kBlankLineEnd, head_problem::kNone)
+             : MoveIf(IsIn(kInToken, c), part::kMethod, head_problem::kMethod);
+}
+
+head_problem head_syntax::TakeVersion(char c) {
+  if (taken_ < kVersionBeginning.size()) {
+    return c == kVersionBeginning[taken_++] ? head_problem::kNone
+                                            : head_problem::kVersion;
+  }
+  return MoveIf(IsDigit(c), part::kAfterVersion, head_problem::kVersion);
+}
+
+head_problem head_syntax::TakeAfterVersion(char c) {
+  if (type_ == HTTP_REQUEST) {
+    return TakeLineEnd(c) ? head_problem::kNone : head_problem::kVersion;
+  }
+  return MoveIf(c == ' ', part::kStatusCode, head_problem::kVersion);
+}
+
+head_problem head_syntax::TakeStatusCode(char c) {
+  const bool is_right = taken_ == 0 ? c >= '1' && c <= '5' : IsDigit(c);
+  if (!is_right) {
+    return head_problem::kStatusCode;
+  }
+  return ++taken_ < kStatusDigits
+             ? head_problem::kNone
+             : MoveIf(true, part::kAfterStatusCode, head_problem::kNone);
+}
+
+head_problem head_syntax::TakeLine(char c) {
+  if (c == '\r') {
+    return MoveIf(true, part::kHeadEnd, head_problem::kNone);
+  }
+  if (c == '\n') {
+    return MoveIf(true, part::kNothing, head_problem::kNone);
+  }
+  return MoveIf(
+      IsIn(kInToken, c), part::kName,
+      IsSpace(c) ? head_problem::kFoldedLine : head_problem::kFieldName);
+}
+
+bool head_syntax::TakeLineEnd(char c) {
+  if (c != '\r' && c != '\n') {
+    return false;
+  }
+  next_ = c == '\r' ? part::kLineEnd : part::kLine;
+  taken_ = 0;
+  return true;
+}
+
+}  // namespace foxtailspread
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -1,9 +1,8 @@
 #include "net/http_message.h"
 
-#include <strings.h>
-
 #include <algorithm>
 #include <array>
+#include <cstddef>
 #include <utility>
 
 namespace foxtailspread {
@@ -19,21 +18,8 @@
                                                          "Transfer-Encoding",
                                                          "Upgrade"};
 
-std::string_view Trim(std::string_view text) {
-  const size_t first = text.find_first_not_of(" \t");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  const size_t last = text.find_last_not_of(" \t");
-  return text.substr(first, last - first + 1);
-}
-
 }  // namespace
 
-bool SameHeader(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 bool IsHopHeader(std::string_view name) {
   return std::any_of(
       kHopHeaders.begin(), kHopHeaders.end(),
@@ -48,7 +34,7 @@
     std::string_view rest = header.value;
     while (!rest.empty()) {
       const size_t comma = rest.find(',');
-      if (SameHeader(Trim(rest.substr(0, comma)), name)) {
+      if (SameHeader(TrimSpaces(rest.substr(0, comma)), name)) {
         return true;
       }
       rest = comma == std::string_view::npos ? std::string_view{}
@@ -62,14 +48,14 @@
     std::string_view name) const {
   for (const http_header& header : headers) {
     if (SameHeader(header.name, name)) {
-      return Trim(header.value);
+      return TrimSpaces(header.value);
     }
   }
   return std::nullopt;
 }
 
 http_reader::http_reader(http_parser_type type, http_parse_limits limits)
-    : limits_(limits) {
+    : syntax_(type), limits_(limits) {
   http_parser_init(&parser_, type);
   parser_.data = this;
 }
@@ -96,6 +82,7 @@
     made.on_headers_complete = [](http_parser* p) {
       return Self(p).OnHeaders();
     };
+    made.on_chunk_header = [](http_parser* p) { return Self(p).OnChunk(); };
     made.on_body = [](http_parser* p, const char* at, size_t size) {
       return Self(p).OnBody({at, size});
     };
@@ -150,15 +137,22 @@
 
 int http_reader::OnHeaders() {
   headers_done_ = true;
+  part_ = message_part::kBody;
   // A request that asks for another protocol is answered in this one.
-  if (parser_.method != HTTP_CONNECT || parser_.type == HTTP_RESPONSE) {
-    parser_.upgrade = 0;
-  }
+  parser_.upgrade = 0;
   if (parser_.type == HTTP_REQUEST) {
     current_.method = http_method_str(static_cast<http_method>(parser_.method));
   } else {
     current_.status = static_cast<int>(parser_.status_code);
   }
+  const head_problem problem = CheckHead();
+  if (problem != head_problem::kNone) {
+    OnProblem(problem);
+    return -1;
+  }
+  if (IsBodiless()) {
+    return 1;
+  }
   const bool has_length = (parser_.flags & F_CONTENTLENGTH) != 0;
   if (has_length && parser_.content_length > limits_.max_body_bytes) {
     error_ = http_parse_error::kBodyTooLarge;
@@ -168,7 +162,40 @@
     body_bytes_ = parser_.content_length;
     current_.body.reserve(body_bytes_);
   }
-  return no_body_ ? 1 : 0;
+  return 0;
+}
+
+head_problem http_reader::CheckHead() const {
+  const int minor_version = parser_.http_minor;
+  const head_problem framing = CheckFraming(current_.headers, minor_version);
+  if (framing != head_problem::kNone) {
+    return framing;
+  }
+  if (parser_.type == HTTP_RESPONSE) {
+    return current_.status == HTTP_STATUS_SWITCHING_PROTOCOLS
+               ? head_problem::kSwitchedProtocol
+               : head_problem::kNone;
+  }
+  const head_problem host = CheckHost(current_.headers, minor_version);
+  return host != head_problem::kNone
+             ? host
+             : CheckRequestTarget(current_.method, current_.target);
+}
+
+void http_reader::OnProblem(head_problem problem) {
+  problem_ = problem;
+  error_ = problem == head_problem::kUnknownCoding
+               ? http_parse_error::kUnsupported
+               : http_parse_error::kMalformed;
+}
+
+int http_reader::OnChunk() {
+  if (parser_.content_length == 0) {
+    part_ = message_part::kTrailers;
+    syntax_.BeginTrailers();
+    http_parser_pause(&parser_, 1);
+  }
+  return 0;
 }
 
 int http_reader::OnBody(std::string_view part) {
@@ -180,11 +207,15 @@
   return 0;
 }
 
-bool http_reader::IsOpenEnded() const {
+bool http_reader::IsBodiless() const {
   const unsigned int status = parser_.status_code;
-  const bool bodiless =
-      no_body_ || status / 100 == 1 || status == 204 || status == 304;
-  return !bodiless && (parser_.flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+  return parser_.type == HTTP_RESPONSE &&
+         (no_body_ || status / 100 == 1 || status == HTTP_STATUS_NO_CONTENT ||
+          status == HTTP_STATUS_NOT_MODIFIED);
+}
+
+bool http_reader::IsOpenEnded() const {
+  return !IsBodiless() && (parser_.flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
 }
 
 int http_reader::OnComplete() {
@@ -196,33 +227,60 @@
   current_ = {};
   header_bytes_ = 0;
   body_bytes_ = 0;
+  part_ = message_part::kHead;
+  syntax_.BeginMessage();
+  http_parser_pause(&parser_, 1);
   return 0;
 }
 
 bool http_reader::Feed(std::string_view bytes) {
-  if (error_ != http_parse_error::kNone) {
-    return false;
+  while (error_ == http_parse_error::kNone && !bytes.empty()) {
+    bytes.remove_prefix(part_ == message_part::kBody ? Parse(bytes)
+                                                     : ParseFields(bytes));
   }
+  return error_ == http_parse_error::kNone;
+}
+
+size_t http_reader::ParseFields(std::string_view bytes) {
+  const head_syntax::head_part checked = syntax_.Check(bytes);
+  Parse(bytes.substr(0, checked.size));
+  const bool is_right = checked.problem == head_problem::kNone;
+  if (!is_right && error_ == http_parse_error::kNone) {
+    OnProblem(checked.problem);
+  }
+  return checked.size;
+}
+
+size_t http_reader::Parse(std::string_view bytes) {
   const size_t read =
       http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
-  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || read != bytes.size()) {
-    if (error_ == http_parse_error::kNone) {
-      error_ = HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW
-                   ? http_parse_error::kHeadersTooLarge
-                   : http_parse_error::kMalformed;
-    }
-    return false;
+  const http_errno ended = HTTP_PARSER_ERRNO(&parser_);
+  if (ended == HPE_PAUSED) {
+    http_parser_pause(&parser_, 0);
+  } else if (ended != HPE_OK && error_ == http_parse_error::kNone) {
+    error_ = ended == HPE_HEADER_OVERFLOW ? http_parse_error::kHeadersTooLarge
+                                          : http_parse_error::kMalformed;
   }
-  return true;
+  return read;
+}
+
+std::string_view http_reader::problem() const {
+  if (error_ != http_parse_error::kMalformed &&
+      error_ != http_parse_error::kUnsupported) {
+    return {};
+  }
+  return problem_ != head_problem::kNone
+             ? ToString(problem_)
+             : http_errno_name(HTTP_PARSER_ERRNO(&parser_));
 }
 
 bool http_reader::FeedEnd() {
   if (error_ != http_parse_error::kNone || !in_message_) {
     return error_ == http_parse_error::kNone;
   }
-  http_parser_execute(&parser_, &Callbacks(), nullptr, 0);
-  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || in_message_) {
-    error_ = http_parse_error::kMalformed;
+  Parse({});
+  if (in_message_ || error_ != http_parse_error::kNone) {
+    error_ = http_parse_error::kCutShort;
     return false;
   }
   return true;
@@ -256,10 +314,25 @@
 
 namespace {
 
-/// Appends "NAME: VALUE".
+/// Appends "NAME: VALUE". A name or value that is none could end the head.
 void AppendHeader(std::string& out, std::string_view name,
                   std::string_view value) {
-  out.append(name).append(": ").append(value).append("\r\n");
+  if (!IsToken(name)) {
+    return;
+  }
+  out.append(name).append(": ").append(value);
+  std::replace_if(
+      out.end() - static_cast<ptrdiff_t>(value.size()), out.end(),
+      [](char c) { return !IsFieldValueCharacter(c); }, ' ');
+  out.append("\r\n");
+}
+
+void AppendStatusLine(std::string& out, int status) {
+  constexpr std::string_view kNoName = "<unknown>";
+  const std::string_view name =
+      http_status_str(static_cast<http_status>(status));
+  out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+  out.append(name == kNoName ? std::string_view{} : name).append("\r\n");
 }
 
 void AppendLength(std::string& out, const http_message& message) {
@@ -293,11 +366,12 @@
 }
 
 std::string FormatAnswer(const http_message& answer, bool close, bool head) {
+  if (answer.status < kMinFinalHttpStatus || answer.status > kMaxHttpStatus) {
+    return FormatAnswer({.status = kHttpInternalError}, close, head);
+  }
   std::string out;
   out.reserve(256 + answer.body.size());
-  out.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ");
-  out.append(http_status_str(static_cast<http_status>(answer.status)));
-  out.append("\r\n");
+  AppendStatusLine(out, answer.status);
   for (const http_header& header : answer.headers) {
     AppendHeader(out, header.name, header.value);
   }
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -20,6 +20,7 @@
 #include <string_view>
 #include <vector>
 
+#include "net/http_head.h"
 #include "net/http_types.h"
 #include "net/shared_body.h"
 
@@ -47,9 +48,6 @@
   std::optional<std::string_view> Header(std::string_view name) const;
 };
 
-/// Whether two header names are the same.
-bool SameHeader(std::string_view a, std::string_view b);
-
 /// Whether the header concerns one connection only and is not passed on.
 bool IsHopHeader(std::string_view name);
 
@@ -66,11 +64,14 @@
 enum class http_parse_error {
   kNone,
   kMalformed,
+  kUnsupported,  ///< A transfer coding other than chunked.
+  kCutShort,     ///< The connection ended within a message.
   kHeadersTooLarge,
   kBodyTooLarge,
 };
 
-/// Cuts a stream of bytes into messages.
+/// Cuts a stream of bytes into messages. What is no head of HTTP/1.1 is an
+/// error at its first wrong byte, or at its end where only the whole tells.
 ///
 /// @code
 /// http_reader reader(HTTP_REQUEST, limits);
@@ -116,6 +117,9 @@
   /// True when the message under way announced that it waits for 100.
   bool expects_continue();
   http_parse_error error() const { return error_; }
+  /// What is wrong with bytes that are no message, as logs name it; "" unless
+  /// the error is kMalformed or kUnsupported.
+  std::string_view problem() const;
   void set_limits(http_parse_limits limits) { limits_ = limits; }
 
  private:
@@ -125,12 +129,27 @@
   int OnField(std::string_view part);
   int OnValue(std::string_view part);
   int OnHeaders();
+  int OnChunk();
   int OnBody(std::string_view part);
   int OnComplete();
   bool AddHeaderBytes(size_t count);
+  bool IsBodiless() const;
   bool IsOpenEnded() const;
+  head_problem CheckHead() const;
+  void OnProblem(head_problem problem);
+  /// Parses bytes that may be parsed. Returns how many belong to the part of
+  /// the message that the first one belongs to.
+  size_t Parse(std::string_view bytes);
+  /// The same for bytes of a head or of trailers, which it checks.
+  size_t ParseFields(std::string_view bytes);
+
+  /// Where the next byte belongs.
+  enum class message_part : uint8_t { kHead, kBody, kTrailers };
 
   http_parser parser_;
+  head_syntax syntax_;
+  message_part part_ = message_part::kHead;
+  head_problem problem_ = head_problem::kNone;
   http_parse_limits limits_;
   http_message current_;
   std::vector<http_message> done_;
@@ -147,12 +166,14 @@
 
 /// Writes a request with its headers as they are and a Content-Length; none
 /// for a bodiless method without a body. A large body is left out, to be
-/// written behind the rest.
+/// written behind the rest. A header whose name is no token is left out, and
+/// what no value may hold becomes a space.
 std::string FormatRequest(const http_message& request);
 
 /// Writes an answer likewise. One that already has a Content-Length is sent
 /// without its body, and so is the answer to a HEAD request (`head`), which
-/// states the length of the body that is left out if it is known.
+/// states the length of the body that is left out if it is known. One whose
+/// status is none of a final answer is written as 500, without its fields.
 std::string FormatAnswer(const http_message& answer, bool close,
                          bool head = false);
 
--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -328,7 +328,8 @@
   }
   pool_.Finish(this, {.end = end,
                       .unsent_body = stream_.TakeBody(),
-                      .excess_bytes = excess_bytes});
+                      .excess_bytes = excess_bytes,
+                      .malformed = reader_.problem()});
 }
 
 }  // namespace foxtailspread
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -45,6 +45,9 @@
   /// With kBroken: the bytes that came, if the answer was given up because it
   /// was longer than any that is awaited. 0 else.
   uint64_t excess_bytes = 0;
+  /// With kBroken: what is wrong with the bytes that came, if they are no
+  /// answer; "" else.
+  std::string_view malformed{};
 };
 
 /// One call.
--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -288,6 +288,36 @@
   EXPECT_EQ(caller_.got().find("Content-Length"), std::string::npos);
 }
 
+// Guards against requests that this host and a target would frame differently:
+// the target ends its connection, and the caller gets no 400.
+TEST_F(CallerServerTest, RequestOfUnclearLengthIsRefusedUnread) {
+  const std::string chunks = "\r\n0\r\n\r\n";
+  for (const std::string& fields : {
+           "Transfer-Encoding : chunked\r\n" + chunks,
+           "Content-Length : 5\r\n" + chunks,
+           "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n" + chunks,
+           "Content-Length: 5\r\nContent-Length: 5\r\n" + chunks,
+           "A: b\r\n Transfer-Encoding: chunked\r\n" + chunks,
+           "Host: other\r\nContent-Length: 0\r\n\r\n" + chunks,
+       }) {
+    blocking_caller caller(server_.port());
+    caller.Send("POST /a/ HTTP/1.1\r\nHost: h\r\n" + fields);
+    ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
+    EXPECT_EQ(Answers(caller.got()),
+              (std::vector<seen_answer>{{.status = 400, .closes = true}}))
+        << fields;
+  }
+  EXPECT_TRUE(requests_.empty());
+}
+
+TEST_F(CallerServerTest, RequestInAnUnknownCodingIsAnswered501) {
+  blocking_caller caller(server_.port());
+  caller.Send(Get("/a/", "Transfer-Encoding: gzip, chunked\r\n"));
+  ASSERT_TRUE(RunUntil([&] { return caller.HasEnded(); }));
+  EXPECT_EQ(Answers(caller.got()),
+            (std::vector<seen_answer>{{.status = 501, .closes = true}}));
+}
+
 TEST_F(CallerServerTest, IdleConnectionIsClosedAtAStop) {
   server_.BeginClosing();
   ASSERT_TRUE(RunUntil([&] { return caller_.HasLeft(); }));
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -190,6 +190,27 @@
   EXPECT_EQ(peer_.connections(), 1);
 }
 
+// Guards against a call that is held until its deadline though its answer is
+// known to be none.
+TEST_F(ConnectionPoolTest, MalformedAnswerEndsTheCallWithItsProblem) {
+  peer_.scripts = {{.replies = {"HTTP/1.1 200 OK\r\nEcho : a"}},
+                   {.replies = {"HTTP/1.1 000 OK\r\n"}}};
+  for (const char* problem : {"field-name", "status-code"}) {
+    const call_result ended = Call("a");
+    EXPECT_EQ(ended.end, call_end::kBroken);
+    EXPECT_EQ(ended.malformed, problem);
+  }
+}
+
+// Guards against an answer that the peer broke off and that counts as
+// malformed.
+TEST_F(ConnectionPoolTest, AnswerCutShortIsNotMalformed) {
+  peer_.scripts = {{.replies = {Ok("a").substr(0, 40)}, .close_after = true}};
+  const call_result ended = Call("a");
+  EXPECT_EQ(ended.end, call_end::kBroken);
+  EXPECT_EQ(ended.malformed, "");
+}
+
 // Guards against connections that end by unanswered probes under an order,
 // whose request the network would still deliver.
 TEST_F(ConnectionPoolTest, StreamWithoutProbesHasNoKeepAlive) {
--- /dev/null
+++ b/tests/malformed_answer_test.cc
@@ -0,0 +1,181 @@
+// Targets whose answers are none of HTTP/1.1, behind an entry host.
+
+#include <gtest/gtest.h>
+
+#include <list>
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+#include "edge/edge_daemon.h"
+#include "net/connection_pool.h"
+#include "platform/stand_in/fleet.h"
+#include "platform/wire.h"
+#include "run_until.h"
+
+namespace foxtailspread {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A whole answer but for its head.
+struct malformed_form {
+  std::string name;
+  std::string status_line;
+  std::string fields;  ///< Besides those that each answer has.
+};
+
+void PrintTo(const malformed_form& form, std::ostream* out) {
+  *out << form.name;
+}
+
+/// A target that answers every request in this form.
+class malformed_target {
+ public:
+  malformed_target(poller& events, malformed_form form)
+      : events_(events),
+        form_(std::move(form)),
+        listener_(events,
+                  [this](int fd) { connections_.emplace_back(*this, fd); }) {}
+
+  status Listen() { return listener_.Listen("127.0.0.1:0"); }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(listener_.port());
+  }
+  int requests() const { return requests_; }
+
+ private:
+  struct connection {
+    connection(malformed_target& owner, int fd)
+        : target(owner),
+          stream(owner.events_, HandlerFor<&connection::OnReady>(this)) {
+      stream.Adopt(fd);
+    }
+
+    void OnReady(uint32_t events) {
+      const read_result read =
+          stream.OnWritable(events) ? stream.Read() : read_result{};
+      if (read.end != read_end::kData || !reader.Feed(read.bytes)) {
+        stream.Close();
+        return;
+      }
+      while (const auto request = reader.Take()) {
+        stream.Write(target.AnswerTo(*request));
+      }
+    }
+
+    malformed_target& target;
+    tcp_stream stream;
+    http_reader reader{HTTP_REQUEST, {}};
+  };
+
+  std::string AnswerTo(const http_message& request) {
+    ++requests_;
+    const std::string attempt{
+        request.Header(platform::kAttemptId).value_or("")};
+    return form_.status_line + "\r\n" + form_.fields +
+           std::string{platform::kAttemptId} + ": " + attempt + "\r\n" +
+           std::string{platform::kSignature} + ": s\r\n" +
+           "Content-Length: 2\r\n\r\nhi";
+  }
+
+  poller& events_;
+  malformed_form form_;
+  tcp_listener listener_;
+  std::list<connection> connections_;
+  int requests_ = 0;
+};
+
+class MalformedAnswerTest : public ::testing::TestWithParam<malformed_form> {
+ protected:
+  void SetUp() override {
+    ASSERT_TRUE(fleet_.Start("127.0.0.1:0"));
+    ASSERT_TRUE(malformed_.Listen());
+    platform::edge_settings settings;
+    settings.name = "edge-north";
+    settings.zone = "north";
+    settings.callers = "127.0.0.1:0";
+    settings.readiness = "127.0.0.1:0";
+    settings.hosts = "127.0.0.1:0";
+    settings.store = "127.0.0.1:" + std::to_string(fleet_.store_port());
+    host_ = std::make_unique<edge_daemon>(settings, [] {});
+    ASSERT_TRUE(host_->Start());
+  }
+
+  /// Adds the target to a service and waits until it gets its first request.
+  void AddMalformedTarget(const std::string& service) {
+    const stand_in::platform_target target(
+        {.life = {"i-malformed", 1}, .service = service, .zone = "north"});
+    fleet_.store().Put("servers", "i-malformed",
+                       target.Entry(malformed_.address(), 1));
+    ASSERT_TRUE(RunUntil([&] {
+      Call(service);
+      return malformed_.requests() > 0;
+    }));
+  }
+
+  http_message Call(const std::string& service) {
+    http_message request;
+    request.method = service == "orders" ? "POST" : "GET";
+    request.target = "/x/" + std::to_string(++calls_);
+    request.headers = {
+        {"Host", service + ".example"},
+        {std::string{platform::kAttemptId}, "try-" + std::to_string(calls_)},
+        {std::string{platform::kDeadline}, "1500"}};
+    const std::string to = "127.0.0.1:" + std::to_string(host_->callers_port());
+    std::optional<call_result> ended;
+    callers_.Send({.address = to, .request = FormatRequest(request)},
+                  [&](call_result result) { ended = std::move(result); });
+    EXPECT_TRUE(RunUntil([&] { return ended.has_value(); }));
+    return ended ? ended->answer : http_message{};
+  }
+
+  poller events_;
+  stand_in::fleet fleet_{events_,
+                         {.zones = {"north"},
+                          .services = {{"reads", 3, false, true, 1},
+                                       {"orders", 3, false, false, 0}}}};
+  malformed_target malformed_{events_, GetParam()};
+  connection_pool callers_{events_, {}};
+  std::unique_ptr<edge_daemon> host_;
+  int calls_ = 0;
+};
+
+// Guards against bytes that are no answer and reach the caller of an order as
+// one, or leave it without an answer until its deadline.
+TEST_P(MalformedAnswerTest, ToAnOrderIsAnsweredAtOnceAsUnknown) {
+  AddMalformedTarget("orders");
+  for (int i = 0; i < 20; ++i) {
+    const int before = malformed_.requests();
+    const http_message answer = Call("orders");
+    const bool was_malformed = malformed_.requests() > before;
+    EXPECT_EQ(answer.status, was_malformed ? 502 : 200);
+    EXPECT_EQ(answer.Header(platform::kSignature).has_value(), !was_malformed);
+  }
+}
+
+// Guards against callers that are refused though another target serves them.
+TEST_P(MalformedAnswerTest, ToAReadIsReplacedByAnotherTarget) {
+  AddMalformedTarget("reads");
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Call("reads").status, 200);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Heads, MalformedAnswerTest,
+    ::testing::Values(
+        malformed_form{"status-0", "HTTP/1.1 000 OK", ""},
+        malformed_form{"status-600", "HTTP/1.1 600 OK", ""},
+        malformed_form{"space-before-colon", "HTTP/1.1 200 OK", "A : b\r\n"},
+        malformed_form{"of-a-failure", "HTTP/1.1 404 x", "A : b\r\n"},
+        malformed_form{"folded-first-line", "HTTP/1.1 200 OK", " A: b\r\n"},
+        malformed_form{"unknown-coding", "HTTP/1.1 200 OK",
+                       "Transfer-Encoding: gzip\r\n"},
+        malformed_form{"switched-protocol", "HTTP/1.1 101 x", ""}),
+    [](const auto& info) { return "Number" + std::to_string(info.index); });
+
+}  // namespace
+}  // namespace foxtailspread
