Tell callers that pause from callers that are gone

Cause: TCP_USER_TIMEOUT of 3 s was to find peers that are gone. The kernel runs it from the first probe of a closed window until the window opens, whether probes are answered or not. A peer that acknowledges nothing and one that acknowledges and has no room were one to it.

Peers are silenced by a socket filter that drops what comes for them, which needs no privilege.

The kernel's time-out stands while data is on its way and is lifted once only probes of a closed window are sent. A peer is gone after the same silence as before and a second attempt without an answer. A caller that lives is given up after 15 s (idle_timeout if longer) with less than 16 KB taken, and after 3 s once requests are refused for want of memory. The same cause acted at the close after a last answer, in a time-out of its own, and at 1.5 s on links to targets and between hosts. Event 361 and answers_untaken_total tell who was given up and why.

Ruled out: a longer TCP_USER_TIMEOUT, which holds lost peers as long; its renewal with each acknowledgement, which ends a living peer when one probe is lost.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -81,6 +81,7 @@
   kSurplusAnswer = 358,
   kAnswerGivenUp = 359,
   kAnswerMalformed = 360,
+  kAnswerUntaken = 361,
   kMemoryShort = 366,
   kMemoryFree = 367,
   kRequestUnanswered = 368,
@@ -315,6 +316,11 @@
      "What the target given sent in answer to the request given is no answer of "
      "HTTP/1.1, for the problem given; the connection was reset.",
      "Look at the target; see docs/OPERATIONS.md for the problems."},
+    {event_id::kAnswerUntaken, event_level::kWarning, "answer-untaken",
+     "A caller did not take its answer and its connection was reset, for the "
+     "reason given: it is gone, it has stalled for too long, or it has "
+     "stalled while memory is short.",
+     "Nothing to do if callers leave; else look at their network."},
     {event_id::kMemoryShort, event_level::kWarning, "memory-short",
      "The host refuses requests with bodies: those and the answers that it "
      "holds take the memory given, in bytes, that it has for them.",
--- a/src/edge/edge_daemon_memory.cc
+++ b/src/edge/edge_daemon_memory.cc
@@ -61,6 +61,14 @@
                static_cast<double>(memory_.bound()));
   AppendMetric(text, "refused_for_memory_total", "",
                static_cast<double>(memory_.refused()));
+  for (const untaken_reason reason :
+       {untaken_reason::kCallerGone, untaken_reason::kStalled,
+        untaken_reason::kMemory}) {
+    AppendMetric(text, "answers_untaken_total",
+                 MetricLabel("reason", ToString(reason)),
+                 static_cast<double>(callers_.untaken(reason) +
+                                     relayed_.untaken(reason)));
+  }
   const router_counts& counts = router_.counts();
   for (const auto& [room, count] :
        {std::pair{"yes", counts.returns_with_room},
--- a/src/edge/edge_daemon_store.cc
+++ b/src/edge/edge_daemon_store.cc
@@ -156,6 +156,8 @@
                 .max_body_bytes = config.bounds.max_body_bytes},
       .header_timeout = config.bounds.header_timeout,
       .idle_timeout = config.bounds.idle_timeout};
+  limits.untaken_timeout =
+      std::max(limits.untaken_timeout, limits.idle_timeout);
   callers_.SetLimits(limits);
   limits.sizes.max_header_bytes += kRelayHeaderBytes;
   relayed_.SetLimits(limits);
--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -19,9 +19,6 @@
 /// its way.
 constexpr duration kLingerTime{std::chrono::seconds{1}};
 
-/// How long the last answer may be on its way without getting further.
-constexpr duration kAnswerStallTimeout{std::chrono::seconds{3}};
-
 /// A request that is still arriving is refused for want of memory only when it
 /// keeps more than this: refusing small ones frees nothing.
 constexpr size_t kSmallRequest = 4096;
@@ -70,6 +67,18 @@
 
 }  // namespace
 
+const char* ToString(untaken_reason reason) {
+  switch (reason) {
+    case untaken_reason::kCallerGone:
+      return "caller-gone";
+    case untaken_reason::kStalled:
+      return "stalled";
+    case untaken_reason::kMemory:
+      return "memory";
+  }
+  return "";
+}
+
 caller_connection::caller_connection(caller_server& server, int fd,
                                      time_point now)
     : server_(server),
@@ -134,18 +143,45 @@
 }
 
 /// Whether the caller has got its last answer and has had the time to end its
-/// side, or gets no further with the answer.
+/// side.
 bool caller_connection::HasLingered(time_point now) {
   const size_t unreceived = UnreceivedBytes();
   if (unreceived != unreceived_bytes_) {
     unreceived_bytes_ = unreceived;
     answer_progress_at_ = now;
   }
-  const duration unchanged = now - answer_progress_at_;
-  if (unreceived > 0) {
-    return unchanged >= kAnswerStallTimeout;
+  return unreceived == 0 &&
+         (has_unread_request_ || now - answer_progress_at_ >= kLingerTime);
+}
+
+bool caller_connection::CheckReading(time_point now) {
+  const peer_check found = stream_.CheckPeer(now);
+  if (found.state == peer_state::kGone) {
+    GiveUp(untaken_reason::kCallerGone, now);
+    return false;
+  }
+  if (progress_.is_waiting()) {
+    last_byte_ = now;
+  }
+  progress_.OnCheck(found.acknowledged, found.unreceived, now);
+  if (progress_.is_waiting() &&
+      StalledFor(now) >= server_.limits_.untaken_timeout) {
+    GiveUp(untaken_reason::kStalled, now);
+    return false;
   }
-  return has_unread_request_ || unchanged >= kLingerTime;
+  return true;
+}
+
+void caller_connection::GiveUp(untaken_reason reason, time_point now) {
+  server_.OnUntaken(reason);
+  LogEvent(event_id::kAnswerUntaken,
+           {{"reason", ToString(reason)},
+            {"stalled_ms", StalledFor(now) / std::chrono::milliseconds{1}},
+            {"bytes", static_cast<int64_t>(UnreceivedBytes())},
+            {"unanswered", static_cast<int64_t>(exchanges_.size())}});
+  // A close would leave the kernel with what it has taken.
+  stream_.Abort();
+  End();
 }
 
 /// False when the caller has left.
@@ -171,7 +207,7 @@
   if (!good && !closes_after_last_) {
     RefuseRest(StatusOf(reader_.error()));
   } else if (IsShortOfMemory()) {
-    server_.memory_.OnRefused();
+    server_.OnRefusedForMemory();
     RefuseRest(HTTP_STATUS_SERVICE_UNAVAILABLE);
   } else if (reader_.expects_continue()) {
     stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -271,7 +307,7 @@
 }
 
 void caller_connection::RefuseForMemory(const http_message& request) {
-  server_.memory_.OnRefused();
+  server_.OnRefusedForMemory();
   LogEvent(event_id::kRequestNotRead,
            {{"status", int64_t{HTTP_STATUS_SERVICE_UNAVAILABLE}},
             {"bytes", static_cast<int64_t>(request.body.size())},
@@ -378,7 +414,8 @@
 bool caller_connection::IsOverdue(time_point now) const {
   const caller_limits& limits = server_.limits_;
   // An answer that is still being sent counts as work.
-  if (!exchanges_.empty() || stream_.bytes_waiting() > 0) {
+  if (!exchanges_.empty() || stream_.bytes_waiting() > 0 ||
+      progress_.is_waiting()) {
     return false;
   }
   if (reader_.in_message() && !reader_.headers_done()) {
@@ -388,6 +425,9 @@
 }
 
 void caller_connection::CheckTimes(time_point now) {
+  if (!CheckReading(now)) {
+    return;
+  }
   if (lingering_) {
     if (!stream_.is_open() || HasLingered(now)) {
       End();
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 
+#include "foxtailspread/load/slow_reader.h"
 #include "foxtailspread/time.h"
 #include "net/http_message.h"
 #include "net/tcp_stream.h"
@@ -18,6 +19,17 @@
 
 class caller_server;
 
+/// Why a connection was ended with an answer that its caller had not taken.
+enum class untaken_reason {
+  kCallerGone,  ///< Its machine gives no sign of life.
+  kStalled,     ///< It has taken too little for too long.
+  kMemory,      ///< The same for a shorter time, while memory is short.
+};
+inline constexpr size_t kUntakenReasons = 3;
+
+/// Returns the name of `reason` in logs and metrics. Names are stable.
+const char* ToString(untaken_reason reason);
+
 /// Names one request and its answer on one server. Never used twice.
 using exchange_id = uint64_t;
 
@@ -51,6 +63,16 @@
       const std::function<void(const unanswered_request&)>& visit) const;
   /// Bytes of answers that have not reached the caller.
   size_t UnreceivedBytes() const;
+  /// How long the caller has made no progress with its answers; 0 if none
+  /// waits.
+  duration StalledFor(time_point now) const {
+    return progress_.StalledFor(now);
+  }
+  /// Bytes that this process keeps for the connection.
+  size_t held_bytes() const { return counted_bytes_; }
+  /// Resets a connection whose caller does not take its answer, which destroys
+  /// it.
+  void GiveUp(untaken_reason reason, time_point now);
 
  private:
   struct exchange {
@@ -69,6 +91,8 @@
   void OnReady(uint32_t events);
   void OnReadableAfterClose(uint32_t events);
   bool HasLingered(time_point now);
+  /// False if the caller is given up, which destroys the connection.
+  bool CheckReading(time_point now);
   bool ReadAll();
   bool IsOverdue(time_point now) const;
   void TakeRequests();
@@ -97,6 +121,7 @@
   std::deque<exchange> exchanges_;
   time_point last_byte_;
   time_point message_began_{};
+  read_progress progress_;
   memory_charge arriving_;    ///< Of requests.
   memory_charge leaving_;     ///< Of answers.
   size_t counted_bytes_ = 0;  ///< This connection's part of the server's sum.
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -88,6 +88,28 @@
   walking_ = false;
 }
 
+void caller_server::OnRefusedForMemory() {
+  memory_.OnRefused();
+  has_refused_for_memory_ = true;
+}
+
+void caller_server::GiveUpStalled(time_point now) {
+  const auto stall = [&](const caller_connection& each) {
+    return each.held_bytes() > 0 ? each.StalledFor(now) : duration{0};
+  };
+  if (!std::exchange(has_refused_for_memory_, false)) {
+    return;
+  }
+  while (IsHalfFull() && !connections_.empty()) {
+    caller_connection& longest =
+        *std::ranges::max_element(connections_, {}, stall);
+    if (stall(longest) < kMinStallForMemory) {
+      return;
+    }
+    longest.GiveUp(untaken_reason::kMemory, now);
+  }
+}
+
 void caller_server::Sweep() {
   sweep_armed_ = false;
   const time_point now = Now();
@@ -96,6 +118,7 @@
     caller_connection& connection = *each++;
     connection.CheckTimes(now);
   }
+  GiveUpStalled(now);
   walking_ = false;
   CloseIdle();
   ArmSweep();
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -7,6 +7,7 @@
 /// Requests are read whole before they are handed on. Pipelined ones are
 /// worked on at the same time and answered in the order in which they came.
 
+#include <array>
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <functional>
@@ -33,6 +34,8 @@
   duration header_timeout{std::chrono::seconds{3}};
   /// Time without a byte on a connection without a request in work.
   duration idle_timeout{std::chrono::seconds{15}};
+  /// Time without progress of a caller that lives and does not take its answer.
+  duration untaken_timeout{std::chrono::seconds{15}};
 };
 
 /// What the server tells its owner.
@@ -99,6 +102,11 @@
   /// Bytes of answers that have not reached their callers.
   size_t UnreceivedBytes() const;
   const dropped_input& dropped() const { return dropped_; }
+  /// Connections that were ended with answers which their callers had not
+  /// taken.
+  uint64_t untaken(untaken_reason reason) const {
+    return untaken_[static_cast<size_t>(reason)];
+  }
   /// Bytes of requests and answers kept for all connections, but for the large
   /// bodies of requests that were handed on.
   size_t buffered() const { return buffered_; }
@@ -124,6 +132,18 @@
   void Forget(exchange_id id) { exchanges_.erase(id); }
   void Remove(caller_connection* connection);
   void CloseIdle();
+  void OnUntaken(untaken_reason reason) {
+    ++untaken_[static_cast<size_t>(reason)];
+  }
+  void OnRefusedForMemory();
+  bool IsHalfFull() const {
+    return buffered_ > most_buffered_ / 2 ||
+           memory_.total() > memory_.bound() / 2;
+  }
+  /// If a request was refused for want of memory since the last call, ends
+  /// connections of callers that do not take their answers, the ones that have
+  /// stalled longest first, until half of it is free.
+  void GiveUpStalled(time_point now);
   void Sweep();
   void ArmSweep();
 
@@ -139,6 +159,8 @@
   size_t buffered_ = 0;
   size_t most_buffered_ = kDefaultMostBuffered;
   dropped_input dropped_;
+  std::array<uint64_t, kUntakenReasons> untaken_{};
+  bool has_refused_for_memory_ = false;  ///< Since the last sweep.
   bool closing_ = false;
   bool close_idle_ = false;  ///< Idle connections are still to be closed.
   /// In a walk over the connections: a second one within, from a callback,
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -287,7 +287,8 @@
   for (pooled_connection& each : all_) {
     if (each.IsOpeningLate(now)) {
       late_openings.push_back(&each);
-    } else if (each.IsConnectLate(now) || each.IsAnswerLate(now)) {
+    } else if (each.IsConnectLate(now) || each.IsAnswerLate(now) ||
+               each.IsPeerGone(now)) {
       late.push_back(&each);
     } else if (each.IsIdleOver(now)) {
       over.push_back(&each);
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -163,6 +163,11 @@
   bool IsAnswerLate(time_point now) const {
     return id_ != 0 && now >= answer_until_;
   }
+  /// Whether the peer gives no sign of life while it owes one. One that lives
+  /// may leave a large request unread for as long as the call lasts.
+  bool IsPeerGone(time_point now) {
+    return id_ != 0 && stream_.CheckPeer(now).state == peer_state::kGone;
+  }
   void OnLate() { FailSend(stream_.is_connected()); }
   void OnOpeningLate() { FailSend(stream_.is_connected()); }
   /// Ends the call because its answer is too long.
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -51,8 +51,7 @@
 void tcp_stream::SetOptions() {
   SetInteger(fd_, IPPROTO_TCP, TCP_NODELAY, 1);
   const int probe_after = static_cast<int>(silence_.probe_after.count());
-  SetInteger(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT,
-             static_cast<int>(silence_.unacknowledged.count()));
+  LimitSilence(true);
   SetInteger(fd_, SOL_SOCKET, SO_KEEPALIVE, silence_.probes > 0 ? 1 : 0);
   if (silence_.probes == 0) {
     return;
@@ -62,6 +61,15 @@
   SetInteger(fd_, IPPROTO_TCP, TCP_KEEPCNT, silence_.probes);
 }
 
+// TCP_USER_TIMEOUT also runs while the peer has no room, whatever it
+// acknowledges.
+void tcp_stream::LimitSilence(bool limited) {
+  const int timeout =
+      limited ? static_cast<int>(silence_.unacknowledged.count()) : 0;
+  SetInteger(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout);
+  is_silence_limited_ = limited;
+}
+
 void tcp_stream::Adopt(int fd) {
   fd_ = fd;
   SetOptions();
@@ -149,6 +157,7 @@
 
 void tcp_stream::OnTaken(size_t sent) {
   bytes_sent_ += sent;
+  has_unchecked_writes_ = true;
   const size_t copied = std::min(sent, copied_waiting());
   out_start_ += copied;
   body_start_ += sent - copied;
@@ -261,6 +270,48 @@
   }
 }
 
+peer_check tcp_stream::CheckPeer(time_point now) {
+  if (!is_connected() || !has_unchecked_writes_) {
+    return {.acknowledged = bytes_sent_};
+  }
+  // Most of what is sent is acknowledged by the next check.
+  if (!waiting_since_) {
+    waiting_since_ = now;
+    return {.acknowledged = bytes_sent_};
+  }
+  const size_t in_kernel = bytes_unacknowledged();
+  peer_check found{.acknowledged = bytes_sent_ - in_kernel,
+                   .unreceived = in_kernel + bytes_waiting()};
+  if (found.unreceived == 0) {
+    has_unchecked_writes_ = false;
+    waiting_since_.reset();
+  } else {
+    found.state = JudgePeer(
+        QueueState(found.unreceived, now - *waiting_since_),
+        std::chrono::duration_cast<duration>(silence_.unacknowledged));
+  }
+  if (found.state == peer_state::kReading && !is_silence_limited_) {
+    LimitSilence(true);
+  } else if (found.state == peer_state::kNotReading && is_silence_limited_) {
+    LimitSilence(false);
+  }
+  return found;
+}
+
+send_queue_state tcp_stream::QueueState(size_t bytes, duration waiting) const {
+  send_queue_state queue{.bytes = bytes, .waiting = waiting};
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(fd_, IPPROTO_TCP, TCP_INFO, &info, &size) == 0) {
+    queue.since_ack = std::chrono::milliseconds{info.tcpi_last_ack_recv};
+    queue.unanswered = info.tcpi_retransmits + info.tcpi_probes;
+    // The timer of probes has run, and nothing was sent a second time.
+    queue.is_window_closed =
+        info.tcpi_backoff > 0 && info.tcpi_retransmits == 0;
+  }
+  return queue;
+}
+
 size_t tcp_stream::bytes_unacknowledged() const {
   int unacknowledged = 0;
   if (fd_ < 0 || ioctl(fd_, SIOCOUTQ, &unacknowledged) != 0) {
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -9,11 +9,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
 #include "foxtailspread/address.h"
+#include "foxtailspread/load/slow_reader.h"
+#include "foxtailspread/time.h"
 #include "net/poller.h"
 #include "net/shared_body.h"
 
@@ -36,7 +39,8 @@
 /// How soon a connection whose peer has gone silent is given up. A peer that
 /// lost power or is cut off sends no reset.
 struct silence_limits {
-  /// Without an acknowledgement of what was sent.
+  /// Without an acknowledgement of what was sent. A peer that acknowledges and
+  /// does not read is not silent.
   std::chrono::milliseconds unacknowledged{3000};
   /// Of silence before an idle connection is probed, and between two probes.
   std::chrono::seconds probe_after{2};
@@ -51,6 +55,13 @@
     .probe_after = std::chrono::seconds{1},
     .probes = 1};
 
+/// What a check of a peer found.
+struct peer_check {
+  peer_state state = peer_state::kReading;
+  uint64_t acknowledged = 0;  ///< Bytes that the peer has taken so far.
+  size_t unreceived = 0;      ///< Bytes that it has not.
+};
+
 /// A connected or connecting socket. The owner's handler hears of readiness;
 /// it calls OnWritable() first, then Read() until kNothing.
 class tcp_stream {
@@ -102,6 +113,9 @@
   size_t bytes_waiting() const { return copied_waiting() + body_waiting(); }
   /// Of these, the ones that the stream alone holds.
   size_t copied_waiting() const { return out_.size() - out_start_; }
+  /// Tells whether the peer takes what was sent, and lets the kernel wait for
+  /// one that lives. To be called several times within the limit of silence.
+  peer_check CheckPeer(time_point now);
   /// Bytes that the kernel has taken and the peer has not acknowledged. Closing
   /// with unread bytes makes a reset, which destroys them.
   size_t bytes_unacknowledged() const;
@@ -118,6 +132,9 @@
     return body_ ? body_->bytes().size() - body_start_ : 0;
   }
   void SetOptions();
+  /// Lets the kernel end the connection for silence, or not.
+  void LimitSilence(bool limited);
+  send_queue_state QueueState(size_t bytes, duration waiting) const;
 
   poller& events_;
   poll_handler handler_;
@@ -134,6 +151,9 @@
   body_ptr body_;  ///< Sent behind `out_`.
   size_t body_start_ = 0;
   uint64_t bytes_sent_ = 0;
+  bool has_unchecked_writes_ = false;
+  std::optional<time_point> waiting_since_;  ///< Of bytes not acknowledged.
+  bool is_silence_limited_ = true;
 };
 
 /// A socket that accepts connections.
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -6,14 +6,17 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <deque>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "run_until.h"
 #include "support/endless_peer.h"
+#include "support/lost_power.h"
 
 namespace foxtailspread {
 namespace {
@@ -153,6 +156,46 @@
       events_, {.echo_header = "Echo", .echo_exempt_header = "Refused"}};
 };
 
+/// A large request to a peer that reads only when the test says so.
+class UnreadRequestTest : public ConnectionPoolTest {
+ protected:
+  static constexpr size_t kBody = 8'000'000;
+  /// Longer than a silent peer is waited for.
+  static constexpr duration kPause{milliseconds{3500}};
+
+  void SetUp() override { ASSERT_TRUE(listener_.Listen("127.0.0.1:0")); }
+  void TearDown() override { close(fd_); }
+
+  void Send() {
+    const std::string to = "127.0.0.1:" + std::to_string(listener_.port());
+    pool_.Send({.address = to,
+                .request = FormatRequest({.method = "POST",
+                                          .target = "/",
+                                          .headers = {{"Host", "a"}},
+                                          .body = std::string(kBody, 'x')})},
+               [this](const call_result& result) { ended_ = result; });
+    ASSERT_TRUE(RunUntil([&] { return fd_ >= 0; }));
+  }
+
+  /// Reads what has come. True once the whole body has.
+  bool ReadAll() {
+    std::vector<char> buffer(65536);
+    for (;;) {
+      const ssize_t size =
+          recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (size <= 0) {
+        return read_ > kBody;
+      }
+      read_ += static_cast<size_t>(size);
+    }
+  }
+
+  int fd_ = -1;
+  size_t read_ = 0;
+  std::optional<call_result> ended_;
+  tcp_listener listener_{events_, [this](int fd) { fd_ = fd; }};
+};
+
 /// Calls that go only over connections on which the peer has answered.
 class OpeningCallTest : public ConnectionPoolTest {
  protected:
@@ -211,6 +254,33 @@
   EXPECT_EQ(ended.malformed, "");
 }
 
+// Guards against a target that lives and is taken for gone because it does not
+// read a large request while it works on others.
+TEST_F(UnreadRequestTest, ByAPeerThatLivesIsWaitedFor) {
+  Send();
+  RunFor(kPause);
+  ASSERT_FALSE(ended_);
+  ASSERT_TRUE(RunUntil([&] {
+    RunFor(milliseconds{1});
+    return ReadAll();
+  }));
+  const std::string answer = Ok("");
+  ASSERT_EQ(send(fd_, answer.data(), answer.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(answer.size()));
+  ASSERT_TRUE(RunUntil([&] { return ended_.has_value(); }));
+  EXPECT_EQ(ended_->end, call_end::kAnswered);
+}
+
+// Guards against a target that is gone and holds its call until the deadline.
+TEST_F(UnreadRequestTest, ByAPeerThatIsGoneEndsBroken) {
+  Send();
+  RunFor(milliseconds{700});
+  ASSERT_FALSE(ended_);
+  ASSERT_TRUE(testing::LosePower(fd_));
+  ASSERT_TRUE(RunUntil([&] { return ended_.has_value(); }));
+  EXPECT_EQ(ended_->end, call_end::kBroken);
+}
+
 // Guards against connections that end by unanswered probes under an order,
 // whose request the network would still deliver.
 TEST_F(ConnectionPoolTest, StreamWithoutProbesHasNoKeepAlive) {
