--- a/src/net/http_head.cc
+++ b/src/net/http_head.cc
@@ -140,6 +140,8 @@
   return !text.empty() && AreIn(kInToken, text);
 }
 
+bool IsTargetCharacter(char c) { return IsIn(kInTarget, c); }
+
 bool IsFieldValueCharacter(char c) { return IsIn(kInText, c); }
 
 head_problem CheckFraming(std::span<const http_header> fields,
--- a/src/net/http_head.h
+++ b/src/net/http_head.h
@@ -58,6 +58,9 @@
 /// Whether `text` may be the name of a field.
 bool IsToken(std::string_view text);
 
+/// Whether `c` may be part of the target of a request.
+bool IsTargetCharacter(char c);
+
 /// Whether `c` may be part of the value of a field.
 bool IsFieldValueCharacter(char c);
 
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -327,6 +327,19 @@
   out.append("\r\n");
 }
 
+/// Appends a request target; what none may hold is percent-encoded.
+void AppendTarget(std::string& out, std::string_view target) {
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  for (const char c : target) {
+    if (IsTargetCharacter(c)) {
+      out.push_back(c);
+    } else {
+      const auto byte = static_cast<unsigned char>(c);
+      out.append({'%', kDigits[byte / 16], kDigits[byte % 16]});
+    }
+  }
+}
+
 void AppendStatusLine(std::string& out, int status) {
   constexpr std::string_view kNoName = "<unknown>";
   const std::string_view name =
@@ -349,7 +362,8 @@
 std::string FormatRequest(const http_message& request) {
   std::string out;
   out.reserve(256 + request.body.size());
-  out.append(request.method).append(" ").append(request.target);
+  out.append(request.method).append(" ");
+  AppendTarget(out, request.target);
   out.append(" HTTP/1.1\r\n");
   for (const http_header& header : request.headers) {
     AppendHeader(out, header.name, header.value);
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -166,8 +166,9 @@
 
 /// Writes a request with its headers as they are and a Content-Length; none
 /// for a bodiless method without a body. A large body is left out, to be
-/// written behind the rest. A header whose name is no token is left out, and
-/// what no value may hold becomes a space.
+/// written behind the rest. What no target may hold is percent-encoded, what
+/// no value may hold becomes a space, and a header whose name is no token is
+/// left out.
 std::string FormatRequest(const http_message& request);
 
 /// Writes an answer likewise. One that already has a Content-Length is sent
--- a/tests/http_head_test.cc
+++ b/tests/http_head_test.cc
@@ -347,6 +347,13 @@
   }
 }
 
+// Guards against paths of declarations that end the request line.
+TEST_F(HttpFormatTest, TargetCannotLeaveItsLine) {
+  const http_message request{.method = "GET", .target = "/a%2Fb?c d\r\n\xC3"};
+  EXPECT_EQ(FormatRequest(request),
+            "GET /a%2Fb?c%20d%0D%0A%C3 HTTP/1.1\r\n\r\n");
+}
+
 TEST_F(HttpFormatTest, StatusWithoutNameHasNoReason) {
   answer_.status = 299;
   EXPECT_TRUE(FormatAnswer(answer_, false).starts_with("HTTP/1.1 299 \r\n"));
