--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -313,7 +313,8 @@
      "is memory for; the connection was reset.",
      "Look at the target; see docs/OPERATIONS.md for the bounds."},
     {event_id::kAnswerMalformed, event_level::kWarning, "answer-malformed",
-     "What the target given sent in answer to the request given is no answer of "
+     "What the target given sent in answer to the request given is no answer "
+     "of "
      "HTTP/1.1, for the problem given; the connection was reset.",
      "Look at the target; see docs/OPERATIONS.md for the problems."},
     {event_id::kAnswerUntaken, event_level::kWarning, "answer-untaken",
