Share the fixture of tests with a misbehaving target

The fixtures of endless_answer_test and malformed_answer_test had the same host, fleet and caller. They stand once in tests/support/one_host_test.h; no check of either test changes.

--- a/tests/endless_answer_test.cc
+++ b/tests/endless_answer_test.cc
@@ -6,18 +6,15 @@
 
 #include <algorithm>
 #include <ctime>
-#include <memory>
 #include <optional>
 #include <ostream>
 #include <string>
 #include <vector>
 
-#include "edge/edge_daemon.h"
 #include "net/connection_pool.h"
-#include "platform/stand_in/fleet.h"
-#include "platform/wire.h"
 #include "run_until.h"
 #include "support/endless_peer.h"
+#include "support/one_host_test.h"
 
 namespace foxtailspread {
 namespace {
@@ -152,64 +149,26 @@
     [](const auto& info) { return "Number" + std::to_string(info.index); });
 
 /// One host with a target that never ends its answers among sound ones.
-class EndlessTargetTest : public ::testing::Test {
+class EndlessTargetTest : public testing::one_host_test<::testing::Test> {
  protected:
-  static constexpr const char* kEndlessTarget = "i-endless";
-
   void SetUp() override {
-    ASSERT_TRUE(fleet_.Start("127.0.0.1:0"));
+    one_host_test::SetUp();
     ASSERT_TRUE(endless_.Listen());
-    platform::edge_settings settings;
-    settings.name = "edge-north";
-    settings.zone = "north";
-    settings.callers = "127.0.0.1:0";
-    settings.readiness = "127.0.0.1:0";
-    settings.hosts = "127.0.0.1:0";
-    settings.store = "127.0.0.1:" + std::to_string(fleet_.store_port());
-    settings.memory_mb = 160;
-    host_ = std::make_unique<edge_daemon>(settings, [] {});
-    ASSERT_TRUE(host_->Start());
   }
 
   /// Adds the target to a service and waits until it gets its first request.
   void AddEndlessTarget(const std::string& service) {
-    const stand_in::platform_target target(
-        {.life = {kEndlessTarget, 1}, .service = service, .zone = "north"});
-    fleet_.store().Put("servers", kEndlessTarget,
-                       target.Entry(endless_.address(), 1));
+    AddTarget(service, "i-endless", endless_.address());
     ASSERT_TRUE(RunUntil(
-        [&] { return endless_.requests() > 0 || Call(service) == 0; }));
+        [&] { return endless_.requests() > 0 || StatusOf(service) == 0; }));
   }
 
-  /// Returns the status of the answer.
-  int Call(const std::string& service) {
-    http_message request;
-    request.method = service == "orders" ? "POST" : "GET";
-    request.target = "/x/" + std::to_string(++calls_);
-    last_attempt_ = "try-" + std::to_string(calls_);
-    request.headers = {{"Host", service + ".example"},
-                       {std::string{platform::kAttemptId}, last_attempt_},
-                       {std::string{platform::kDeadline}, "1500"}};
-    const std::string to = "127.0.0.1:" + std::to_string(host_->callers_port());
-    std::optional<call_result> ended;
-    callers_.Send({.address = to, .request = FormatRequest(request)},
-                  [&](call_result result) { ended = std::move(result); });
-    EXPECT_TRUE(RunUntil([&] { return ended.has_value(); }));
-    return ended ? ended->answer.status : 0;
-  }
+  /// Calls the service and returns the status of the answer.
+  int StatusOf(const std::string& service) { return Call(service).status; }
 
-  poller events_;
-  stand_in::fleet fleet_{events_,
-                         {.zones = {"north"},
-                          .services = {{"reads", 3, false, true, 1},
-                                       {"orders", 3, false, false, 0}}}};
   endless_peer endless_{events_,
                         {.beginning = "HTTP/1.1 200 OK\r\n\r\n",
                          .repeated = std::string(64, 'x')}};
-  connection_pool callers_{events_, {}};
-  std::unique_ptr<edge_daemon> host_;
-  std::string last_attempt_;
-  int calls_ = 0;
 };
 
 // Guards against a target that goes on getting requests, and against callers
@@ -220,7 +179,7 @@
   const int before = endless_.requests();
   int served = 0;
   for (int i = 0; i < kCalls; ++i) {
-    served += Call("reads") == 200 ? 1 : 0;
+    served += StatusOf("reads") == 200 ? 1 : 0;
   }
   EXPECT_LE(endless_.requests() - before, kCalls / 8);
   EXPECT_GE(served, kCalls * 9 / 10);
@@ -232,7 +191,7 @@
   AddEndlessTarget("orders");
   for (int i = 0; i < 20; ++i) {
     const int before = endless_.requests();
-    const int status = Call("orders");
+    const int status = StatusOf("orders");
     if (endless_.requests() > before) {
       EXPECT_TRUE(status == 502 || status == 504) << status;
       EXPECT_EQ(fleet_.RunsOf(last_attempt_), 0) << "sent once";
--- a/tests/malformed_answer_test.cc
+++ b/tests/malformed_answer_test.cc
@@ -3,23 +3,19 @@
 #include <gtest/gtest.h>
 
 #include <list>
-#include <memory>
-#include <optional>
 #include <ostream>
 #include <string>
 #include <utility>
 
-#include "edge/edge_daemon.h"
-#include "net/connection_pool.h"
-#include "platform/stand_in/fleet.h"
+#include "net/http_message.h"
+#include "net/tcp_stream.h"
 #include "platform/wire.h"
 #include "run_until.h"
+#include "support/one_host_test.h"
 
 namespace foxtailspread {
 namespace {
 
-using std::chrono::milliseconds;
-
 /// A whole answer but for its head.
 struct malformed_form {
   std::string name;
@@ -88,59 +84,24 @@
   int requests_ = 0;
 };
 
-class MalformedAnswerTest : public ::testing::TestWithParam<malformed_form> {
+class MalformedAnswerTest
+    : public testing::one_host_test<::testing::TestWithParam<malformed_form>> {
  protected:
   void SetUp() override {
-    ASSERT_TRUE(fleet_.Start("127.0.0.1:0"));
+    one_host_test::SetUp();
     ASSERT_TRUE(malformed_.Listen());
-    platform::edge_settings settings;
-    settings.name = "edge-north";
-    settings.zone = "north";
-    settings.callers = "127.0.0.1:0";
-    settings.readiness = "127.0.0.1:0";
-    settings.hosts = "127.0.0.1:0";
-    settings.store = "127.0.0.1:" + std::to_string(fleet_.store_port());
-    host_ = std::make_unique<edge_daemon>(settings, [] {});
-    ASSERT_TRUE(host_->Start());
   }
 
   /// Adds the target to a service and waits until it gets its first request.
   void AddMalformedTarget(const std::string& service) {
-    const stand_in::platform_target target(
-        {.life = {"i-malformed", 1}, .service = service, .zone = "north"});
-    fleet_.store().Put("servers", "i-malformed",
-                       target.Entry(malformed_.address(), 1));
+    AddTarget(service, "i-malformed", malformed_.address());
     ASSERT_TRUE(RunUntil([&] {
       Call(service);
       return malformed_.requests() > 0;
     }));
   }
 
-  http_message Call(const std::string& service) {
-    http_message request;
-    request.method = service == "orders" ? "POST" : "GET";
-    request.target = "/x/" + std::to_string(++calls_);
-    request.headers = {
-        {"Host", service + ".example"},
-        {std::string{platform::kAttemptId}, "try-" + std::to_string(calls_)},
-        {std::string{platform::kDeadline}, "1500"}};
-    const std::string to = "127.0.0.1:" + std::to_string(host_->callers_port());
-    std::optional<call_result> ended;
-    callers_.Send({.address = to, .request = FormatRequest(request)},
-                  [&](call_result result) { ended = std::move(result); });
-    EXPECT_TRUE(RunUntil([&] { return ended.has_value(); }));
-    return ended ? ended->answer : http_message{};
-  }
-
-  poller events_;
-  stand_in::fleet fleet_{events_,
-                         {.zones = {"north"},
-                          .services = {{"reads", 3, false, true, 1},
-                                       {"orders", 3, false, false, 0}}}};
   malformed_target malformed_{events_, GetParam()};
-  connection_pool callers_{events_, {}};
-  std::unique_ptr<edge_daemon> host_;
-  int calls_ = 0;
 };
 
 // Guards against bytes that are no answer and reach the caller of an order as
