Accept only chunks of HTTP/1.1, in both directions

What callers saw: an answer in chunks with text behind a size, or with data longer than its size, came through as a whole answer with the target's signature (MIXED). A request framed so went on to targets.

The lenient build of the parser library skips two bytes behind the data of a chunk, one behind the CR of its line, and everything between a size and that CR.

Of fifteen forms tried in each direction, six that RFC 9112, 7.1 does not allow passed for messages.

Change: chunk_syntax checks the bytes between the data of chunks before the library sees them. The library still counts sizes. All readers use it. The table of http_head_test has 33 more forms in each direction, caller_server_test one.

--- a/src/net/http_head.cc
+++ b/src/net/http_head.cc
@@ -58,12 +58,6 @@
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
-bool IsHexDigit(char c) {
-  return IsDigit(c) || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
-}
-
-bool IsSpace(char c) { return c == ' ' || c == '\t'; }
-
 /// Whether each percent sign is followed by two hexadecimal digits.
 bool IsPercentEncoded(std::string_view text) {
   for (size_t at = text.find('%'); at != std::string_view::npos;
@@ -118,6 +112,12 @@
       return "unknown-coding";
     case head_problem::kSwitchedProtocol:
       return "switched-protocol";
+    case head_problem::kChunkSize:
+      return "chunk-size";
+    case head_problem::kChunkExtension:
+      return "chunk-extension";
+    case head_problem::kChunkData:
+      return "chunk-data";
   }
   return "";
 }
@@ -140,6 +140,14 @@
   return !text.empty() && AreIn(kInToken, text);
 }
 
+bool IsTokenCharacter(char c) { return IsIn(kInToken, c); }
+
+bool IsHexDigit(char c) {
+  return IsDigit(c) || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+}
+
+bool IsSpace(char c) { return c == ' ' || c == '\t'; }
+
 bool IsTargetCharacter(char c) { return IsIn(kInTarget, c); }
 
 bool IsFieldValueCharacter(char c) { return IsIn(kInText, c); }
@@ -202,7 +210,7 @@
   taken_ = 0;
 }
 
-head_syntax::head_part head_syntax::Check(std::string_view bytes) {
+checked_bytes head_syntax::Check(std::string_view bytes) {
   for (size_t at = SkipRun(bytes, 0); at < bytes.size();
        at = SkipRun(bytes, at + 1)) {
     const head_problem problem = Take(bytes[at]);
--- a/src/net/http_head.h
+++ b/src/net/http_head.h
@@ -27,7 +27,7 @@
 inline constexpr int kMinFinalHttpStatus = 200;
 inline constexpr int kMaxHttpStatus = 599;
 
-/// What is wrong with a head.
+/// What is wrong with a head, or with what frames a body in chunks.
 enum class head_problem : uint8_t {
   kNone,
   kMethod,
@@ -35,20 +35,30 @@
   kVersion,
   kStatusCode,
   kReasonPhrase,
-  kLineEnding,       ///< CR without LF.
-  kFoldedLine,       ///< A line that begins with white space.
-  kFieldName,        ///< No token, or something between it and its colon.
-  kFieldValue,       ///< A control character.
-  kHost,             ///< Missing, repeated or no host.
-  kContentLength,    ///< Repeated or no decimal number.
-  kTransferCoding,   ///< Leaves the length of the message unclear.
-  kUnknownCoding,    ///< A coding other than chunked.
-  kSwitchedProtocol  ///< Status 101, which nobody asked for.
+  kLineEnding,        ///< CR without LF.
+  kFoldedLine,        ///< A line that begins with white space.
+  kFieldName,         ///< No token, or something between it and its colon.
+  kFieldValue,        ///< A control character.
+  kHost,              ///< Missing, repeated or no host.
+  kContentLength,     ///< Repeated or no decimal number.
+  kTransferCoding,    ///< Leaves the length of the message unclear.
+  kUnknownCoding,     ///< A coding other than chunked.
+  kSwitchedProtocol,  ///< Status 101, which nobody asked for.
+  kChunkSize,         ///< No hexadecimal number.
+  kChunkExtension,
+  kChunkData  ///< Longer than its size states.
 };
 
 /// Returns the name of `problem` in logs; "" for kNone. Names are stable.
 const char* ToString(head_problem problem);
 
+/// Bytes that were checked while they arrive.
+struct checked_bytes {
+  size_t size = 0;                             ///< Those that are right.
+  bool is_last = false;                        ///< They end what is checked.
+  head_problem problem = head_problem::kNone;  ///< Of the byte behind them.
+};
+
 /// Whether two header names are the same.
 bool SameHeader(std::string_view a, std::string_view b);
 
@@ -58,6 +68,11 @@
 /// Whether `text` may be the name of a field.
 bool IsToken(std::string_view text);
 
+bool IsTokenCharacter(char c);
+bool IsHexDigit(char c);
+/// Whether `c` is a space or a tab.
+bool IsSpace(char c);
+
 /// Whether `c` may be part of the target of a request.
 bool IsTargetCharacter(char c);
 
@@ -79,20 +94,13 @@
 /// Checks the syntax of heads and trailer sections while their bytes arrive.
 ///
 /// @code
-/// const head_part part = syntax.Check(bytes);
+/// const checked_bytes part = syntax.Check(bytes);
 /// if (part.problem != head_problem::kNone) return Refuse(part.problem);
 /// Parse(bytes.substr(0, part.size));
 /// if (part.is_last) ...  // The rest of the bytes belongs to the body.
 /// @endcode
 class head_syntax {
  public:
-  /// Bytes of a head.
-  struct head_part {
-    size_t size = 0;       ///< Of the bytes checked, those that are right.
-    bool is_last = false;  ///< They end the head.
-    head_problem problem = head_problem::kNone;  ///< Of the byte behind them.
-  };
-
   explicit head_syntax(http_parser_type type) : type_(type) { BeginMessage(); }
 
   /// The next byte begins a message.
@@ -102,7 +110,7 @@
 
   /// Checks bytes up to the end of the head. After it or after a problem, no
   /// byte is right.
-  head_part Check(std::string_view bytes);
+  checked_bytes Check(std::string_view bytes);
 
  private:
   /// Where the next byte belongs.
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -162,6 +162,10 @@
     body_bytes_ = parser_.content_length;
     current_.body.reserve(body_bytes_);
   }
+  if ((parser_.flags & F_CHUNKED) != 0) {
+    part_ = message_part::kChunkLine;
+    chunks_.BeginFirst();
+  }
   return 0;
 }
 
@@ -193,7 +197,8 @@
   if (parser_.content_length == 0) {
     part_ = message_part::kTrailers;
     syntax_.BeginTrailers();
-    http_parser_pause(&parser_, 1);
+  } else {
+    part_ = message_part::kChunkData;
   }
   return 0;
 }
@@ -235,14 +240,28 @@
 
 bool http_reader::Feed(std::string_view bytes) {
   while (error_ == http_parse_error::kNone && !bytes.empty()) {
-    bytes.remove_prefix(part_ == message_part::kBody ? Parse(bytes)
-                                                     : ParseFields(bytes));
+    bytes.remove_prefix(ParsePart(bytes));
   }
   return error_ == http_parse_error::kNone;
 }
 
-size_t http_reader::ParseFields(std::string_view bytes) {
-  const head_syntax::head_part checked = syntax_.Check(bytes);
+size_t http_reader::ParsePart(std::string_view bytes) {
+  switch (part_) {
+    case message_part::kHead:
+    case message_part::kTrailers:
+      return ParseChecked(bytes, syntax_.Check(bytes));
+    case message_part::kChunkLine:
+      return ParseChecked(bytes, chunks_.Check(bytes));
+    case message_part::kChunkData:
+      return ParseChunkData(bytes);
+    case message_part::kBody:
+      break;
+  }
+  return Parse(bytes);
+}
+
+size_t http_reader::ParseChecked(std::string_view bytes,
+                                 const checked_bytes& checked) {
   // To the library, no bytes are the end of the connection.
   if (checked.size > 0) {
     Parse(bytes.substr(0, checked.size));
@@ -254,6 +273,15 @@
   return checked.size;
 }
 
+size_t http_reader::ParseChunkData(std::string_view bytes) {
+  const size_t read = Parse(bytes.substr(0, parser_.content_length));
+  if (parser_.content_length == 0) {
+    part_ = message_part::kChunkLine;
+    chunks_.BeginNext();
+  }
+  return read;
+}
+
 size_t http_reader::Parse(std::string_view bytes) {
   const size_t read =
       http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -20,6 +20,7 @@
 #include <string_view>
 #include <vector>
 
+#include "net/http_chunk.h"
 #include "net/http_head.h"
 #include "net/http_types.h"
 #include "net/shared_body.h"
@@ -70,8 +71,9 @@
   kBodyTooLarge,
 };
 
-/// Cuts a stream of bytes into messages. What is no head of HTTP/1.1 is an
-/// error at its first wrong byte, or at its end where only the whole tells.
+/// Cuts a stream of bytes into messages. What is no head of HTTP/1.1, or no
+/// body in chunks, is an error at its first wrong byte, or at its end where
+/// only the whole tells.
 ///
 /// @code
 /// http_reader reader(HTTP_REQUEST, limits);
@@ -137,17 +139,26 @@
   bool IsOpenEnded() const;
   head_problem CheckHead() const;
   void OnProblem(head_problem problem);
-  /// Parses bytes that may be parsed. Returns how many belong to the part of
-  /// the message that the first one belongs to.
+  /// Parses bytes of the part that the first one belongs to. Returns how many.
+  size_t ParsePart(std::string_view bytes);
+  /// The same for bytes of which some were checked.
+  size_t ParseChecked(std::string_view bytes, const checked_bytes& checked);
+  size_t ParseChunkData(std::string_view bytes);
+  /// Hands bytes to the library. Returns how many it has read.
   size_t Parse(std::string_view bytes);
-  /// The same for bytes of a head or of trailers, which it checks.
-  size_t ParseFields(std::string_view bytes);
 
   /// Where the next byte belongs.
-  enum class message_part : uint8_t { kHead, kBody, kTrailers };
+  enum class message_part : uint8_t {
+    kHead,
+    kBody,
+    kChunkLine,  ///< With the end of the data of the chunk before.
+    kChunkData,
+    kTrailers
+  };
 
   http_parser parser_;
   head_syntax syntax_;
+  chunk_syntax chunks_;
   message_part part_ = message_part::kHead;
   head_problem problem_ = head_problem::kNone;
   http_parse_limits limits_;
--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -299,6 +299,8 @@
            "Content-Length: 5\r\nContent-Length: 5\r\n" + chunks,
            "A: b\r\n Transfer-Encoding: chunked\r\n" + chunks,
            "Host: other\r\nContent-Length: 0\r\n\r\n" + chunks,
+           std::string{"Transfer-Encoding: chunked\r\n\r\n2\r\nhiXY"} +
+               "0\r\n\r\n",
        }) {
     blocking_caller caller(server_.port());
     caller.Send("POST /a/ HTTP/1.1\r\nHost: h\r\n" + fields);
--- a/tests/http_head_test.cc
+++ b/tests/http_head_test.cc
@@ -1,4 +1,5 @@
-// Heads of HTTP/1.1 as RFC 9112 and RFC 9110 define them, in both directions.
+// Heads of HTTP/1.1 and the framing of bodies in chunks, as RFC 9112 and RFC
+// 9110 define them, in both directions.
 
 #include "net/http_head.h"
 
@@ -15,7 +16,7 @@
 namespace foxtailspread {
 namespace {
 
-/// A message and what is wrong with its head; nothing if it is right.
+/// A message and what is wrong with it; nothing if it is right.
 struct head_form {
   std::string name;
   http_parser_type type;
@@ -89,6 +90,57 @@
   return forms;
 }
 
+/// Bodies in chunks, each with one chunk of data.
+std::vector<head_form> ChunkForms() {
+  using enum head_problem;
+  std::vector<head_form> forms;
+  const auto add = [&](const std::string& name, const std::string& body,
+                       head_problem problem = kNone) {
+    const std::string fields = "Transfer-Encoding: chunked\r\n\r\n";
+    forms.push_back(Answer("answer-" + name,
+                           "HTTP/1.1 200 OK\r\n" + fields + body, problem));
+    forms.push_back(Request("request-" + name,
+                            "POST / HTTP/1.1\r\nHost: h\r\n" + fields + body,
+                            problem));
+  };
+  const std::string rest = "\r\nhi\r\n0\r\n\r\n";
+  const std::string last = "\r\n0\r\n\r\n";
+  add("chunk", "2" + rest);
+  add("size-with-zeros", "0002" + rest);
+  add("size-in-both-cases", "aA\r\n" + std::string(0xAA, 'x') + last);
+  add("last-chunk-of-zeros", "2\r\nhi\r\n000\r\n\r\n");
+  add("extension", "2;a" + rest);
+  add("extension-with-token", "2;a=b" + rest);
+  add("extension-with-quotes", "2;a=\"b;\\\"c\"" + rest);
+  add("extensions", "2;a;b=c;d=\"\";e" + rest);
+  add("extension-with-spaces", "2 ; a\t= b ;c ;d" + rest);
+  add("extension-of-last-chunk", "2\r\nhi\r\n0;a\r\n\r\n");
+  add("no-size", rest, kChunkSize);
+  add("signed-size", "+2" + rest, kChunkSize);
+  add("size-in-c-notation", "0x2" + rest, kChunkSize);
+  add("space-before-size", " 2" + rest, kChunkSize);
+  add("text-behind-size", "2z" + rest, kChunkSize);
+  add("size-that-ends-with-lf", "2\nhi" + last, kChunkSize);
+  add("space-behind-size", "2 " + rest, kChunkExtension);
+  add("text-behind-space", "2 junk" + rest, kChunkExtension);
+  add("extension-without-name", "2;" + rest, kChunkExtension);
+  add("value-without-name", "2;=b" + rest, kChunkExtension);
+  add("extension-without-value", "2;a=" + rest, kChunkExtension);
+  add("space-in-extension", "2;a b" + rest, kChunkExtension);
+  add("space-behind-name", "2;a " + rest, kChunkExtension);
+  add("control-in-extension", "2;a\x01" + rest, kChunkExtension);
+  add("control-in-quotes", "2;a=\"\x01\"" + rest, kChunkExtension);
+  add("open-quotes", "2;a=\"b" + rest, kChunkExtension);
+  add("text-behind-quotes", "2;a=\"b\"c" + rest, kChunkExtension);
+  add("lf-in-extension", "2;a\nhi" + last, kChunkExtension);
+  add("cr-behind-size", "2\rXhi" + last, kLineEnding);
+  add("data-longer-than-size", "2\r\nhiXY0\r\n\r\n", kChunkData);
+  add("data-that-ends-with-cr", "2\r\nhi\rX0\r\n\r\n", kChunkData);
+  add("data-that-ends-with-lf", "2\r\nhi\n0\r\n\r\n", kChunkData);
+  add("data-shorter-than-size", "4\r\nhi" + last, kChunkData);
+  return forms;
+}
+
 std::vector<head_form> AnswerForms() {
   using enum head_problem;
   const std::string rest = "\r\nContent-Length: 0\r\n\r\n";
@@ -231,7 +283,7 @@
 
 std::vector<head_form> AllForms() {
   std::vector<head_form> all = FormsOfBothDirections();
-  for (const auto& forms : {AnswerForms(), RequestForms()}) {
+  for (const auto& forms : {ChunkForms(), AnswerForms(), RequestForms()}) {
     all.insert(all.end(), forms.begin(), forms.end());
   }
   return all;
@@ -263,7 +315,7 @@
   http_reader reader_{GetParam().type, {}};
 };
 
-// Guards against heads that are no heads of HTTP/1.1 and pass for messages, and
+// Guards against bytes that are no message of HTTP/1.1 and pass for one, and
 // against messages that are refused.
 TEST_P(HeadFormTest, ReadAtOnceIsJudgedByTheGrammar) {
   Feed(GetParam().bytes.size());
--- a/tests/malformed_answer_test.cc
+++ b/tests/malformed_answer_test.cc
@@ -16,11 +16,12 @@
 namespace foxtailspread {
 namespace {
 
-/// A whole answer but for its head.
+/// An answer that ends where it should.
 struct malformed_form {
   std::string name;
   std::string status_line;
   std::string fields;  ///< Besides those that each answer has.
+  std::string rest = "Content-Length: 2\r\n\r\nhi";
 };
 
 void PrintTo(const malformed_form& form, std::ostream* out) {
@@ -73,8 +74,7 @@
         request.Header(platform::kAttemptId).value_or("")};
     return form_.status_line + "\r\n" + form_.fields +
            std::string{platform::kAttemptId} + ": " + attempt + "\r\n" +
-           std::string{platform::kSignature} + ": s\r\n" +
-           "Content-Length: 2\r\n\r\nhi";
+           std::string{platform::kSignature} + ": s\r\n" + form_.rest;
   }
 
   poller& events_;
@@ -126,7 +126,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Heads, MalformedAnswerTest,
+    Forms, MalformedAnswerTest,
     ::testing::Values(
         malformed_form{"status-0", "HTTP/1.1 000 OK", ""},
         malformed_form{"status-600", "HTTP/1.1 600 OK", ""},
@@ -135,7 +135,13 @@
         malformed_form{"folded-first-line", "HTTP/1.1 200 OK", " A: b\r\n"},
         malformed_form{"unknown-coding", "HTTP/1.1 200 OK",
                        "Transfer-Encoding: gzip\r\n"},
-        malformed_form{"switched-protocol", "HTTP/1.1 101 x", ""}),
+        malformed_form{"switched-protocol", "HTTP/1.1 101 x", ""},
+        malformed_form{"chunk-longer-than-its-size", "HTTP/1.1 200 OK", "",
+                       "Transfer-Encoding: chunked\r\n\r\n"
+                       "2\r\nhiXY0\r\n\r\n"},
+        malformed_form{"text-behind-size", "HTTP/1.1 200 OK", "",
+                       "Transfer-Encoding: chunked\r\n\r\n"
+                       "2 junk\r\nhi\r\n0\r\n\r\n"}),
     [](const auto& info) { return "Number" + std::to_string(info.index); });
 
 }  // namespace
