Refuse Host fields whose port is none

What callers saw: a request whose Host field had letters for a port, two ports or an unpaired bracket was read as sound and routed by that name, where RFC 9112, 3.2 asks for 400.

Cause: CheckHost looked at the characters of the value, not at their order.

--- a/src/net/http_head.cc
+++ b/src/net/http_head.cc
@@ -70,6 +70,21 @@
   return true;
 }
 
+/// Whether `text` is a host and perhaps a port, of characters that these have.
+bool IsHostAndPort(std::string_view text) {
+  const bool is_literal = text.starts_with('[');
+  const size_t host_ends =
+      is_literal ? text.find(']') + 1 : std::min(text.find(':'), text.size());
+  const std::string_view host = text.substr(0, host_ends);
+  const std::string_view port = text.substr(host_ends);
+  const bool is_host =
+      is_literal ? host_ends > 0 && host.find('[', 1) == std::string_view::npos
+                 : host.find_first_of("[]") == std::string_view::npos;
+  return is_host &&
+         (port.empty() || (port.starts_with(':') &&
+                           std::ranges::all_of(port.substr(1), IsDigit)));
+}
+
 head_problem CheckCodings(std::string_view codings) {
   const size_t last_begins = codings.rfind(',') + 1;
   if (!SameHeader(TrimSpaces(codings.substr(last_begins)), kChunked)) {
@@ -187,7 +202,8 @@
       continue;
     }
     const std::string_view value = TrimSpaces(field.value);
-    if (host != nullptr || !AreIn(kInHost, value) || !IsPercentEncoded(value)) {
+    if (host != nullptr || !AreIn(kInHost, value) || !IsPercentEncoded(value) ||
+        !IsHostAndPort(value)) {
       return head_problem::kHost;
     }
     host = &field;
