--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -62,7 +62,8 @@
 class caller_server {
  public:
   /// `memory` counts what this server and others of the process hold; null for
-  /// a count of its own.
+  /// a count of its own. The count must outlive requests that were handed on:
+  /// their large bodies stay in it until they are released.
   caller_server(poller& events, caller_events owner,
                 held_memory* memory = nullptr);
   ~caller_server();
