Name what is wrong with a message, not only with its head

head_problem names faults of chunks too, and http_chunk.h took the whole of http_head.h for it. message_problem, with checked_bytes and its names, has a header of its own; the names in logs are the same. In the tests head_form and HeadFormTest become message_form and MessageFormTest, their forms unchanged.

--- a/src/net/http_chunk.cc
+++ b/src/net/http_chunk.cc
@@ -1,16 +1,18 @@
 #include "net/http_chunk.h"
 
+#include "net/http_head.h"
+
 namespace foxtailspread {
 namespace {
 
-constexpr auto kNone = head_problem::kNone;
-constexpr auto kBadExtension = head_problem::kChunkExtension;
+constexpr auto kNone = message_problem::kNone;
+constexpr auto kBadExtension = message_problem::kChunkExtension;
 
 }  // namespace
 
 checked_bytes chunk_syntax::Check(std::string_view bytes) {
   for (size_t at = 0; at < bytes.size(); ++at) {
-    const head_problem problem = Take(bytes[at]);
+    const message_problem problem = Take(bytes[at]);
     if (problem != kNone) {
       next_ = part::kNothing;
       return {.size = at, .problem = problem};
@@ -22,8 +24,8 @@
   return {.size = bytes.size()};
 }
 
-head_problem chunk_syntax::MoveIf(bool is_right, part next,
-                                  head_problem problem) {
+message_problem chunk_syntax::MoveIf(bool is_right, part next,
+                                     message_problem problem) {
   if (!is_right) {
     return problem;
   }
@@ -31,12 +33,12 @@
   return kNone;
 }
 
-head_problem chunk_syntax::Take(char c) {
+message_problem chunk_syntax::Take(char c) {
   switch (next_) {
     case part::kDataEnd:
-      return MoveIf(c == '\r', part::kDataLineEnd, head_problem::kChunkData);
+      return MoveIf(c == '\r', part::kDataLineEnd, message_problem::kChunkData);
     case part::kDataLineEnd:
-      return MoveIf(c == '\n', part::kFirstDigit, head_problem::kChunkData);
+      return MoveIf(c == '\n', part::kFirstDigit, message_problem::kChunkData);
     case part::kFirstDigit:
     case part::kSize:
       return TakeSize(c);
@@ -56,22 +58,23 @@
     case part::kAfterQuoted:
       return TakeEnd(c);
     case part::kLineEnd:
-      return MoveIf(c == '\n', part::kNothing, head_problem::kLineEnding);
+      return MoveIf(c == '\n', part::kNothing, message_problem::kLineEnding);
     case part::kNothing:
       break;
   }
-  return head_problem::kChunkSize;
+  return message_problem::kChunkSize;
 }
 
-head_problem chunk_syntax::TakeSize(char c) {
+message_problem chunk_syntax::TakeSize(char c) {
   if (IsHexDigit(c)) {
     return MoveIf(true, part::kSize, kNone);
   }
-  return next_ == part::kSize && TakeEnd(c) == kNone ? kNone
-                                                     : head_problem::kChunkSize;
+  return next_ == part::kSize && TakeEnd(c) == kNone
+             ? kNone
+             : message_problem::kChunkSize;
 }
 
-head_problem chunk_syntax::TakeName(char c) {
+message_problem chunk_syntax::TakeName(char c) {
   if (next_ == part::kBeforeName) {
     return IsSpace(c) ? kNone
                       : MoveIf(IsTokenCharacter(c), part::kName, kBadExtension);
@@ -90,7 +93,7 @@
              : MoveIf(c == ';', part::kBeforeName, kBadExtension);
 }
 
-head_problem chunk_syntax::TakeValue(char c) {
+message_problem chunk_syntax::TakeValue(char c) {
   if (IsTokenCharacter(c)) {
     return MoveIf(true, part::kToken, kNone);
   }
@@ -100,7 +103,7 @@
   return IsSpace(c) ? kNone : MoveIf(c == '"', part::kQuoted, kBadExtension);
 }
 
-head_problem chunk_syntax::TakeQuoted(char c) {
+message_problem chunk_syntax::TakeQuoted(char c) {
   if (!IsFieldValueCharacter(c)) {
     return kBadExtension;
   }
@@ -113,7 +116,7 @@
   return MoveIf(true, c == '\\' ? part::kQuotedPair : part::kQuoted, kNone);
 }
 
-head_problem chunk_syntax::TakeEnd(char c) {
+message_problem chunk_syntax::TakeEnd(char c) {
   if (c == '\r') {
     return MoveIf(true, part::kLineEnd, kNone);
   }
--- a/src/net/http_chunk.h
+++ b/src/net/http_chunk.h
@@ -13,7 +13,7 @@
 #include <cstdint>
 #include <string_view>
 
-#include "net/http_head.h"
+#include "net/message_problem.h"
 
 namespace foxtailspread {
 
@@ -56,15 +56,15 @@
     kNothing,
   };
 
-  head_problem Take(char c);
-  head_problem TakeSize(char c);
-  head_problem TakeName(char c);
-  head_problem TakeValue(char c);
-  head_problem TakeQuoted(char c);
+  message_problem Take(char c);
+  message_problem TakeSize(char c);
+  message_problem TakeName(char c);
+  message_problem TakeValue(char c);
+  message_problem TakeQuoted(char c);
   /// Moves to the end of the line, to the next extension, or to the white space
   /// in front of it.
-  head_problem TakeEnd(char c);
-  head_problem MoveIf(bool is_right, part next, head_problem problem);
+  message_problem TakeEnd(char c);
+  message_problem MoveIf(bool is_right, part next, message_problem problem);
 
   part next_ = part::kNothing;
 };
--- a/src/net/http_head.cc
+++ b/src/net/http_head.cc
@@ -85,58 +85,17 @@
                            std::ranges::all_of(port.substr(1), IsDigit)));
 }
 
-head_problem CheckCodings(std::string_view codings) {
+message_problem CheckCodings(std::string_view codings) {
   const size_t last_begins = codings.rfind(',') + 1;
   if (!SameHeader(TrimSpaces(codings.substr(last_begins)), kChunked)) {
-    return head_problem::kTransferCoding;
+    return message_problem::kTransferCoding;
   }
-  return last_begins == 0 ? head_problem::kNone : head_problem::kUnknownCoding;
+  return last_begins == 0 ? message_problem::kNone
+                          : message_problem::kUnknownCoding;
 }
 
 }  // namespace
 
-const char* ToString(head_problem problem) {
-  switch (problem) {
-    case head_problem::kNone:
-      return "";
-    case head_problem::kMethod:
-      return "method";
-    case head_problem::kRequestTarget:
-      return "request-target";
-    case head_problem::kVersion:
-      return "version";
-    case head_problem::kStatusCode:
-      return "status-code";
-    case head_problem::kReasonPhrase:
-      return "reason-phrase";
-    case head_problem::kLineEnding:
-      return "line-ending";
-    case head_problem::kFoldedLine:
-      return "folded-line";
-    case head_problem::kFieldName:
-      return "field-name";
-    case head_problem::kFieldValue:
-      return "field-value";
-    case head_problem::kHost:
-      return "host";
-    case head_problem::kContentLength:
-      return "content-length";
-    case head_problem::kTransferCoding:
-      return "transfer-coding";
-    case head_problem::kUnknownCoding:
-      return "unknown-coding";
-    case head_problem::kSwitchedProtocol:
-      return "switched-protocol";
-    case head_problem::kChunkSize:
-      return "chunk-size";
-    case head_problem::kChunkExtension:
-      return "chunk-extension";
-    case head_problem::kChunkData:
-      return "chunk-data";
-  }
-  return "";
-}
-
 bool SameHeader(std::string_view a, std::string_view b) {
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
@@ -167,8 +126,8 @@
 
 bool IsFieldValueCharacter(char c) { return IsIn(kInText, c); }
 
-head_problem CheckFraming(std::span<const http_header> fields,
-                          int minor_version) {
+message_problem CheckFraming(std::span<const http_header> fields,
+                             int minor_version) {
   const http_header* length = nullptr;
   const http_header* coding = nullptr;
   for (const http_header& field : fields) {
@@ -176,26 +135,28 @@
       const std::string_view digits = TrimSpaces(field.value);
       if (length != nullptr || digits.empty() ||
           !std::ranges::all_of(digits, IsDigit)) {
-        return head_problem::kContentLength;
+        return message_problem::kContentLength;
       }
       length = &field;
     } else if (SameHeader(field.name, kTransferEncoding)) {
       if (coding != nullptr) {
-        return head_problem::kTransferCoding;
+        return message_problem::kTransferCoding;
       }
       coding = &field;
     }
   }
   if (coding == nullptr) {
-    return head_problem::kNone;
+    return message_problem::kNone;
   }
   // Senders of both, or of codings in HTTP/1.0, may frame the message otherwise
   // than this process.
-  return length != nullptr || minor_version == 0 ? head_problem::kTransferCoding
-                                                 : CheckCodings(coding->value);
+  return length != nullptr || minor_version == 0
+             ? message_problem::kTransferCoding
+             : CheckCodings(coding->value);
 }
 
-head_problem CheckHost(std::span<const http_header> fields, int minor_version) {
+message_problem CheckHost(std::span<const http_header> fields,
+                          int minor_version) {
   const http_header* host = nullptr;
   for (const http_header& field : fields) {
     if (!SameHeader(field.name, "Host")) {
@@ -204,21 +165,21 @@
     const std::string_view value = TrimSpaces(field.value);
     if (host != nullptr || !AreIn(kInHost, value) || !IsPercentEncoded(value) ||
         !IsHostAndPort(value)) {
-      return head_problem::kHost;
+      return message_problem::kHost;
     }
     host = &field;
   }
-  return host == nullptr && minor_version > 0 ? head_problem::kHost
-                                              : head_problem::kNone;
+  return host == nullptr && minor_version > 0 ? message_problem::kHost
+                                              : message_problem::kNone;
 }
 
-head_problem CheckRequestTarget(std::string_view method,
-                                std::string_view target) {
+message_problem CheckRequestTarget(std::string_view method,
+                                   std::string_view target) {
   const bool is_form = target.starts_with('/') ||
                        (target == "*" && method == "OPTIONS") ||
                        target.find("://") != std::string_view::npos;
-  return is_form && IsPercentEncoded(target) ? head_problem::kNone
-                                             : head_problem::kRequestTarget;
+  return is_form && IsPercentEncoded(target) ? message_problem::kNone
+                                             : message_problem::kRequestTarget;
 }
 
 void head_syntax::BeginMessage() {
@@ -229,8 +190,8 @@
 checked_bytes head_syntax::Check(std::string_view bytes) {
   for (size_t at = SkipRun(bytes, 0); at < bytes.size();
        at = SkipRun(bytes, at + 1)) {
-    const head_problem problem = Take(bytes[at]);
-    if (problem != head_problem::kNone) {
+    const message_problem problem = Take(bytes[at]);
+    if (problem != message_problem::kNone) {
       next_ = part::kNothing;
       return {.size = at, .problem = problem};
     }
@@ -252,46 +213,46 @@
   return at;
 }
 
-head_problem head_syntax::MoveIf(bool is_right, part next,
-                                 head_problem problem) {
+message_problem head_syntax::MoveIf(bool is_right, part next,
+                                    message_problem problem) {
   if (!is_right) {
     return problem;
   }
   next_ = next;
   taken_ = 0;
-  return head_problem::kNone;
+  return message_problem::kNone;
 }
 
-head_problem head_syntax::Take(char c) {
+message_problem head_syntax::Take(char c) {
   switch (next_) {
     case part::kValue:
-      return IsIn(kInText, c) || TakeLineEnd(c) ? head_problem::kNone
-                                                : head_problem::kFieldValue;
+      return IsIn(kInText, c) || TakeLineEnd(c) ? message_problem::kNone
+                                                : message_problem::kFieldValue;
     case part::kName:
       return IsIn(kInToken, c)
-                 ? head_problem::kNone
-                 : MoveIf(c == ':', part::kValue, head_problem::kFieldName);
+                 ? message_problem::kNone
+                 : MoveIf(c == ':', part::kValue, message_problem::kFieldName);
     case part::kLine:
       return TakeLine(c);
     case part::kLineEnd:
-      return MoveIf(c == '\n', part::kLine, head_problem::kLineEnding);
+      return MoveIf(c == '\n', part::kLine, message_problem::kLineEnding);
     case part::kHeadEnd:
-      return MoveIf(c == '\n', part::kNothing, head_problem::kLineEnding);
+      return MoveIf(c == '\n', part::kNothing, message_problem::kLineEnding);
     case part::kBlankLine:
       return TakeBlankLine(c);
     case part::kBlankLineEnd:
-      return MoveIf(c == '\n', part::kBlankLine, head_problem::kLineEnding);
+      return MoveIf(c == '\n', part::kBlankLine, message_problem::kLineEnding);
     case part::kMethod:
       return IsIn(kInToken, c)
-                 ? head_problem::kNone
-                 : MoveIf(c == ' ', part::kTarget, head_problem::kMethod);
+                 ? message_problem::kNone
+                 : MoveIf(c == ' ', part::kTarget, message_problem::kMethod);
     case part::kTarget:
       if (IsIn(kInTarget, c)) {
         ++taken_;
-        return head_problem::kNone;
+        return message_problem::kNone;
       }
       return MoveIf(c == ' ' && taken_ > 0, part::kVersion,
-                    head_problem::kRequestTarget);
+                    message_problem::kRequestTarget);
     case part::kVersion:
       return TakeVersion(c);
     case part::kAfterVersion:
@@ -299,62 +260,63 @@
     case part::kStatusCode:
       return TakeStatusCode(c);
     case part::kAfterStatusCode:
-      return TakeLineEnd(c) ? head_problem::kNone
+      return TakeLineEnd(c) ? message_problem::kNone
                             : MoveIf(c == ' ', part::kReasonPhrase,
-                                     head_problem::kStatusCode);
+                                     message_problem::kStatusCode);
     case part::kReasonPhrase:
-      return IsIn(kInText, c) || TakeLineEnd(c) ? head_problem::kNone
-                                                : head_problem::kReasonPhrase;
+      return IsIn(kInText, c) || TakeLineEnd(c)
+                 ? message_problem::kNone
+                 : message_problem::kReasonPhrase;
     case part::kNothing:
       break;
   }
-  return head_problem::kLineEnding;
+  return message_problem::kLineEnding;
 }
 
-head_problem head_syntax::TakeBlankLine(char c) {
+message_problem head_syntax::TakeBlankLine(char c) {
   if (c == '\n') {
-    return head_problem::kNone;
+    return message_problem::kNone;
   }
-  return c == '\r'
-             ? MoveIf(true, part::kBlankLineEnd, head_problem::kNone)
-             : MoveIf(IsIn(kInToken, c), part::kMethod, head_problem::kMethod);
+  return c == '\r' ? MoveIf(true, part::kBlankLineEnd, message_problem::kNone)
+                   : MoveIf(IsIn(kInToken, c), part::kMethod,
+                            message_problem::kMethod);
 }
 
-head_problem head_syntax::TakeVersion(char c) {
+message_problem head_syntax::TakeVersion(char c) {
   if (taken_ < kVersionBeginning.size()) {
-    return c == kVersionBeginning[taken_++] ? head_problem::kNone
-                                            : head_problem::kVersion;
+    return c == kVersionBeginning[taken_++] ? message_problem::kNone
+                                            : message_problem::kVersion;
   }
-  return MoveIf(IsDigit(c), part::kAfterVersion, head_problem::kVersion);
+  return MoveIf(IsDigit(c), part::kAfterVersion, message_problem::kVersion);
 }
 
-head_problem head_syntax::TakeAfterVersion(char c) {
+message_problem head_syntax::TakeAfterVersion(char c) {
   if (type_ == HTTP_REQUEST) {
-    return TakeLineEnd(c) ? head_problem::kNone : head_problem::kVersion;
+    return TakeLineEnd(c) ? message_problem::kNone : message_problem::kVersion;
   }
-  return MoveIf(c == ' ', part::kStatusCode, head_problem::kVersion);
+  return MoveIf(c == ' ', part::kStatusCode, message_problem::kVersion);
 }
 
-head_problem head_syntax::TakeStatusCode(char c) {
+message_problem head_syntax::TakeStatusCode(char c) {
   const bool is_right = taken_ == 0 ? c >= '1' && c <= '5' : IsDigit(c);
   if (!is_right) {
-    return head_problem::kStatusCode;
+    return message_problem::kStatusCode;
   }
   return ++taken_ < kStatusDigits
-             ? head_problem::kNone
-             : MoveIf(true, part::kAfterStatusCode, head_problem::kNone);
+             ? message_problem::kNone
+             : MoveIf(true, part::kAfterStatusCode, message_problem::kNone);
 }
 
-head_problem head_syntax::TakeLine(char c) {
+message_problem head_syntax::TakeLine(char c) {
   if (c == '\r') {
-    return MoveIf(true, part::kHeadEnd, head_problem::kNone);
+    return MoveIf(true, part::kHeadEnd, message_problem::kNone);
   }
   if (c == '\n') {
-    return MoveIf(true, part::kNothing, head_problem::kNone);
+    return MoveIf(true, part::kNothing, message_problem::kNone);
   }
   return MoveIf(
       IsIn(kInToken, c), part::kName,
-      IsSpace(c) ? head_problem::kFoldedLine : head_problem::kFieldName);
+      IsSpace(c) ? message_problem::kFoldedLine : message_problem::kFieldName);
 }
 
 bool head_syntax::TakeLineEnd(char c) {
--- a/src/net/http_head.h
+++ b/src/net/http_head.h
@@ -19,6 +19,7 @@
 #include <string_view>
 
 #include "net/http_types.h"
+#include "net/message_problem.h"
 
 namespace foxtailspread {
 
@@ -27,38 +28,6 @@
 inline constexpr int kMinFinalHttpStatus = 200;
 inline constexpr int kMaxHttpStatus = 599;
 
-/// What is wrong with a head, or with what frames a body in chunks.
-enum class head_problem : uint8_t {
-  kNone,
-  kMethod,
-  kRequestTarget,
-  kVersion,
-  kStatusCode,
-  kReasonPhrase,
-  kLineEnding,        ///< CR without LF.
-  kFoldedLine,        ///< A line that begins with white space.
-  kFieldName,         ///< No token, or something between it and its colon.
-  kFieldValue,        ///< A control character.
-  kHost,              ///< Missing, repeated or no host.
-  kContentLength,     ///< Repeated or no decimal number.
-  kTransferCoding,    ///< Leaves the length of the message unclear.
-  kUnknownCoding,     ///< A coding other than chunked.
-  kSwitchedProtocol,  ///< Status 101, which nobody asked for.
-  kChunkSize,         ///< No hexadecimal number.
-  kChunkExtension,
-  kChunkData  ///< Longer than its size states.
-};
-
-/// Returns the name of `problem` in logs; "" for kNone. Names are stable.
-const char* ToString(head_problem problem);
-
-/// Bytes that were checked while they arrive.
-struct checked_bytes {
-  size_t size = 0;                             ///< Those that are right.
-  bool is_last = false;                        ///< They end what is checked.
-  head_problem problem = head_problem::kNone;  ///< Of the byte behind them.
-};
-
 /// Whether two header names are the same.
 bool SameHeader(std::string_view a, std::string_view b);
 
@@ -81,21 +50,22 @@
 
 /// Checks how the fields of a head frame its message. `minor_version` is that
 /// of HTTP/1.x.
-head_problem CheckFraming(std::span<const http_header> fields,
-                          int minor_version);
+message_problem CheckFraming(std::span<const http_header> fields,
+                             int minor_version);
 
 /// Checks that the fields of a request name one host.
-head_problem CheckHost(std::span<const http_header> fields, int minor_version);
+message_problem CheckHost(std::span<const http_header> fields,
+                          int minor_version);
 
 /// Checks the target of a request, whose characters are known to be allowed.
-head_problem CheckRequestTarget(std::string_view method,
-                                std::string_view target);
+message_problem CheckRequestTarget(std::string_view method,
+                                   std::string_view target);
 
 /// Checks the syntax of heads and trailer sections while their bytes arrive.
 ///
 /// @code
 /// const checked_bytes part = syntax.Check(bytes);
-/// if (part.problem != head_problem::kNone) return Refuse(part.problem);
+/// if (part.problem != message_problem::kNone) return Refuse(part.problem);
 /// Parse(bytes.substr(0, part.size));
 /// if (part.is_last) ...  // The rest of the bytes belongs to the body.
 /// @endcode
@@ -134,15 +104,15 @@
 
   /// Returns where the run of characters ends that a name or value may have.
   size_t SkipRun(std::string_view bytes, size_t at) const;
-  head_problem Take(char c);
-  head_problem TakeBlankLine(char c);
-  head_problem TakeVersion(char c);
-  head_problem TakeAfterVersion(char c);
-  head_problem TakeStatusCode(char c);
-  head_problem TakeLine(char c);
+  message_problem Take(char c);
+  message_problem TakeBlankLine(char c);
+  message_problem TakeVersion(char c);
+  message_problem TakeAfterVersion(char c);
+  message_problem TakeStatusCode(char c);
+  message_problem TakeLine(char c);
   /// Moves on if `c` ends a line; false otherwise.
   bool TakeLineEnd(char c);
-  head_problem MoveIf(bool is_right, part next, head_problem problem);
+  message_problem MoveIf(bool is_right, part next, message_problem problem);
 
   http_parser_type type_;
   part next_ = part::kNothing;
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -145,8 +145,8 @@
   } else {
     current_.status = static_cast<int>(parser_.status_code);
   }
-  const head_problem problem = CheckHead();
-  if (problem != head_problem::kNone) {
+  const message_problem problem = CheckHead();
+  if (problem != message_problem::kNone) {
     OnProblem(problem);
     return -1;
   }
@@ -169,26 +169,26 @@
   return 0;
 }
 
-head_problem http_reader::CheckHead() const {
+message_problem http_reader::CheckHead() const {
   const int minor_version = parser_.http_minor;
-  const head_problem framing = CheckFraming(current_.headers, minor_version);
-  if (framing != head_problem::kNone) {
+  const message_problem framing = CheckFraming(current_.headers, minor_version);
+  if (framing != message_problem::kNone) {
     return framing;
   }
   if (parser_.type == HTTP_RESPONSE) {
     return current_.status == HTTP_STATUS_SWITCHING_PROTOCOLS
-               ? head_problem::kSwitchedProtocol
-               : head_problem::kNone;
+               ? message_problem::kSwitchedProtocol
+               : message_problem::kNone;
   }
-  const head_problem host = CheckHost(current_.headers, minor_version);
-  return host != head_problem::kNone
+  const message_problem host = CheckHost(current_.headers, minor_version);
+  return host != message_problem::kNone
              ? host
              : CheckRequestTarget(current_.method, current_.target);
 }
 
-void http_reader::OnProblem(head_problem problem) {
+void http_reader::OnProblem(message_problem problem) {
   problem_ = problem;
-  error_ = problem == head_problem::kUnknownCoding
+  error_ = problem == message_problem::kUnknownCoding
                ? http_parse_error::kUnsupported
                : http_parse_error::kMalformed;
 }
@@ -266,7 +266,7 @@
   if (checked.size > 0) {
     Parse(bytes.substr(0, checked.size));
   }
-  const bool is_right = checked.problem == head_problem::kNone;
+  const bool is_right = checked.problem == message_problem::kNone;
   if (!is_right && error_ == http_parse_error::kNone) {
     OnProblem(checked.problem);
   }
@@ -300,7 +300,7 @@
       error_ != http_parse_error::kUnsupported) {
     return {};
   }
-  return problem_ != head_problem::kNone
+  return problem_ != message_problem::kNone
              ? ToString(problem_)
              : http_errno_name(HTTP_PARSER_ERRNO(&parser_));
 }
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -137,8 +137,8 @@
   bool AddHeaderBytes(size_t count);
   bool IsBodiless() const;
   bool IsOpenEnded() const;
-  head_problem CheckHead() const;
-  void OnProblem(head_problem problem);
+  message_problem CheckHead() const;
+  void OnProblem(message_problem problem);
   /// Parses bytes of the part that the first one belongs to. Returns how many.
   size_t ParsePart(std::string_view bytes);
   /// The same for bytes of which some were checked.
@@ -160,7 +160,7 @@
   head_syntax syntax_;
   chunk_syntax chunks_;
   message_part part_ = message_part::kHead;
-  head_problem problem_ = head_problem::kNone;
+  message_problem problem_ = message_problem::kNone;
   http_parse_limits limits_;
   http_message current_;
   std::vector<http_message> done_;
--- a/tests/http_head_test.cc
+++ b/tests/http_head_test.cc
@@ -17,28 +17,28 @@
 namespace {
 
 /// A message and what is wrong with it; nothing if it is right.
-struct head_form {
+struct message_form {
   std::string name;
   http_parser_type type;
   std::string bytes;
-  head_problem problem = head_problem::kNone;
+  message_problem problem = message_problem::kNone;
 };
 
-void PrintTo(const head_form& form, std::ostream* out) { *out << form.name; }
+void PrintTo(const message_form& form, std::ostream* out) { *out << form.name; }
 
-head_form Answer(std::string name, std::string bytes,
-                 head_problem problem = head_problem::kNone) {
+message_form Answer(std::string name, std::string bytes,
+                    message_problem problem = message_problem::kNone) {
   return {std::move(name), HTTP_RESPONSE, std::move(bytes), problem};
 }
 
-head_form Request(std::string name, std::string bytes,
-                  head_problem problem = head_problem::kNone) {
+message_form Request(std::string name, std::string bytes,
+                     message_problem problem = message_problem::kNone) {
   return {std::move(name), HTTP_REQUEST, std::move(bytes), problem};
 }
 
 /// An answer of 200 with these fields and no body.
-head_form AnswerField(std::string name, std::string_view fields,
-                      head_problem problem = head_problem::kNone) {
+message_form AnswerField(std::string name, std::string_view fields,
+                         message_problem problem = message_problem::kNone) {
   return Answer(std::move(name),
                 std::string{"HTTP/1.1 200 OK\r\n"}.append(fields).append(
                     "Content-Length: 0\r\n\r\n"),
@@ -46,8 +46,8 @@
 }
 
 /// A request with these fields and no body.
-head_form RequestField(std::string name, std::string_view fields,
-                       head_problem problem = head_problem::kNone) {
+message_form RequestField(std::string name, std::string_view fields,
+                          message_problem problem = message_problem::kNone) {
   return Request(
       std::move(name),
       std::string{"POST /a HTTP/1.1\r\nHost: h\r\n"}.append(fields).append(
@@ -55,11 +55,11 @@
       problem);
 }
 
-std::vector<head_form> FormsOfBothDirections() {
+std::vector<message_form> FormsOfBothDirections() {
   const std::string_view with_null{"A: b\0c\r\n", 8};
-  std::vector<head_form> forms;
+  std::vector<message_form> forms;
   const auto add = [&](const std::string& name, std::string_view fields,
-                       head_problem problem = head_problem::kNone) {
+                       message_problem problem = message_problem::kNone) {
     forms.push_back(AnswerField("answer-" + name, fields, problem));
     forms.push_back(RequestField("request-" + name, fields, problem));
   };
@@ -68,34 +68,35 @@
   add("spaces-around-value", "A: \t b c \t\r\n");
   add("value-beyond-ascii", "A: \x80\xFF\r\n");
   add("line-that-ends-with-lf", "A: b\n");
-  add("space-before-colon", "A : b\r\n", head_problem::kFieldName);
-  add("tab-before-colon", "A\t: b\r\n", head_problem::kFieldName);
+  add("space-before-colon", "A : b\r\n", message_problem::kFieldName);
+  add("tab-before-colon", "A\t: b\r\n", message_problem::kFieldName);
   add("space-before-colon-of-framing", "Transfer-Encoding : chunked\r\n",
-      head_problem::kFieldName);
-  add("space-in-name", "A b: c\r\n", head_problem::kFieldName);
-  add("empty-name", ": b\r\n", head_problem::kFieldName);
-  add("no-colon", "A\r\n", head_problem::kFieldName);
-  add("separator-in-name", "A(b): c\r\n", head_problem::kFieldName);
-  add("control-in-name", "A\x01: b\r\n", head_problem::kFieldName);
-  add("name-beyond-ascii", "\xC3\xA4: b\r\n", head_problem::kFieldName);
-  add("folded-first-line", " A: b\r\n", head_problem::kFoldedLine);
-  add("folded-line", "A: b\r\n c\r\n", head_problem::kFoldedLine);
-  add("folded-empty-line", "A: b\r\n \r\n", head_problem::kFoldedLine);
-  add("line-folded-with-tab", "A: b\r\n\tc\r\n", head_problem::kFoldedLine);
-  add("null-in-value", with_null, head_problem::kFieldValue);
-  add("control-in-value", "A: b\x1B\r\n", head_problem::kFieldValue);
-  add("delete-in-value", "A: b\x7F\r\n", head_problem::kFieldValue);
-  add("cr-in-value", "A: b\rc\r\n", head_problem::kLineEnding);
-  add("signed-length", "Content-Length: +0\r\n", head_problem::kContentLength);
+      message_problem::kFieldName);
+  add("space-in-name", "A b: c\r\n", message_problem::kFieldName);
+  add("empty-name", ": b\r\n", message_problem::kFieldName);
+  add("no-colon", "A\r\n", message_problem::kFieldName);
+  add("separator-in-name", "A(b): c\r\n", message_problem::kFieldName);
+  add("control-in-name", "A\x01: b\r\n", message_problem::kFieldName);
+  add("name-beyond-ascii", "\xC3\xA4: b\r\n", message_problem::kFieldName);
+  add("folded-first-line", " A: b\r\n", message_problem::kFoldedLine);
+  add("folded-line", "A: b\r\n c\r\n", message_problem::kFoldedLine);
+  add("folded-empty-line", "A: b\r\n \r\n", message_problem::kFoldedLine);
+  add("line-folded-with-tab", "A: b\r\n\tc\r\n", message_problem::kFoldedLine);
+  add("null-in-value", with_null, message_problem::kFieldValue);
+  add("control-in-value", "A: b\x1B\r\n", message_problem::kFieldValue);
+  add("delete-in-value", "A: b\x7F\r\n", message_problem::kFieldValue);
+  add("cr-in-value", "A: b\rc\r\n", message_problem::kLineEnding);
+  add("signed-length", "Content-Length: +0\r\n",
+      message_problem::kContentLength);
   return forms;
 }
 
 /// Bodies in chunks, each with one chunk of data.
-std::vector<head_form> ChunkForms() {
-  using enum head_problem;
-  std::vector<head_form> forms;
+std::vector<message_form> ChunkForms() {
+  using enum message_problem;
+  std::vector<message_form> forms;
   const auto add = [&](const std::string& name, const std::string& body,
-                       head_problem problem = kNone) {
+                       message_problem problem = kNone) {
     const std::string fields = "Transfer-Encoding: chunked\r\n\r\n";
     forms.push_back(Answer("answer-" + name,
                            "HTTP/1.1 200 OK\r\n" + fields + body, problem));
@@ -141,8 +142,8 @@
   return forms;
 }
 
-std::vector<head_form> AnswerForms() {
-  using enum head_problem;
+std::vector<message_form> AnswerForms() {
+  using enum message_problem;
   const std::string rest = "\r\nContent-Length: 0\r\n\r\n";
   const std::string empty_chunks = "\r\n0\r\n\r\n";
   const std::string ok = "HTTP/1.1 200 OK\r\n";
@@ -219,8 +220,8 @@
   };
 }
 
-std::vector<head_form> RequestForms() {
-  using enum head_problem;
+std::vector<message_form> RequestForms() {
+  using enum message_problem;
   const std::string rest = " HTTP/1.1\r\nHost: h\r\n\r\n";
   const std::string line = "POST / HTTP/1.1\r\n";
   const std::string chunked = "Transfer-Encoding: chunked\r\n";
@@ -288,15 +289,15 @@
   };
 }
 
-std::vector<head_form> AllForms() {
-  std::vector<head_form> all = FormsOfBothDirections();
+std::vector<message_form> AllForms() {
+  std::vector<message_form> all = FormsOfBothDirections();
   for (const auto& forms : {ChunkForms(), AnswerForms(), RequestForms()}) {
     all.insert(all.end(), forms.begin(), forms.end());
   }
   return all;
 }
 
-class HeadFormTest : public ::testing::TestWithParam<head_form> {
+class MessageFormTest : public ::testing::TestWithParam<message_form> {
  protected:
   /// Feeds the message in pieces of this size at most.
   void Feed(size_t most) {
@@ -309,14 +310,14 @@
   }
 
   void ExpectVerdict() {
-    const head_problem problem = GetParam().problem;
+    const message_problem problem = GetParam().problem;
     EXPECT_EQ(reader_.error() == http_parse_error::kNone,
-              problem == head_problem::kNone);
+              problem == message_problem::kNone);
     // The parser library sees some lengths first and has its own names.
     if (!reader_.problem().ends_with("_CONTENT_LENGTH")) {
       EXPECT_EQ(reader_.problem(), ToString(problem));
     }
-    EXPECT_EQ(reader_.Take().has_value(), problem == head_problem::kNone);
+    EXPECT_EQ(reader_.Take().has_value(), problem == message_problem::kNone);
   }
 
   http_reader reader_{GetParam().type, {}};
@@ -324,19 +325,19 @@
 
 // Guards against bytes that are no message of HTTP/1.1 and pass for one, and
 // against messages that are refused.
-TEST_P(HeadFormTest, ReadAtOnceIsJudgedByTheGrammar) {
+TEST_P(MessageFormTest, ReadAtOnceIsJudgedByTheGrammar) {
   Feed(GetParam().bytes.size());
   ExpectVerdict();
 }
 
 // Guards against a verdict that depends on how the network cuts the bytes.
-TEST_P(HeadFormTest, ReadByteByByteIsJudgedTheSame) {
+TEST_P(MessageFormTest, ReadByteByByteIsJudgedTheSame) {
   Feed(1);
   ExpectVerdict();
 }
 
-INSTANTIATE_TEST_SUITE_P(Forms, HeadFormTest, ::testing::ValuesIn(AllForms()),
-                         [](const auto& info) {
+INSTANTIATE_TEST_SUITE_P(Forms, MessageFormTest,
+                         ::testing::ValuesIn(AllForms()), [](const auto& info) {
                            return "Number" + std::to_string(info.index);
                          });
 
