Name wrong lengths as the log names all other faults

Change: where the library refuses a head, the framing of the fields read so far names the problem; the error and what callers get are the same.

MessageFormTest without its exemption failed in 10 forms, at once and byte by byte, before; 420 tests pass after. malformed_answer_test, caller_server_test and connection_pool_test pass.

--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -288,9 +288,13 @@
   const http_errno ended = HTTP_PARSER_ERRNO(&parser_);
   if (ended == HPE_PAUSED) {
     http_parser_pause(&parser_, 0);
+  } else if (ended == HPE_HEADER_OVERFLOW) {
+    error_ = http_parse_error::kHeadersTooLarge;
   } else if (ended != HPE_OK && error_ == http_parse_error::kNone) {
-    error_ = ended == HPE_HEADER_OVERFLOW ? http_parse_error::kHeadersTooLarge
-                                          : http_parse_error::kMalformed;
+    // The library refuses some lengths before the head is whole.
+    OnProblem(ended == HPE_INVALID_CONTENT_LENGTH
+                  ? message_problem::kContentLength
+                  : CheckFraming(current_.headers, parser_.http_minor));
   }
   return read;
 }
--- a/tests/http_head_test.cc
+++ b/tests/http_head_test.cc
@@ -313,10 +313,7 @@
     const message_problem problem = GetParam().problem;
     EXPECT_EQ(reader_.error() == http_parse_error::kNone,
               problem == message_problem::kNone);
-    // The parser library sees some lengths first and has its own names.
-    if (!reader_.problem().ends_with("_CONTENT_LENGTH")) {
-      EXPECT_EQ(reader_.problem(), ToString(problem));
-    }
+    EXPECT_EQ(reader_.problem(), ToString(problem));
     EXPECT_EQ(reader_.Take().has_value(), problem == message_problem::kNone);
   }
 
