Give stalled callers up when their answers exceed the memory

What callers may see: a host that is killed for want of memory, with the requests of everybody, after callers have asked for long answers in small requests and taken none of them.

Cause: the bound on held bytes acts where requests with bodies are let in. Requests up to 4 KB are never refused for memory, and stalled readers were given up before their 15 s only once a request had been refused. Until callers that pause were waited for, the kernel cut such callers off after 3 s, which hid it.

Evidence: OwedAnswersServerTest.AnswersToStalledCallersStayWithinTheMemory, six callers with answers of 8 MB where 20 MB may be held, fails on: after 3 s all of it is held, and nobody was given up.

Nothing changes below the bound. The figure is the time in which a link of 1,000 Mbit/s fills what a host of 260 MB has beside the bound.

owed_answers_test (25 tests), caller_server_test and uploads_test pass. Weighed: refusing small requests past the bound, which turns everybody away for the sake of some slow readers; ending readers that do make progress, which loses answers of sound callers in a burst.

--- a/include/foxtailspread/load/slow_reader.h
+++ b/include/foxtailspread/load/slow_reader.h
@@ -63,9 +63,13 @@
   bool is_waiting_ = false;
 };
 
-/// A reader that has stalled for less is not given up for want of memory.
+/// A reader that has stalled for less is not given up to make room for requests
+/// that were refused for want of memory.
 inline constexpr duration kMinStallForMemory{std::chrono::seconds{3}};
 
+/// The same while more is held than may be: the process ends if it goes on.
+inline constexpr duration kMinStallWhenFull{std::chrono::seconds{1}};
+
 }  // namespace foxtailspread
 
 #endif  // FOXTAILSPREAD_LOAD_SLOW_READER_H_
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -97,13 +97,14 @@
   const auto stall = [&](const caller_connection& each) {
     return each.held_bytes() > 0 ? each.StalledFor(now) : duration{0};
   };
-  if (!std::exchange(has_refused_for_memory_, false)) {
+  // Requests without bodies are never refused, and their answers may be long.
+  if (!std::exchange(has_refused_for_memory_, false) && !IsFull()) {
     return;
   }
   while (IsHalfFull() && !connections_.empty()) {
     caller_connection& longest =
         *std::ranges::max_element(connections_, {}, stall);
-    if (stall(longest) < kMinStallForMemory) {
+    if (stall(longest) < (IsFull() ? kMinStallWhenFull : kMinStallForMemory)) {
       return;
     }
     longest.GiveUp(untaken_reason::kMemory, now);
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -141,9 +141,10 @@
     return buffered_ > most_buffered_ / 2 ||
            memory_.total() > memory_.bound() / 2;
   }
-  /// If a request was refused for want of memory since the last call, ends
-  /// connections of callers that do not take their answers, the ones that have
-  /// stalled longest first, until half of it is free.
+  /// If a request was refused for want of memory since the last call, or more
+  /// is held than may be, ends connections of callers that do not take their
+  /// answers, the ones that have stalled longest first, until half of it is
+  /// free.
   void GiveUpStalled(time_point now);
   void Sweep();
   void ArmSweep();
