Name a chunk size that is no number as one of chunks

The library has one error for lengths and sizes beyond all numbers, and the log named such a chunk size content-length.

--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -291,14 +291,21 @@
   } else if (ended == HPE_HEADER_OVERFLOW) {
     error_ = http_parse_error::kHeadersTooLarge;
   } else if (ended != HPE_OK && error_ == http_parse_error::kNone) {
-    // The library refuses some lengths before the head is whole.
-    OnProblem(ended == HPE_INVALID_CONTENT_LENGTH
-                  ? message_problem::kContentLength
-                  : CheckFraming(current_.headers, parser_.http_minor));
+    OnProblem(ProblemOf(ended));
   }
   return read;
 }
 
+message_problem http_reader::ProblemOf(http_errno error) const {
+  if (part_ == message_part::kChunkLine) {
+    return message_problem::kChunkSize;
+  }
+  // Some lengths are refused before the head is whole.
+  return error == HPE_INVALID_CONTENT_LENGTH
+             ? message_problem::kContentLength
+             : CheckFraming(current_.headers, parser_.http_minor);
+}
+
 std::string_view http_reader::problem() const {
   if (error_ != http_parse_error::kMalformed &&
       error_ != http_parse_error::kUnsupported) {
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -144,6 +144,9 @@
   /// The same for bytes of which some were checked.
   size_t ParseChecked(std::string_view bytes, const checked_bytes& checked);
   size_t ParseChunkData(std::string_view bytes);
+  /// What is wrong with bytes that the library refuses; kNone if its own name
+  /// says it best.
+  message_problem ProblemOf(http_errno error) const;
   /// Hands bytes to the library. Returns how many it has read.
   size_t Parse(std::string_view bytes);
 
--- a/tests/http_head_test.cc
+++ b/tests/http_head_test.cc
@@ -117,6 +117,7 @@
   add("extension-with-spaces", "2 ; a\t= b ;c ;d" + rest);
   add("extension-of-last-chunk", "2\r\nhi\r\n0;a\r\n\r\n");
   add("no-size", rest, kChunkSize);
+  add("size-beyond-all-numbers", std::string(17, 'F') + rest, kChunkSize);
   add("signed-size", "+2" + rest, kChunkSize);
   add("size-in-c-notation", "0x2" + rest, kChunkSize);
   add("space-before-size", " 2" + rest, kChunkSize);
