Read white space behind values as HTTP/1.1 has it

A request of this form, and lengths with a tab behind them, were refused, though RFC 9110, 5.5 allows both. "Connection: close" with a tab left the connection in use.

Cause: the checker of heads takes spaces and tabs for white space, the parser library only spaces. What the one had passed, the other read otherwise.

Change: the library gets no white space at the ends of lines. It is copied only where a tab occurs, and held within the limit of heads (TabsWithoutEndAreTooLarge). The Connection field is read by the project.

--- a/src/net/http_head.cc
+++ b/src/net/http_head.cc
@@ -104,6 +104,10 @@
   while (!text.empty() && IsSpace(text.front())) {
     text.remove_prefix(1);
   }
+  return TrimSpacesBehind(text);
+}
+
+std::string_view TrimSpacesBehind(std::string_view text) {
   while (!text.empty() && IsSpace(text.back())) {
     text.remove_suffix(1);
   }
--- a/src/net/http_head.h
+++ b/src/net/http_head.h
@@ -34,6 +34,9 @@
 /// Returns `text` without spaces and tabs at its ends.
 std::string_view TrimSpaces(std::string_view text);
 
+/// Returns `text` without spaces and tabs at its end.
+std::string_view TrimSpacesBehind(std::string_view text);
+
 /// Whether `text` may be the name of a field.
 bool IsToken(std::string_view text);
 
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -226,7 +226,9 @@
 int http_reader::OnComplete() {
   in_message_ = false;
   headers_done_ = false;
-  current_.keep_alive = http_should_keep_alive(&parser_) != 0;
+  // The library overlooks options that have tabs around them.
+  current_.keep_alive = http_should_keep_alive(&parser_) != 0 &&
+                        !IsNamedByConnection(current_, "close");
   current_.ended_by_close = parser_.type == HTTP_RESPONSE && IsOpenEnded();
   done_.push_back(std::move(current_));
   current_ = {};
@@ -262,10 +264,7 @@
 
 size_t http_reader::ParseChecked(std::string_view bytes,
                                  const checked_bytes& checked) {
-  // To the library, no bytes are the end of the connection.
-  if (checked.size > 0) {
-    Parse(bytes.substr(0, checked.size));
-  }
+  ParseLines(bytes.substr(0, checked.size));
   const bool is_right = checked.problem == message_problem::kNone;
   if (!is_right && error_ == http_parse_error::kNone) {
     OnProblem(checked.problem);
@@ -273,6 +272,30 @@
   return checked.size;
 }
 
+void http_reader::ParseLines(std::string_view bytes) {
+  std::string without;
+  if (!held_spaces_.empty() || bytes.find('\t') != std::string_view::npos) {
+    without = std::exchange(held_spaces_, {});
+    for (const char c : bytes) {
+      if (c == '\r' || c == '\n') {
+        without.resize(TrimSpacesBehind(without).size());
+      }
+      without.push_back(c);
+    }
+    const size_t size = TrimSpacesBehind(without).size();
+    held_spaces_ = without.substr(size);
+    without.resize(size);
+    bytes = without;
+  }
+  if (held_spaces_.size() > limits_.max_header_bytes) {
+    error_ = http_parse_error::kHeadersTooLarge;
+  }
+  // To the library, no bytes are the end of the connection.
+  if (!bytes.empty()) {
+    Parse(bytes);
+  }
+}
+
 size_t http_reader::ParseChunkData(std::string_view bytes) {
   const size_t read = Parse(bytes.substr(0, parser_.content_length));
   if (parser_.content_length == 0) {
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -144,6 +144,9 @@
   /// The same for bytes of which some were checked.
   size_t ParseChecked(std::string_view bytes, const checked_bytes& checked);
   size_t ParseChunkData(std::string_view bytes);
+  /// Hands checked bytes of lines to the library, without the white space at
+  /// their ends, of which it knows spaces only.
+  void ParseLines(std::string_view bytes);
   /// What is wrong with bytes that the library refuses; kNone if its own name
   /// says it best.
   message_problem ProblemOf(http_errno error) const;
@@ -164,6 +167,7 @@
   chunk_syntax chunks_;
   message_part part_ = message_part::kHead;
   message_problem problem_ = message_problem::kNone;
+  std::string held_spaces_;  ///< Spaces and tabs that may end a line.
   http_parse_limits limits_;
   http_message current_;
   std::vector<http_message> done_;
--- a/tests/http_head_test.cc
+++ b/tests/http_head_test.cc
@@ -160,6 +160,10 @@
       Answer("interim", "HTTP/1.1 103 Early Hints\r\n\r\n"),
       Answer("no-content", "HTTP/1.1 204 No Content\r\n\r\n"),
       Answer("chunks", ok + "transfer-encoding: Chunked\r\n" + empty_chunks),
+      Answer("length-between-tabs", ok + "Content-Length:\t0 \t \r\n\r\n"),
+      Answer("coding-between-tabs",
+             ok + "Transfer-Encoding:\tchunked \t\r\n" + empty_chunks),
+      Answer("reason-ahead-of-tab", "HTTP/1.1 200 OK\t" + rest),
       Answer("status-0", "HTTP/1.1 000 OK" + rest, kStatusCode),
       Answer("status-below-100", "HTTP/1.1 099 OK" + rest, kStatusCode),
       Answer("status-600", "HTTP/1.1 600 OK" + rest, kStatusCode),
@@ -236,6 +240,11 @@
       Request("empty-host", line + "Host:\r\n\r\n"),
       Request("host-with-port", line + "Host: [::1]:80\r\n\r\n"),
       Request("chunks", line + "Host: h\r\n" + chunked + "\r\n0\r\n\r\n"),
+      Request("length-between-tabs",
+              line + "Host: h\t\r\nContent-Length:\t0\t\r\n\r\n"),
+      Request("coding-between-tabs",
+              line + "Host:\th\r\nTransfer-Encoding:\tchunked\t\r\n\r\n" +
+                  "0\r\n\r\n"),
       Request("trailers",
               line + "Host: h\r\n" + chunked + "\r\n0\r\nA: b\r\n\r\n"),
       Request("space-ahead", " GET /" + rest, kMethod),
@@ -390,6 +399,38 @@
   }
 }
 
+// Guards against values that are read as others because a tab is behind them.
+TEST_F(HttpReaderTest, SpacesAndTabsBehindAValueAreNoPartOfIt) {
+  ASSERT_TRUE(
+      answers_.Feed("HTTP/1.1 200 OK\r\nA: b\tc \t\r\nD: \t\r\n"
+                    "Connection: close\t\r\nContent-Length: 2\t\r\n\r\nhi"));
+  const auto answer = answers_.Take();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->Header("A"), "b\tc");
+  EXPECT_EQ(answer->Header("D"), "");
+  EXPECT_FALSE(answer->keep_alive);
+  EXPECT_EQ(answer->body, "hi");
+}
+
+// Guards against a call over a connection that its target has said to close.
+TEST_F(HttpReaderTest, OptionBetweenTabsClosesTheConnection) {
+  ASSERT_TRUE(
+      answers_.Feed("HTTP/1.1 200 OK\r\nConnection: a\t,\tclose\t, b\r\n"
+                    "Content-Length: 0\r\n\r\n"));
+  const auto answer = answers_.Take();
+  ASSERT_TRUE(answer);
+  EXPECT_FALSE(answer->keep_alive);
+}
+
+// Guards against spaces without end that are held because they may end a line.
+TEST_F(HttpReaderTest, TabsWithoutEndAreTooLarge) {
+  ASSERT_TRUE(answers_.Feed("HTTP/1.1 200 OK\r\nA: b"));
+  const size_t most = http_parse_limits{}.max_header_bytes;
+  EXPECT_TRUE(answers_.Feed(std::string(most, '\t')));
+  EXPECT_FALSE(answers_.Feed("\t"));
+  EXPECT_EQ(answers_.error(), http_parse_error::kHeadersTooLarge);
+}
+
 class HttpFormatTest : public ::testing::Test {
  protected:
   http_message answer_{.status = 200, .headers = {{"A", "b"}}, .body = "hi"};
