Take only Transfer-Encoding for a transfer coding

What callers saw: an answer in chunks with a field whose name only begins with "Transfer-Encoding" came through with the sizes of its chunks in its body (MIXED); one with a length beside such a field was refused, and so were requests.

Cause: the parser library marks a message as coded once a name has these letters, whatever follows them, and forgets the coding that it has read before.

--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -131,6 +131,8 @@
     return 0;
   }
   last_was_value_ = true;
+  // Whether there is a coding is known once the head is whole.
+  parser_.uses_transfer_encoding = 0;
   current_.headers.back().value.append(part);
   return AddHeaderBytes(part.size()) ? 0 : -1;
 }
@@ -150,6 +152,7 @@
     OnProblem(problem);
     return -1;
   }
+  SetChunked(current_.Header("Transfer-Encoding").has_value());
   if (IsBodiless()) {
     return 1;
   }
@@ -169,6 +172,16 @@
   return 0;
 }
 
+// The library takes each name that begins with "Transfer-Encoding" for it.
+void http_reader::SetChunked(bool chunked) {
+  parser_.uses_transfer_encoding = chunked ? 1 : 0;
+  if (chunked) {
+    parser_.flags |= F_CHUNKED;
+  } else {
+    parser_.flags &= ~static_cast<unsigned int>(F_CHUNKED);
+  }
+}
+
 message_problem http_reader::CheckHead() const {
   const int minor_version = parser_.http_minor;
   const message_problem framing = CheckFraming(current_.headers, minor_version);
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -138,6 +138,8 @@
   bool IsBodiless() const;
   bool IsOpenEnded() const;
   message_problem CheckHead() const;
+  /// Tells the library how the message is framed.
+  void SetChunked(bool chunked);
   void OnProblem(message_problem problem);
   /// Parses bytes of the part that the first one belongs to. Returns how many.
   size_t ParsePart(std::string_view bytes);
