Log why a process ends

The log did not tell ends apart: settings that cannot be read and an address in use were said on standard error alone, an exception that nothing catches not at all, and the last line of a stop gave no reason. Event 103 now has a reason, 106 is the problem that nothing handled, 104 and 101 come before the exit codes 2 and 4. With events 201 and 368, which tell what was owed, a process that ends without any of them was ended by a signal.

--- a/src/programs/foxtail-edge/main.cc
+++ b/src/programs/foxtail-edge/main.cc
@@ -3,6 +3,7 @@
 
 #include <CLI/CLI.hpp>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 
 #include "edge/edge_daemon.h"
@@ -13,6 +14,10 @@
 
 namespace {
 
+using foxtailspread::error;
+using foxtailspread::event_id;
+using foxtailspread::LogEvent;
+using foxtailspread::result;
 using foxtailspread::platform::edge_settings;
 
 constexpr int kExitOk = 0;
@@ -22,12 +27,35 @@
 /// Names the settings file when the command line does not.
 constexpr char kSettingsVariable[] = "FOXTAILSPREAD_CONFIG";
 
-int Fail(int code, const foxtailspread::error& problem) {
-  std::cerr << "foxtail-edge: " << problem.Message() << '\n';
+int Fail(int code, event_id event, const error& problem) {
+  const std::string text = problem.Message();
+  LogEvent(event, {{"problem", text}});
+  std::cerr << "foxtail-edge: " << text << '\n';
   return code;
 }
 
-foxtailspread::result<edge_settings> LoadSettings(const std::string& path) {
+int Stop(std::string_view reason) {
+  LogEvent(event_id::kStopped, {{"reason", reason}});
+  return kExitOk;
+}
+
+/// Logs why the process ends when an exception is not caught anywhere.
+[[noreturn]] void OnTerminate() {
+  std::string problem = "std::terminate was called";
+  try {
+    if (const std::exception_ptr thrown = std::current_exception()) {
+      std::rethrow_exception(thrown);
+    }
+  } catch (const std::exception& e) {
+    problem = e.what();
+  } catch (...) {
+    problem = "an exception of an unknown type";
+  }
+  LogEvent(event_id::kProgramFailed, {{"problem", problem}});
+  std::abort();
+}
+
+result<edge_settings> LoadSettings(const std::string& path) {
   const auto text =
       foxtailspread::ReadWholeFile(path, "name a readable settings file");
   if (!text) {
@@ -36,56 +64,70 @@
   return foxtailspread::platform::ParseEdgeSettings(text.value());
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  CLI::App app{"Entry host of a foxtailspread deployment on the platform."};
-  std::string path;
-  bool check = false;
-  app.add_option("settings", path, "The settings file")
-      ->envname(kSettingsVariable)
-      ->required();
-  app.add_flag("--check-settings", check,
-               "Check the settings and exit: 0 if they are good, 2 if not");
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& e) {
-    const int code = app.exit(e);
-    return code == 0 ? kExitOk : kExitBadInput;
+void Reload(foxtailspread::edge_daemon& daemon, const std::string& path) {
+  const auto changed = LoadSettings(path);
+  if (!changed) {
+    const std::string problem = changed.error().Message();
+    LogEvent(event_id::kSettingsRejected, {{"problem", problem}});
+    return;
   }
+  daemon.Reload(changed.value());
+}
+
+int Check(const std::string& path) {
   const auto settings = LoadSettings(path);
   if (!settings) {
-    return Fail(kExitBadInput, settings.error());
+    std::cerr << "foxtail-edge: " << settings.error().Message() << '\n';
+    return kExitBadInput;
   }
-  if (check) {
-    std::cout << path << ": good\n";
-    return kExitOk;
+  std::cout << path << ": good\n";
+  return kExitOk;
+}
+
+int Run(const std::string& path) {
+  foxtailspread::OpenLog({.to_output = true});
+  const auto settings = LoadSettings(path);
+  if (!settings) {
+    return Fail(kExitBadInput, event_id::kSettingsRejected, settings.error());
   }
   foxtailspread::OpenLog({.to_output = true, .program = settings.value().name});
   foxtailspread::event_loop loop;
+  std::string_view reason = "left";
   foxtailspread::edge_daemon daemon(settings.value(), [&] { loop.Stop(); });
   const auto started = daemon.Start();
   if (!started) {
-    return Fail(kExitUnavailable, started.error());
+    return Fail(kExitUnavailable, event_id::kListenFailed, started.error());
   }
   loop.OnStopRequest([&](foxtailspread::stop_request request) {
     if (request == foxtailspread::stop_request::kImmediate) {
+      reason = "interrupted";
       loop.Stop();
       return;
     }
     daemon.Leave();
   });
-  loop.OnReloadRequest([&] {
-    const auto changed = LoadSettings(path);
-    if (!changed) {
-      const std::string problem = changed.error().Message();
-      foxtailspread::LogEvent(foxtailspread::event_id::kSettingsRejected,
-                              {{"problem", problem}});
-      return;
-    }
-    daemon.Reload(changed.value());
-  });
+  loop.OnReloadRequest([&] { Reload(daemon, path); });
   loop.Run();
-  foxtailspread::LogEvent(foxtailspread::event_id::kStopped);
-  return kExitOk;
+  return Stop(reason);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::set_terminate(OnTerminate);
+  CLI::App app{"Entry host of a foxtailspread deployment on the platform."};
+  std::string path;
+  bool check = false;
+  app.add_option("settings", path, "The settings file")
+      ->envname(kSettingsVariable)
+      ->required();
+  app.add_flag("--check-settings", check,
+               "Check the settings and exit: 0 if they are good, 2 if not");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    const int code = app.exit(e);
+    return code == 0 ? kExitOk : kExitBadInput;
+  }
+  return check ? Check(path) : Run(path);
 }
