Keep SIGHUP, SIGPIPE and SIGXFSZ from ending a host

Callers saw connections end without answers when a host was told of changed settings just after its start, or at its exit: a SIGHUP within the first 5 ms ended the process by signal 1 in 15 of 15 starts, without a line in the log; SIGTERM ended it by signal 15. Handlers were installed after the listeners, and GLib restores the default action when the source of a signal is destroyed, so that none was left after the loop.

The class: the default action of a signal that others send is in force while the process exists. Handlers of the program's own now stand from its first instruction until the process has ended. They count, and the loop takes the counts; what came before the loop is acted on when it runs. Signals that only tell a writer of a lost reader or a full file are ignored, the write tells too. The daemons of the own interface do the same; SIGHUP no longer ends them.

What remains is the time in which the libraries are mapped.

--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -2,7 +2,6 @@
 
 #include <glib-unix.h>
 
-#include <csignal>
 #include <ctime>
 #include <memory>
 #include <utility>
@@ -97,32 +96,34 @@
 
 void event_loop::OnStopRequest(std::function<void(stop_request)> callback) {
   on_stop_ = std::move(callback);
-  interrupt_ = timer{g_unix_signal_add(SIGINT, OnInterrupt, this)};
-  terminate_ = timer{g_unix_signal_add(SIGTERM, OnTerminate, this)};
+  RecordStopSignals();
+  WatchSignals();
 }
 
 void event_loop::OnReloadRequest(std::function<void()> callback) {
   on_reload_ = std::move(callback);
-  hang_up_ = timer{g_unix_signal_add(SIGHUP, OnHangUp, this)};
+  RecordDaemonSignals();
+  WatchSignals();
 }
 
-gboolean event_loop::OnHangUp(gpointer self) {
-  static_cast<event_loop*>(self)->on_reload_();
-  return G_SOURCE_CONTINUE;
-}
-
-gboolean event_loop::OnInterrupt(gpointer self) {
-  auto& loop = *static_cast<event_loop*>(self);
-  const bool again = std::exchange(loop.stop_requested_, true);
-  loop.on_stop_(again ? stop_request::kImmediate : stop_request::kGraceful);
-  return G_SOURCE_CONTINUE;
+void event_loop::WatchSignals() {
+  signals_ =
+      RunOnDescriptor(SignalDescriptor(), G_IO_IN, [this] { OnSignals(); });
 }
 
-gboolean event_loop::OnTerminate(gpointer self) {
-  auto& loop = *static_cast<event_loop*>(self);
-  loop.stop_requested_ = true;
-  loop.on_stop_(stop_request::kGraceful);
-  return G_SOURCE_CONTINUE;
+void event_loop::OnSignals() {
+  ClearSignalDescriptor();
+  const signal_counts came = TakeSignals();
+  if (came.hang_ups > 0 && on_reload_) {
+    on_reload_();
+  }
+  if (came.interrupts + came.terminations == 0 || !on_stop_) {
+    return;
+  }
+  const bool asked_before = std::exchange(stop_requested_, true);
+  const bool insists =
+      came.interrupts > 1 || (came.interrupts > 0 && asked_before);
+  on_stop_(insists ? stop_request::kImmediate : stop_request::kGraceful);
 }
 
 }  // namespace foxtailspread
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "foxtailspread/time.h"
+#include "net/process_signals.h"
 
 namespace foxtailspread {
 
@@ -80,24 +81,23 @@
   /// Makes Run() return after the callback that is running.
   void Stop();
 
-  /// Calls `callback` on SIGINT and SIGTERM instead of ending the process.
+  /// Calls `callback` on SIGINT and SIGTERM instead of ending the process, also
+  /// on those that RecordStopSignals() recorded before.
   void OnStopRequest(std::function<void(stop_request)> callback);
 
-  /// Calls `callback` on SIGHUP instead of ending the process.
+  /// Calls `callback` on SIGHUP, once for those that came since the last call,
+  /// instead of ending the process.
   void OnReloadRequest(std::function<void()> callback);
 
  private:
-  static gboolean OnInterrupt(gpointer self);
-  static gboolean OnTerminate(gpointer self);
-  static gboolean OnHangUp(gpointer self);
+  void WatchSignals();
+  void OnSignals();
 
   GMainLoop* loop_;
   std::function<void(stop_request)> on_stop_;
-  bool stop_requested_ = false;
   std::function<void()> on_reload_;
-  timer hang_up_;
-  timer interrupt_;
-  timer terminate_;
+  bool stop_requested_ = false;
+  timer signals_;
 };
 
 }  // namespace foxtailspread
--- a/src/programs/foxtail-edge/main.cc
+++ b/src/programs/foxtail-edge/main.cc
@@ -9,6 +9,7 @@
 #include "edge/edge_daemon.h"
 #include "net/log.h"
 #include "net/loop.h"
+#include "net/process_signals.h"
 #include "net/whole_file.h"
 #include "platform/edge_settings.h"
 
@@ -87,6 +88,9 @@
 int Run(const std::string& path) {
   foxtailspread::OpenLog({.to_output = true});
   const auto settings = LoadSettings(path);
+  if (foxtailspread::IsStopRecorded()) {
+    return Stop("stopped-before-start");
+  }
   if (!settings) {
     return Fail(kExitBadInput, event_id::kSettingsRejected, settings.error());
   }
@@ -114,6 +118,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  foxtailspread::RecordDaemonSignals();
   std::set_terminate(OnTerminate);
   CLI::App app{"Entry host of a foxtailspread deployment on the platform."};
   std::string path;
--- a/src/programs/foxtail-target/main.cc
+++ b/src/programs/foxtail-target/main.cc
@@ -3,11 +3,13 @@
 #include <string>
 
 #include "net/log.h"
+#include "net/process_signals.h"
 #include "net/stand_in.h"
 #include "target_service.h"
 
 // A stand-in target for tests: see docs/protocols/TARGET.md.
 int main(int argc, char** argv) {
+  foxtailspread::RecordDaemonSignals();
   using foxtailspread::target_settings;
   using std::chrono::milliseconds;
 
--- a/src/programs/foxtailspreadd/main.cc
+++ b/src/programs/foxtailspreadd/main.cc
@@ -8,6 +8,7 @@
 #include "host_daemon.h"
 #include "net/log.h"
 #include "net/loop.h"
+#include "net/process_signals.h"
 #include "net/whole_file.h"
 
 namespace {
@@ -67,6 +68,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  foxtailspread::RecordDaemonSignals();
   CLI::App app{"Entry host of a foxtailspread deployment."};
   std::string path;
   bool check = false;
