Let no reader of the log end or change a host

The output was written as if its reader stayed, and O_NONBLOCK was set on a file description that others may share. With descriptor 1 closed at the start the loop's event descriptor, or a socket, got the number and was sent lines of the log.

unwaited_output writes to a pipe only what poll(2) says it takes, to a socket with MSG_DONTWAIT, leaves flags alone, and drops and counts lines that nobody takes (log_lines_lost_total). Descriptors 0 to 2 are opened first. What is kept for a slow reader is written at the exit, within 200 ms.

ReaderOfOutputLeavesAndHostGoesOn, OutputThatNobodyReadsHoldsNothingUp, OutputThatMayNotGrowEndsNothing and ClosedStandardDescriptorsNameNoSocket fail with the program of the code before (exit by signal 13 and 25, O_NONBLOCK set, an eventfd under number 0).

--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -625,6 +625,7 @@
   line("limited_sends_total", static_cast<double>(counts.limited_sends));
   line("relayed_total", static_cast<double>(counts.relayed));
   line("requests_pending", static_cast<double>(router_.pending()));
+  line("log_lines_lost_total", static_cast<double>(LostLogLines()));
   for (const service_gauges& each : router_.Gauges(now)) {
     const std::string labels = MetricLabel("service", each.service);
     AppendMetric(text, "requests_waiting", labels,
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -1,6 +1,5 @@
 #include "net/log.h"
 
-#include <fcntl.h>
 #include <glib.h>
 #include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
@@ -15,9 +14,14 @@
 #include <optional>
 #include <utility>
 
+#include "net/unwaited_output.h"
+
 namespace foxtailspread {
 namespace {
 
+/// For a reader that is behind when the program ends.
+constexpr std::chrono::milliseconds kFlushTimeout{200};
+
 constexpr char kLoggerName[] = "foxtailspread";
 // The message is one JSON object; the layout puts the time in front as its
 // first field.
@@ -28,30 +32,14 @@
 /// must not hold up requests: log4cxx's own console appender waits for it.
 class output_appender : public log4cxx::AppenderSkeleton {
  public:
-  explicit output_appender(log4cxx::LayoutPtr layout)
-      : layout_(std::move(layout)) {
-    fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
-  }
+  output_appender(log4cxx::LayoutPtr layout, unwaited_output& output)
+      : layout_(std::move(layout)), output_(output) {}
 
   void append(const log4cxx::spi::LoggingEventPtr& event,
               log4cxx::helpers::Pool& pool) override {
     log4cxx::LogString text;
     layout_->format(text, event, pool);
-    if (rest_.size() > kMaxUnwritten) {
-      ++dropped_;
-      return;
-    }
-    if (dropped_ > 0) {
-      rest_ +=
-          "{\"name\":\"lines-dropped\",\"count\":" + std::to_string(dropped_) +
-          "}\n";
-      dropped_ = 0;
-    }
-    rest_ += text;
-    const ssize_t written = write(STDOUT_FILENO, rest_.data(), rest_.size());
-    if (written > 0) {
-      rest_.erase(0, static_cast<size_t>(written));
-    }
+    output_.WriteLine(text);
   }
 
   const log4cxx::helpers::Class& getClass() const override {
@@ -61,14 +49,16 @@
   bool requiresLayout() const override { return false; }
 
  private:
-  /// Bytes kept for a reader that is behind.
-  static constexpr size_t kMaxUnwritten = 65536;
-
   log4cxx::LayoutPtr layout_;
-  std::string rest_;
-  uint64_t dropped_ = 0;
+  unwaited_output& output_;
 };
 
+/// What OpenLog() writes to with `to_output`.
+unwaited_output& StandardOutput() {
+  static unwaited_output output(STDOUT_FILENO);
+  return output;
+}
+
 log4cxx::LevelPtr ToLog4cxx(event_level level) {
   switch (level) {
     case event_level::kDebug:
@@ -94,7 +84,7 @@
   const auto layout = std::make_shared<log4cxx::PatternLayout>(kPattern);
   log4cxx::AppenderPtr appender;
   if (settings.to_output) {
-    appender = std::make_shared<output_appender>(layout);
+    appender = std::make_shared<output_appender>(layout, StandardOutput());
   } else if (settings.file.empty()) {
     appender = std::make_shared<ConsoleAppender>(
         layout, ConsoleAppender::getSystemErr());
@@ -121,6 +111,10 @@
 
 void OpenLog(const log_options& settings) { TheLog() = MakeLog(settings); }
 
+void FlushLog() { StandardOutput().Flush(kFlushTimeout); }
+
+uint64_t LostLogLines() { return StandardOutput().lost_lines(); }
+
 std::string FormatEvent(const event_definition& event, std::string_view program,
                         std::span<const log_field> fields) {
   nlohmann::ordered_json line;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -24,8 +24,8 @@
 /// Where the log goes and what is left out of it.
 struct log_options {
   std::string file{};  ///< Standard error when empty.
-  /// To standard output without ever waiting for its reader; what does not fit
-  /// is dropped and counted. Takes the place of `file`.
+  /// To standard output without ever waiting for its reader; what it does not
+  /// take is dropped and counted. Takes the place of `file`.
   bool to_output = false;
   event_level least = event_level::kInfo;
   std::string program{};  ///< Added to each line.
@@ -35,6 +35,13 @@
 /// standard error from the level info on.
 void OpenLog(const log_options& settings);
 
+/// Waits for a short time until the reader of standard output has taken what is
+/// left. For the end of a program that logs there.
+void FlushLog();
+
+/// Lines of the log that standard output has not taken, since the start.
+uint64_t LostLogLines();
+
 /// Writes one event, or leaves it out if many of the same number came within a
 /// second; how many is said in an event of its own. Values are escaped: a line
 /// break in what a caller sent cannot forge a line of the log.
--- /dev/null
+++ b/src/net/unwaited_output.h
@@ -0,0 +1,59 @@
+#ifndef FOXTAILSPREAD_NET_UNWAITED_OUTPUT_H_
+#define FOXTAILSPREAD_NET_UNWAITED_OUTPUT_H_
+
+/// @file
+/// Lines for a reader that may be slow, stand still or leave.
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace foxtailspread {
+
+/// Writes lines to a descriptor and neither waits for its reader nor changes
+/// the flags of what others may have open too. SIGPIPE must be ignored.
+///
+/// @code
+/// unwaited_output output(STDOUT_FILENO);
+/// output.WriteLine("{}\n");
+/// @endcode
+class unwaited_output {
+ public:
+  explicit unwaited_output(int fd);
+
+  /// Writes `line`, with its line break, or keeps it for a reader that is
+  /// behind. Drops and counts it if too much is kept, or if the reader has
+  /// left.
+  void WriteLine(std::string_view line);
+
+  /// Writes what is kept; waits for the reader no longer than `timeout`.
+  void Flush(std::chrono::milliseconds timeout);
+
+  /// Lines that were dropped.
+  uint64_t lost_lines() const { return lost_lines_; }
+
+ private:
+  enum class progress { kWritten, kFull, kFailed };
+
+  /// Writes as much as the descriptor takes at once.
+  progress WriteKept();
+  progress WriteOnce();
+  bool IsWritable(std::chrono::milliseconds timeout) const;
+  void DropKept();
+
+  int fd_;
+  bool is_socket_;
+  std::string kept_;
+  uint64_t lost_lines_ = 0;
+  uint64_t unreported_lines_ = 0;  ///< Of them, not yet told to the reader.
+};
+
+/// Opens what is closed of the descriptors 0 to 2 on /dev/null, so that no
+/// socket gets such a number and with it what is written to the output.
+void OpenStandardDescriptors();
+
+}  // namespace foxtailspread
+
+#endif  // FOXTAILSPREAD_NET_UNWAITED_OUTPUT_H_
--- a/src/programs/foxtail-edge/main.cc
+++ b/src/programs/foxtail-edge/main.cc
@@ -10,6 +10,7 @@
 #include "net/log.h"
 #include "net/loop.h"
 #include "net/process_signals.h"
+#include "net/unwaited_output.h"
 #include "net/whole_file.h"
 #include "platform/edge_settings.h"
 
@@ -17,6 +18,7 @@
 
 using foxtailspread::error;
 using foxtailspread::event_id;
+using foxtailspread::FlushLog;
 using foxtailspread::LogEvent;
 using foxtailspread::result;
 using foxtailspread::platform::edge_settings;
@@ -31,12 +33,14 @@
 int Fail(int code, event_id event, const error& problem) {
   const std::string text = problem.Message();
   LogEvent(event, {{"problem", text}});
+  FlushLog();
   std::cerr << "foxtail-edge: " << text << '\n';
   return code;
 }
 
 int Stop(std::string_view reason) {
   LogEvent(event_id::kStopped, {{"reason", reason}});
+  FlushLog();
   return kExitOk;
 }
 
@@ -53,6 +57,7 @@
     problem = "an exception of an unknown type";
   }
   LogEvent(event_id::kProgramFailed, {{"problem", problem}});
+  FlushLog();
   std::abort();
 }
 
@@ -118,6 +123,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  foxtailspread::OpenStandardDescriptors();
   foxtailspread::RecordDaemonSignals();
   std::set_terminate(OnTerminate);
   CLI::App app{"Entry host of a foxtailspread deployment on the platform."};
--- a/src/programs/foxtail-platform/main.cc
+++ b/src/programs/foxtail-platform/main.cc
@@ -5,10 +5,12 @@
 #include "net/log.h"
 #include "net/process_signals.h"
 #include "net/stand_in.h"
+#include "net/unwaited_output.h"
 #include "platform_service.h"
 
 // A stand-in for the platform: see docs/protocols/PLATFORM.md.
 int main(int argc, char** argv) {
+  foxtailspread::OpenStandardDescriptors();
   foxtailspread::RecordDaemonSignals();
   foxtailspread::platform_settings settings;
   std::string listen = "127.0.0.1:0";
--- a/src/programs/foxtail-target/main.cc
+++ b/src/programs/foxtail-target/main.cc
@@ -5,10 +5,12 @@
 #include "net/log.h"
 #include "net/process_signals.h"
 #include "net/stand_in.h"
+#include "net/unwaited_output.h"
 #include "target_service.h"
 
 // A stand-in target for tests: see docs/protocols/TARGET.md.
 int main(int argc, char** argv) {
+  foxtailspread::OpenStandardDescriptors();
   foxtailspread::RecordDaemonSignals();
   using foxtailspread::target_settings;
   using std::chrono::milliseconds;
--- a/src/programs/foxtailspreadd/main.cc
+++ b/src/programs/foxtailspreadd/main.cc
@@ -9,6 +9,7 @@
 #include "net/log.h"
 #include "net/loop.h"
 #include "net/process_signals.h"
+#include "net/unwaited_output.h"
 #include "net/whole_file.h"
 
 namespace {
@@ -68,6 +69,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  foxtailspread::OpenStandardDescriptors();
   foxtailspread::RecordDaemonSignals();
   CLI::App app{"Entry host of a foxtailspread deployment."};
   std::string path;
--- a/tests/process_ends_test.cc
+++ b/tests/process_ends_test.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -55,6 +56,13 @@
     close(settings_writer_);
   }
 
+  /// For a host whose log the test does not read.
+  void AwaitSocket() {
+    while (!host_->HasEnded() && !host_->HasSocket()) {
+      usleep(1000);
+    }
+  }
+
   /// A second SIGINT ends a host at once.
   int Interrupt() {
     host_->Signal(SIGINT);
@@ -119,5 +127,63 @@
                          ::testing::Values(SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2,
                                            SIGTTIN, SIGTTOU));
 
+// Guards against hosts ended by SIGPIPE when the reader of their log leaves.
+TEST_F(ProcessEndsTest, ReaderOfOutputLeavesAndHostGoesOn) {
+  Start();
+  output_.CloseWriter();
+  ASSERT_TRUE(Logs("host-started"));
+  output_.CloseReader();
+  host_->Signal(SIGHUP);
+  host_->Signal(SIGTERM);
+  EXPECT_EQ(host_->Wait(), kExitOk);
+}
+
+// Guards against hosts that wait for a reader of their log, and against
+// changed flags of an output that others write to as well.
+TEST_F(ProcessEndsTest, OutputThatNobodyReadsHoldsNothingUp) {
+  constexpr int kManyLines = 200;
+  Start();
+  ASSERT_TRUE(Logs("host-started"));
+  ASSERT_GT(fcntl(output_.writer(), F_SETPIPE_SZ, 1), 0);
+  for (int i = 0; i < kManyLines; ++i) {
+    host_->Signal(SIGHUP);
+    usleep(1000);
+  }
+  EXPECT_EQ(fcntl(output_.writer(), F_GETFL) & O_NONBLOCK, 0);
+  EXPECT_EQ(Interrupt(), kExitOk);
+}
+
+// Guards against hosts ended by SIGXFSZ when their log may not grow.
+TEST_F(ProcessEndsTest, OutputThatMayNotGrowEndsNothing) {
+  settings_file log;
+  log.Write("");
+  const int file = open(log.path().c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  Start([file] {
+    dup2(file, STDOUT_FILENO);
+    const rlimit none{.rlim_cur = 1, .rlim_max = 1};
+    setrlimit(RLIMIT_FSIZE, &none);
+  });
+  close(file);
+  AwaitSocket();
+  host_->Signal(SIGTERM);
+  EXPECT_EQ(host_->Wait(), kExitOk);
+}
+
+// Guards against sockets under the number of the standard output, which then
+// get lines of the log.
+TEST_F(ProcessEndsTest, ClosedStandardDescriptorsNameNoSocket) {
+  Start([] {
+    for (const int fd : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+      close(fd);
+    }
+  });
+  AwaitSocket();
+  for (const int fd : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+    EXPECT_EQ(host_->Descriptor(fd), "/dev/null") << fd;
+  }
+  host_->Signal(SIGTERM);
+  EXPECT_EQ(host_->Wait(), kExitOk);
+}
+
 }  // namespace
 }  // namespace foxtailspread
