Let a start wait for its addresses and its settings

A host did not start (exit code 4, 8 to 40 ms after each start) while another process had one of its ports, as the process before it may for `stop_grace`, and with exit code 2 when its settings file was only half written.

Both become good by themselves. A start now tries its addresses for `stop_grace` and a second, and its settings for a second, and says so in event 107; a request to stop ends the wait. Listening may be begun anew, with the callers' address last, so that no caller is reset by another try.

AddressInUseForAMomentDelaysTheStart and HalfWrittenSettingsDelayTheStart fail with the program of the code before, which has ended.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -26,6 +26,7 @@
   kSettingsRejected = 104,
   kLinesLeftOut = 105,
   kProgramFailed = 106,
+  kStartDelayed = 107,
   kHostStarted = 200,
   kHostStopped = 201,
   kConfigInForce = 210,
@@ -122,6 +123,10 @@
     {event_id::kProgramFailed, event_level::kError, "program-failed",
      "The problem given, which nothing handles, ends the program.",
      "Report it with the lines of the log before it."},
+    {event_id::kStartDelayed, event_level::kWarning, "start-delayed",
+     "The program cannot start yet, for the problem given; it tries again for "
+     "some seconds.",
+     "Nothing to do if it starts; else correct what the problem names."},
     {event_id::kHostStarted, event_level::kInfo, "host-started",
      "The entry host began to decide, in the life given.", "Nothing to do."},
     {event_id::kHostStopped, event_level::kInfo, "host-stopped",
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -202,29 +202,36 @@
   return settings;
 }
 
-status edge_daemon::Start() {
-  for (const auto& [server, address] :
-       {std::pair{&callers_, &settings_.callers},
-        std::pair{&readiness_, &settings_.readiness}}) {
-    if (status listening = server->Listen(*address); !listening) {
-      LogEvent(event_id::kListenFailed, {{"address", *address}});
-      return listening;
-    }
-    LogEvent(event_id::kListening, {{"address", *address}});
+status edge_daemon::Listen() {
+  if (status listening = readiness_.Listen(settings_.readiness); !listening) {
+    return listening;
   }
   // Requests that other hosts hand over arrive over TCP at the port of the
   // datagrams. Any port is chosen for TCP first: no two hosts listen there.
   if (status listening = relayed_.Listen(settings_.hosts); !listening) {
-    LogEvent(event_id::kListenFailed, {{"address", settings_.hosts}});
     return listening;
   }
-  const std::string ip =
-      settings_.hosts.substr(0, settings_.hosts.rfind(':') + 1);
-  settings_.hosts = ip + std::to_string(relayed_.port());
-  if (status listening = hosts_.Listen(settings_.hosts); !listening) {
-    LogEvent(event_id::kListenFailed, {{"address", settings_.hosts}});
+  if (status listening = hosts_.Listen(HostsAddress()); !listening) {
     return listening;
   }
+  // Last, so that a start that is tried again resets no caller.
+  return callers_.Listen(settings_.callers);
+}
+
+std::string edge_daemon::HostsAddress() const {
+  return settings_.hosts.substr(0, settings_.hosts.rfind(':') + 1) +
+         std::to_string(relayed_.port());
+}
+
+status edge_daemon::Start() {
+  if (status listening = Listen(); !listening) {
+    return listening;
+  }
+  for (const std::string* address :
+       {&settings_.callers, &settings_.readiness}) {
+    LogEvent(event_id::kListening, {{"address", *address}});
+  }
+  settings_.hosts = HostsAddress();
   assigner_.SetAddress(settings_.hosts);
   LogEvent(
       event_id::kHostStarted,
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -53,6 +53,7 @@
   edge_daemon(const edge_daemon&) = delete;
   edge_daemon& operator=(const edge_daemon&) = delete;
 
+  /// Listens and begins. After an error it may be called again.
   status Start();
 
   /// Where callers and the balancer reach it, also when the settings asked for
@@ -215,6 +216,8 @@
   /// Sends a request to a target; the connection alone keeps its large body if
   /// it is not sent again.
   void SendToTarget(flight& sent, const send_action& action);
+  status Listen();
+  std::string HostsAddress() const;
   void Step();
   void Arm();
   void LeaveStep();
--- a/src/net/datagram.cc
+++ b/src/net/datagram.cc
@@ -29,10 +29,12 @@
       handler_(HandlerFor<&datagram_socket::OnReady>(this)),
       on_datagram_(std::move(on_datagram)) {}
 
-datagram_socket::~datagram_socket() {
+datagram_socket::~datagram_socket() { Close(); }
+
+void datagram_socket::Close() {
   if (fd_ >= 0) {
     events_.Remove(fd_, &handler_);
-    close(fd_);
+    close(std::exchange(fd_, -1));
   }
 }
 
@@ -41,6 +43,7 @@
   if (!native) {
     return native.error();
   }
+  Close();
   fd_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const sockaddr_in& to = native.value();
   if (fd_ < 0 ||
--- a/src/net/datagram.h
+++ b/src/net/datagram.h
@@ -24,6 +24,7 @@
   datagram_socket& operator=(const datagram_socket&) = delete;
 
   status Listen(std::string_view address);
+  void Close();
 
   /// The port in use, also when the settings asked for any.
   uint16_t port() const { return port_; }
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -338,6 +338,7 @@
                  std::string{what} + ": " + std::strerror(errno),
                  "set an address and a free port of this host"};
   };
+  Close();
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd_ < 0) {
     return failed("no socket");
--- a/src/programs/foxtail-edge/main.cc
+++ b/src/programs/foxtail-edge/main.cc
@@ -2,9 +2,11 @@
 // them to targets and takes its turn in giving keys to targets.
 
 #include <CLI/CLI.hpp>
+#include <chrono>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <thread>
 
 #include "edge/edge_daemon.h"
 #include "net/log.h"
@@ -16,11 +18,13 @@
 
 namespace {
 
+using foxtailspread::duration;
 using foxtailspread::error;
 using foxtailspread::event_id;
 using foxtailspread::FlushLog;
 using foxtailspread::LogEvent;
 using foxtailspread::result;
+using foxtailspread::time_point;
 using foxtailspread::platform::edge_settings;
 
 constexpr int kExitOk = 0;
@@ -30,6 +34,13 @@
 /// Names the settings file when the command line does not.
 constexpr char kSettingsVariable[] = "FOXTAILSPREAD_CONFIG";
 
+/// How long a start waits for what may become good by itself: a settings file
+/// that is being written, and addresses that a process before this one, which
+/// may take `stop_grace` to end, still has.
+constexpr duration kSettingsPatience{std::chrono::seconds{1}};
+constexpr duration kAddressPatience{std::chrono::seconds{1}};
+constexpr std::chrono::milliseconds kRetryPause{50};
+
 int Fail(int code, event_id event, const error& problem) {
   const std::string text = problem.Message();
   LogEvent(event, {{"problem", text}});
@@ -61,6 +72,24 @@
   std::abort();
 }
 
+/// Calls `attempt` until it succeeds, for `patience` or until a request to
+/// stop. Returns what it returned last.
+template <typename Attempt>
+auto TryFor(duration patience, const Attempt& attempt) {
+  const time_point end = foxtailspread::Now() + patience;
+  auto outcome = attempt();
+  if (!outcome) {
+    const std::string problem = outcome.error().Message();
+    LogEvent(event_id::kStartDelayed, {{"problem", problem}});
+  }
+  while (!outcome && foxtailspread::Now() < end &&
+         !foxtailspread::IsStopRecorded()) {
+    std::this_thread::sleep_for(kRetryPause);
+    outcome = attempt();
+  }
+  return outcome;
+}
+
 result<edge_settings> LoadSettings(const std::string& path) {
   const auto text =
       foxtailspread::ReadWholeFile(path, "name a readable settings file");
@@ -92,7 +121,8 @@
 
 int Run(const std::string& path) {
   foxtailspread::OpenLog({.to_output = true});
-  const auto settings = LoadSettings(path);
+  const auto settings =
+      TryFor(kSettingsPatience, [&] { return LoadSettings(path); });
   if (foxtailspread::IsStopRecorded()) {
     return Stop("stopped-before-start");
   }
@@ -103,9 +133,13 @@
   foxtailspread::event_loop loop;
   std::string_view reason = "left";
   foxtailspread::edge_daemon daemon(settings.value(), [&] { loop.Stop(); });
-  const auto started = daemon.Start();
+  const auto started = TryFor(settings.value().stop_grace + kAddressPatience,
+                              [&] { return daemon.Start(); });
   if (!started) {
-    return Fail(kExitUnavailable, event_id::kListenFailed, started.error());
+    return foxtailspread::IsStopRecorded()
+               ? Stop("stopped-before-start")
+               : Fail(kExitUnavailable, event_id::kListenFailed,
+                      started.error());
   }
   loop.OnStopRequest([&](foxtailspread::stop_request request) {
     if (request == foxtailspread::stop_request::kImmediate) {
--- a/tests/process_ends_test.cc
+++ b/tests/process_ends_test.cc
@@ -10,6 +10,8 @@
 #include <memory>
 #include <string>
 
+#include "net/poller.h"
+#include "net/tcp_stream.h"
 #include "support/host_process.h"
 
 namespace foxtailspread {
@@ -185,5 +187,33 @@
   EXPECT_EQ(host_->Wait(), kExitOk);
 }
 
+// Guards against starts that give up on an address that is in use for a moment.
+TEST_F(ProcessEndsTest, AddressInUseForAMomentDelaysTheStart) {
+  poller events;
+  tcp_listener other(events, [](int fd) { close(fd); });
+  ASSERT_TRUE(other.Listen("127.0.0.1:0"));
+  std::string text = LonelySettings();
+  const std::string any = R"("callers": "127.0.0.1:0")";
+  text.replace(
+      text.find(any), any.size(),
+      R"("callers": "127.0.0.1:)" + std::to_string(other.port()) + "\"");
+  settings_.Write(text);
+  Start();
+  ASSERT_TRUE(Logs("start-delayed"));
+  other.Close();
+  EXPECT_TRUE(Logs("host-started"));
+  EXPECT_EQ(Interrupt(), kExitOk);
+}
+
+// Guards against starts that give up on settings that are being written.
+TEST_F(ProcessEndsTest, HalfWrittenSettingsDelayTheStart) {
+  settings_.Write(LonelySettings().substr(0, 20));
+  Start();
+  ASSERT_TRUE(Logs("start-delayed"));
+  settings_.Write(LonelySettings());
+  EXPECT_TRUE(Logs("host-started"));
+  EXPECT_EQ(Interrupt(), kExitOk);
+}
+
 }  // namespace
 }  // namespace foxtailspread
