Record signals before the libraries initialise themselves

A SIGHUP that comes while the libraries are initialised still ended a host: the handlers stood from the first line of main. They stand from the .preinit_array now.

--- a/src/programs/foxtail-edge/main.cc
+++ b/src/programs/foxtail-edge/main.cc
@@ -154,11 +154,19 @@
   return Stop(reason);
 }
 
+void RecordFirst(int /*argc*/, char** /*argv*/, char** /*environment*/) {
+  foxtailspread::RecordDaemonSignals();
+}
+
+// Runs before the libraries initialise themselves, which takes longer than all
+// that comes before the loop.
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const kRecordFirst)(int, char**, char**) = RecordFirst;
+
 }  // namespace
 
 int main(int argc, char** argv) {
   foxtailspread::OpenStandardDescriptors();
-  foxtailspread::RecordDaemonSignals();
   std::set_terminate(OnTerminate);
   CLI::App app{"Entry host of a foxtailspread deployment on the platform."};
   std::string path;
