Block only counted signals while a signal is counted

Found by review: the handlers blocked every signal, also one by which a filter of system calls answers the handler's write; the kernel ends a process that gets it blocked.

--- a/src/net/process_signals.cc
+++ b/src/net/process_signals.cc
@@ -47,7 +47,12 @@
   struct sigaction wanted {};
   wanted.sa_handler = action;
   wanted.sa_flags = SA_RESTART;
-  sigfillset(&wanted.sa_mask);
+  // Those that the handler counts, and no others: a filter of system calls may
+  // answer the handler's by a signal.
+  sigemptyset(&wanted.sa_mask);
+  for (const int counted : {SIGHUP, SIGINT, SIGTERM}) {
+    sigaddset(&wanted.sa_mask, counted);
+  }
   for (const int signal : signals) {
     sigaction(signal, &wanted, nullptr);
   }
