Never wait for the reader of the log after a signal

Found by review: poll(2) that a signal interrupts counted as a writable pipe, so that the next write waited for a reader that stands still, and a stopping host ended by SIGKILL alone. Also, two hosts on one pipe, or a terminal, could wait after poll(2) had said yes. A pipe or terminal is opened once more with a flag of its own; poll(2) is left for where that fails, and an interrupted one is no yes. Half a line is ended before the next, lines dropped for a reader that left are told of too. SignalsWhileNobodyReadsTheOutputHoldNoExitUp plays the case; it was not run on the code before.

--- a/src/net/unwaited_output.cc
+++ b/src/net/unwaited_output.cc
@@ -19,14 +19,34 @@
 /// Bytes kept for a reader that is behind.
 constexpr size_t kMaxKept = 65536;
 
-bool IsSocket(int fd) {
-  struct stat about {};
-  return fstat(fd, &about) == 0 && S_ISSOCK(about.st_mode);
+/// Opens what `fd` names once more: flags belong to an open file description,
+/// which others may share. -1 if that is not possible.
+int OpenOwn(int fd) {
+  const std::string path = "/proc/self/fd/" + std::to_string(fd);
+  return open(path.c_str(), O_WRONLY | O_NONBLOCK | O_NOCTTY | O_CLOEXEC);
 }
 
 }  // namespace
 
-unwaited_output::unwaited_output(int fd) : fd_(fd), is_socket_(IsSocket(fd)) {}
+unwaited_output::unwaited_output(int fd) : fd_(fd) {
+  struct stat about {};
+  if (fstat(fd, &about) != 0) {
+    return;
+  }
+  if (S_ISSOCK(about.st_mode)) {
+    method_ = method::kSend;
+  } else if (S_ISFIFO(about.st_mode) || S_ISCHR(about.st_mode)) {
+    const int own = OpenOwn(fd);
+    method_ = own >= 0 ? method::kFlag : method::kPoll;
+    fd_ = own >= 0 ? own : fd;
+  }
+}
+
+unwaited_output::~unwaited_output() {
+  if (method_ == method::kFlag) {
+    close(fd_);
+  }
+}
 
 void unwaited_output::WriteLine(std::string_view line) {
   if (kept_.size() > kMaxKept) {
@@ -43,18 +63,19 @@
              std::to_string(unreported_lines_) + "}\n";
     unreported_lines_ = 0;
   }
+  if (kept_.empty() && is_mid_line_) {
+    kept_ += '\n';
+  }
   kept_ += line;
   WriteKept();
 }
 
 void unwaited_output::Flush(milliseconds timeout) {
   const auto end = steady_clock::now() + timeout;
-  while (WriteKept() == progress::kFull) {
-    const auto left =
-        std::chrono::ceil<milliseconds>(end - steady_clock::now());
-    if (left.count() <= 0 || !IsWritable(left)) {
-      return;
-    }
+  milliseconds left = timeout;
+  while (WriteKept() == progress::kFull && left.count() > 0) {
+    IsWritable(left);
+    left = std::chrono::ceil<milliseconds>(end - steady_clock::now());
   }
 }
 
@@ -71,16 +92,19 @@
 
 unwaited_output::progress unwaited_output::WriteOnce() {
   ssize_t written = 0;
-  if (is_socket_) {
+  if (method_ == method::kSend) {
     written =
         send(fd_, kept_.data(), kept_.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-  } else if (!IsWritable(milliseconds{0})) {
+  } else if (method_ == method::kPoll && !IsWritable(milliseconds{0})) {
     return progress::kFull;
   } else {
     // A pipe that is writable takes this many bytes without waiting.
     written =
         write(fd_, kept_.data(), std::min<size_t>(kept_.size(), PIPE_BUF));
   }
+  if (written > 0) {
+    is_mid_line_ = kept_[static_cast<size_t>(written) - 1] != '\n';
+  }
   if (written >= 0) {
     kept_.erase(0, static_cast<size_t>(written));
     return progress::kWritten;
@@ -94,12 +118,13 @@
 bool unwaited_output::IsWritable(milliseconds timeout) const {
   pollfd asked{.fd = fd_, .events = POLLOUT, .revents = 0};
   // A reader that has left counts as writable: the write then tells.
-  return poll(&asked, 1, static_cast<int>(timeout.count())) != 0;
+  return poll(&asked, 1, static_cast<int>(timeout.count())) > 0;
 }
 
 void unwaited_output::DropKept() {
   const auto lines = std::ranges::count(kept_, '\n');
   lost_lines_ += static_cast<uint64_t>(lines);
+  unreported_lines_ += static_cast<uint64_t>(lines);
   kept_.clear();
 }
 
--- a/src/net/unwaited_output.h
+++ b/src/net/unwaited_output.h
@@ -22,6 +22,9 @@
 class unwaited_output {
  public:
   explicit unwaited_output(int fd);
+  ~unwaited_output();
+  unwaited_output(const unwaited_output&) = delete;
+  unwaited_output& operator=(const unwaited_output&) = delete;
 
   /// Writes `line`, with its line break, or keeps it for a reader that is
   /// behind. Drops and counts it if too much is kept, or if the reader has
@@ -43,8 +46,17 @@
   bool IsWritable(std::chrono::milliseconds timeout) const;
   void DropKept();
 
+  /// How writing without waiting is asked for.
+  enum class method {
+    kFlag,   ///< The descriptor is this object's own, with O_NONBLOCK.
+    kSend,   ///< A socket, by MSG_DONTWAIT.
+    kPoll,   ///< By poll(2) before each write.
+    kPlain,  ///< A file, whose writes do not wait for a reader.
+  };
+
   int fd_;
-  bool is_socket_;
+  method method_ = method::kPlain;
+  bool is_mid_line_ = false;  ///< The last write ended within a line.
   std::string kept_;
   uint64_t lost_lines_ = 0;
   uint64_t unreported_lines_ = 0;  ///< Of them, not yet told to the reader.
--- a/tests/process_ends_test.cc
+++ b/tests/process_ends_test.cc
@@ -155,6 +155,17 @@
   EXPECT_EQ(Interrupt(), kExitOk);
 }
 
+// Guards against a host that waits for the reader of its log once a signal
+// interrupts the question whether it would wait.
+TEST_F(ProcessEndsTest, SignalsWhileNobodyReadsTheOutputHoldNoExitUp) {
+  Start();
+  ASSERT_TRUE(Logs("host-started"));
+  ASSERT_GT(fcntl(output_.writer(), F_SETPIPE_SZ, 1), 0);
+  host_->Signal(SIGTERM);
+  host_->SignalUntilEnd(SIGHUP);
+  EXPECT_EQ(host_->Wait(), kExitOk);
+}
+
 // Guards against hosts ended by SIGXFSZ when their log may not grow.
 TEST_F(ProcessEndsTest, OutputThatMayNotGrowEndsNothing) {
   settings_file log;
--- a/tests/support/host_process.cc
+++ b/tests/support/host_process.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -79,6 +80,7 @@
   if (pid_ == 0) {
     // The test itself may ignore it.
     signal(SIGPIPE, SIG_DFL);
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     prepare();
     const std::string program = PROGRAM_DIR "/foxtail-edge";
     execl(program.c_str(), program.c_str(), settings_path.c_str(), nullptr);
