Keep what listens while a start waits for an address

Found by review: each try closed and opened the other listeners anew, which resets what another host has sent there. Event 101 has its field `address` again. Without a descriptor for signals a start fails rather than to run deaf. Settings are tried for three seconds.

--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -203,19 +203,21 @@
 }
 
 status edge_daemon::Listen() {
-  if (status listening = readiness_.Listen(settings_.readiness); !listening) {
-    return listening;
-  }
   // Requests that other hosts hand over arrive over TCP at the port of the
   // datagrams. Any port is chosen for TCP first: no two hosts listen there.
-  if (status listening = relayed_.Listen(settings_.hosts); !listening) {
-    return listening;
-  }
-  if (status listening = hosts_.Listen(HostsAddress()); !listening) {
-    return listening;
+  for (const auto& [server, address] :
+       {std::pair{&readiness_, &settings_.readiness},
+        std::pair{&relayed_, &settings_.hosts},
+        std::pair{&callers_, &settings_.callers}}) {
+    // What listens already may have connections.
+    if (server->port() != 0) {
+      continue;
+    }
+    if (status listening = server->Listen(*address); !listening) {
+      return listening;
+    }
   }
-  // Last, so that a start that is tried again resets no caller.
-  return callers_.Listen(settings_.callers);
+  return hosts_.Listen(HostsAddress());
 }
 
 std::string edge_daemon::HostsAddress() const {
--- a/src/programs/foxtail-edge/main.cc
+++ b/src/programs/foxtail-edge/main.cc
@@ -20,6 +20,7 @@
 
 using foxtailspread::duration;
 using foxtailspread::error;
+using foxtailspread::error_code;
 using foxtailspread::event_id;
 using foxtailspread::FlushLog;
 using foxtailspread::LogEvent;
@@ -37,13 +38,17 @@
 /// How long a start waits for what may become good by itself: a settings file
 /// that is being written, and addresses that a process before this one, which
 /// may take `stop_grace` to end, still has.
-constexpr duration kSettingsPatience{std::chrono::seconds{1}};
+constexpr duration kSettingsPatience{std::chrono::seconds{3}};
 constexpr duration kAddressPatience{std::chrono::seconds{1}};
 constexpr std::chrono::milliseconds kRetryPause{50};
 
 int Fail(int code, event_id event, const error& problem) {
   const std::string text = problem.Message();
-  LogEvent(event, {{"problem", text}});
+  if (event == event_id::kListenFailed) {
+    LogEvent(event, {{"address", problem.path}, {"problem", text}});
+  } else {
+    LogEvent(event, {{"problem", text}});
+  }
   FlushLog();
   std::cerr << "foxtail-edge: " << text << '\n';
   return code;
@@ -121,6 +126,11 @@
 
 int Run(const std::string& path) {
   foxtailspread::OpenLog({.to_output = true});
+  if (foxtailspread::SignalDescriptor() < 0) {
+    return Fail(kExitUnavailable, event_id::kProgramFailed,
+                {error_code::kUnavailable, "", "no descriptor is free",
+                 "raise the limit of open files"});
+  }
   const auto settings =
       TryFor(kSettingsPatience, [&] { return LoadSettings(path); });
   if (foxtailspread::IsStopRecorded()) {
