--- a/src/programs/foxtail-edge/main.cc
+++ b/src/programs/foxtail-edge/main.cc
@@ -171,7 +171,7 @@
 // Runs before the libraries initialise themselves, which takes longer than all
 // that comes before the loop.
 [[gnu::section(".preinit_array"),
-  gnu::used]] void (*const kRecordFirst)(int, char**, char**) = RecordFirst;
+  gnu::used]] void (*const record_first)(int, char**, char**) = RecordFirst;
 
 }  // namespace
 
