--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -203,21 +203,23 @@
 }
 
 status edge_daemon::Listen() {
+  // What listens already, since a former try, may have connections.
+  const auto listen_once = [](auto& server, const std::string& address) {
+    return server.port() != 0 ? OkStatus() : server.Listen(address);
+  };
+  if (status done = listen_once(readiness_, settings_.readiness); !done) {
+    return done;
+  }
   // Requests that other hosts hand over arrive over TCP at the port of the
   // datagrams. Any port is chosen for TCP first: no two hosts listen there.
-  for (const auto& [server, address] :
-       {std::pair{&readiness_, &settings_.readiness},
-        std::pair{&relayed_, &settings_.hosts},
-        std::pair{&callers_, &settings_.callers}}) {
-    // What listens already may have connections.
-    if (server->port() != 0) {
-      continue;
-    }
-    if (status listening = server->Listen(*address); !listening) {
-      return listening;
-    }
+  if (status done = listen_once(relayed_, settings_.hosts); !done) {
+    return done;
+  }
+  if (status done = listen_once(hosts_, HostsAddress()); !done) {
+    return done;
   }
-  return hosts_.Listen(HostsAddress());
+  // Last: until all else listens, callers are better served by another host.
+  return listen_once(callers_, settings_.callers);
 }
 
 std::string edge_daemon::HostsAddress() const {
