Do not end a list at a page without a readable name

Found by review: a page of the store with more to come on which nothing could be read ended the list, and all targets behind it were taken for gone. It is a failed call now, and the copy stays as it is. PageWithoutReadableObjectsDoesNotEndTheList fails on the code before.

--- a/include/foxtailspread/kind_follower.h
+++ b/include/foxtailspread/kind_follower.h
@@ -143,6 +143,11 @@
   /// Handles a page of a list. Returns true when the list has replaced the
   /// copy, which may have changed by that.
   bool OnListed(list_page<Item> page, time_point now) {
+    if (page.has_more && page.objects.empty()) {
+      // No name tells where the list goes on.
+      OnFailed(now);
+      return false;
+    }
     OnResponse(now);
     if (drop_response_ || page.revision.era != era_) {
       return false;
@@ -160,7 +165,7 @@
     listing_revision_ = listing_revision_.Exists()
                             ? std::min(listing_revision_, page.revision)
                             : page.revision;
-    if (page.has_more && !page.objects.empty()) {
+    if (page.has_more) {
       return false;
     }
     if (listing_is_stale_) {
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -672,5 +672,16 @@
   EXPECT_FALSE(follower_.objects().at("a").item);
 }
 
+// Guards against a copy without the targets behind a page of the list on which
+// nothing could be read.
+TEST_F(KindFollowerTest, PageWithoutReadableObjectsDoesNotEndTheList) {
+  follower_.NextCall(now_);
+  follower_.OnListed(
+      {.objects = {{"a", 4, 1}}, .has_more = true, .revision = 10}, now_);
+  follower_.NextCall(now_);
+  follower_.OnListed({.objects = {}, .has_more = true, .revision = 10}, now_);
+  EXPECT_FALSE(follower_.complete());
+}
+
 }  // namespace
 }  // namespace foxtailspread
