Leave out values that are nested too deeply

Callers lost all their requests at once: an object of another writer, nested some 100,000 deep, ended each host that read it by signal 11, again after each start. The JSON library parses without recursion, but copies, compares and writes by recursion, and reads MessagePack so.

The depth of a text is checked before a value is built. The content of an object may have 256 objects and lists within one another; the declarations, the deepest content that is read, have 8. An object beyond that is taken without its content, in lists, watches and answers to writes of each kind, and the others of its page are followed. Datagrams beyond it are refused.

--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -6,6 +6,7 @@
 
 #include "core/load/key_throttle_message.h"
 #include "core/load/load_codec.h"
+#include "foxtailspread/json_depth.h"
 
 namespace foxtailspread {
 namespace {
@@ -511,8 +512,7 @@
 }
 
 result<host_message> ParseHostMessage(std::string_view bytes) {
-  const json value =
-      json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  const json value = ReadMessagePack(bytes, kMaxMessageDepth);
   try {
     const auto tag = value.at(0).get<std::string>();
     if (tag == kReportTag) {
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -8,6 +8,7 @@
 
 #include "foxtailspread/graceful_stop.h"
 #include "foxtailspread/host_messages.h"
+#include "foxtailspread/json_depth.h"
 #include "foxtailspread/kind_follower.h"
 #include "foxtailspread/retry_budget.h"
 
@@ -279,6 +280,34 @@
   }
 }
 
+// Guards against a host that ends by a stack overflow at one datagram: the
+// content of an object is written as text.
+TEST_F(HostMessagesTest, DeeplyNestedMessageIsRejected) {
+  constexpr char kListOfOne = '\x91';
+  constexpr char kEmptyList = '\x90';
+  constexpr size_t kDepth = 65'000;  // Some bytes less than a datagram has.
+  std::string message = FormatHostMessage(
+      shared_object{.name = "a", .revision = {1, 2}, .content = "[]"});
+  ASSERT_TRUE(ParseHostMessage(message));
+  message.insert(message.find(kEmptyList), std::string(kDepth, kListOfOne));
+  EXPECT_FALSE(ParseHostMessage(message));
+}
+
+// Guards against the content of an object that a host takes from the store and
+// refuses from another host, which would ask for it again and again.
+TEST_F(HostMessagesTest, ContentOfAnObjectMayBeNestedAsInTheStore) {
+  const auto parsed = [](size_t depth) {
+    const shared_object object{
+        .kind = shared_kind::kSystem,
+        .name = "a",
+        .revision = {1, 2},
+        .content = std::string(depth, '[') + std::string(depth, ']')};
+    return ParseHostMessage(FormatHostMessage(object));
+  };
+  EXPECT_TRUE(parsed(kMaxContentDepth));
+  EXPECT_FALSE(parsed(kMaxContentDepth + 1));
+}
+
 class KindFollowerTest : public ::testing::Test {
  protected:
   using page = list_page<int>;
