Handle no request whose connection ends within its head

The project's own interface handled requests that were cut short: a DELETE without its If-Match, a POST in chunks as an empty one. The deployed path is not concerned; its readers refuse each such cut.

Where a connection is closed within a head, libsoup 3.2 takes the lines that came for the whole head.

HttpTest.RequestCutShortAnywhereIsNotHandled cuts four requests behind each byte and ends the caller's side. On the code before it fails ("handled Which is: 1 before Which is: 0"); nine beginnings were handled until the run was ended after 200 s. Now the server looks whether the connection has ended when libsoup has read a head: libsoup has seen the end of each connection that cut one short. A caller that has ended its side behind a whole request is refused too; it counts as gone, as it does while its request is handled.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -83,6 +83,10 @@
 
   void CheckHeaders(SoupServerMessage* message) {
     BeginReceiving();
+    if (HasCallerEnded()) {
+      Refuse("400 Bad Request");
+      return;
+    }
     SoupMessageHeaders* headers =
         soup_server_message_get_request_headers(message);
     const char* length = soup_message_headers_get_one(headers, kContentLength);
@@ -178,6 +182,14 @@
   bool Draining() const { return server_ != nullptr && server_->draining_; }
 
  private:
+  // Where a connection ends within a head, libsoup takes the lines that came
+  // for the whole head.
+  bool HasCallerEnded() const {
+    char next = 0;
+    return recv(g_socket_get_fd(socket_), &next, sizeof(next),
+                MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
   // A body over the limit is read to its end but not kept: a caller that is
   // still writing would not see an answer that came before.
   void CheckLength(SoupServerMessage* message, goffset length) {
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -146,14 +146,17 @@
     return answer.value_or(http_call_result{});
   }
 
-  // Writes `text` on a connection of its own and returns all that comes back
-  // until the server closes.
-  std::string Raw(std::string_view text) {
+  // Writes `text` on a connection of its own, ends that side if `ends`, and
+  // returns all that comes back until the server closes.
+  std::string Raw(std::string_view text, bool ends = false) {
     const gobject_ptr<GSocketClient> connector{g_socket_client_new()};
     const gobject_ptr<GSocketConnection> stream{g_socket_client_connect_to_host(
         connector.get(), address_.c_str(), 0, nullptr, nullptr)};
     GSocket* socket = g_socket_connection_get_socket(stream.get());
     g_socket_send(socket, text.data(), text.size(), nullptr, nullptr);
+    if (ends) {
+      g_socket_shutdown(socket, FALSE, TRUE, nullptr);
+    }
     g_socket_set_blocking(socket, FALSE);
     std::string received;
     bool closed = false;
@@ -238,6 +241,32 @@
   }
 }
 
+// Guards against a request that runs without the condition that stood behind
+// the end of its connection.
+TEST_F(HttpTest, RequestCutShortAnywhereIsNotHandled) {
+  Listen();
+  int handled = 0;
+  server_->Route("/count",
+                 [&](const http_request&, const responder_ptr& answer) {
+                   ++handled;
+                   answer->Answer({});
+                 });
+  for (const std::string_view whole : {
+           "DELETE /count HTTP/1.1\r\nHost: a\r\nIf-Match: 7\r\n\r\n",
+           "DELETE /count HTTP/1.0\r\nIf-Match: 7\r\nA: b\r\n\r\n",
+           "POST /count HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+           "If-Match: 7\r\n\r\nhi",
+           "POST /count HTTP/1.1\r\nHost: a\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+       }) {
+    for (size_t size = 0; size < whole.size(); ++size) {
+      const int before = handled;
+      const std::string answer = Raw(whole.substr(0, size), true);
+      EXPECT_EQ(handled, before) << whole.substr(0, size) << "\n" << answer;
+    }
+  }
+}
+
 TEST_F(HttpTest, BodyDeclaredFarOverTheLimitIsRefusedUnread) {
   Listen({.max_body = 1000});
   EXPECT_THAT(
@@ -361,6 +390,38 @@
   EXPECT_EQ(Call({.url = raw.Url()}).outcome, http_outcome::kBroken);
 }
 
+// Guards against an answer that is taken for whole though its connection ended
+// within its head or body.
+TEST_F(HttpTest, AnswerCutShortAnywhereIsBroken) {
+  for (const std::string_view whole : {
+           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: b\r\n\r\nhi",
+           "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 12\r\n\r\n"
+           "hi and again",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "2\r\nhi\r\n0\r\n\r\n",
+       }) {
+    for (size_t size = 1; size < whole.size(); ++size) {
+      const raw_server raw{{std::string{whole.substr(0, size)}}};
+      EXPECT_EQ(Call({.url = raw.Url()}).outcome, http_outcome::kBroken)
+          << whole.substr(0, size);
+    }
+  }
+}
+
+// The same of an answer without a body: its last fields would be missing.
+TEST_F(HttpTest, EmptyAnswerCutShortAnywhereIsBroken) {
+  for (const std::string_view whole : {
+           "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: b\r\n\r\n",
+           "HTTP/1.1 204 No Content\r\nA: b\r\n\r\n",
+       }) {
+    for (size_t size = 1; size < whole.size(); ++size) {
+      const raw_server raw{{std::string{whole.substr(0, size)}}};
+      EXPECT_EQ(Call({.url = raw.Url()}).outcome, http_outcome::kBroken)
+          << whole.substr(0, size);
+    }
+  }
+}
+
 TEST_F(HttpTest, AnswerOverTheLimitIsNotTaken) {
   Listen();
   const std::string body(100'000, 'x');
