Test that no message cut short passes for whole

Each sound form of a message is cut behind each byte: at the reader, at once and bytewise (CutMessageTest); at the pool over loopback, by a close and by a reset (CutAnswerTest); at a host, in each part of an answer (Cuts of MalformedAnswerTest); at the server of callers, by a close, by the end of one side and by a reset (RequestCutShortAnywhereIsNotHandedOn).

--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -63,6 +63,9 @@
   bool ended_ = false;
 };
 
+/// How a caller ends its side.
+enum class caller_end { kClose, kHalfClose, kReset };
+
 /// A caller whose bytes have arrived when Send() returns, whether the loop runs
 /// or not.
 class blocking_caller {
@@ -103,7 +106,15 @@
     return problem != 0;
   }
   const std::string& got() const { return got_; }
-  void Leave() {
+  void Leave(caller_end end = caller_end::kClose) {
+    if (end == caller_end::kHalfClose) {
+      shutdown(fd_, SHUT_WR);
+      return;
+    }
+    if (end == caller_end::kReset) {
+      const linger at_once{.l_onoff = 1, .l_linger = 0};
+      setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    }
     if (fd_ >= 0) {
       close(std::exchange(fd_, -1));
     }
@@ -659,6 +670,35 @@
   }
 }
 
+// Guards against a request that is handed on though its caller left within it,
+// and against what is held for it.
+TEST_F(CallerServerTest, RequestCutShortAnywhereIsNotHandedOn) {
+  for (const std::string_view whole : {
+           "GET /a/ HTTP/1.1\r\nHost: h\r\nA: b\r\n\r\n",
+           "GET /a/ HTTP/1.0\r\nA: b\r\n\r\n",
+           "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 12\r\n\r\n"
+           "hi and again",
+           "POST /a/ HTTP/1.1\r\nHost: h\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n"
+           "2;a=b\r\nhi\r\n0\r\nA: b\r\n\r\n",
+       }) {
+    for (size_t size = 0; size < whole.size(); ++size) {
+      for (const caller_end end :
+           {caller_end::kClose, caller_end::kHalfClose, caller_end::kReset}) {
+        SCOPED_TRACE(whole.substr(0, size));
+        blocking_caller caller(server_.port());
+        ASSERT_TRUE(RunUntil([&] { return server_.connections() == 2; }));
+        caller.Send(whole.substr(0, size));
+        caller.Leave(end);
+        ASSERT_TRUE(RunUntil([&] { return server_.connections() == 1; }));
+        ASSERT_TRUE(requests_.empty());
+      }
+    }
+  }
+  EXPECT_TRUE(gone_.empty());
+  EXPECT_EQ(server_.pending(), 0U);
+}
+
 // Guards against a connection that a stop has missed: the load balancer sends
 // new ones until it has seen the host unready.
 TEST_F(CallerServerTest, RequestsOnAConnectionMadeAfterAStopAreAllAnswered) {
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -466,6 +466,84 @@
   EXPECT_EQ(Call("a").end, call_end::kBroken);
 }
 
+/// A sound answer to a call with the echo "a".
+struct whole_answer {
+  std::string bytes;
+  bool head = false;        ///< It answers HEAD.
+  size_t open_from = 1000;  ///< From this size on only its end tells of more.
+};
+
+class CutAnswerTest : public ConnectionPoolTest,
+                      public ::testing::WithParamInterface<whole_answer> {
+ protected:
+  /// Lets the peer answer the call with `bytes` and end the connection.
+  call_end AnswerWith(std::string_view bytes, bool resets) {
+    peer_.scripts = {{.replies = {std::string{bytes}},
+                      .close_after = !resets,
+                      .reset_after = resets}};
+    std::optional<call_end> ended;
+    const std::string to = peer_.address();
+    pool_.Send({.address = to,
+                .request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+                .head = GetParam().head,
+                .echo = "a"},
+               [&](const call_result& result) { ended = result.end; });
+    EXPECT_TRUE(RunUntil([&] { return ended.has_value(); }));
+    return ended.value_or(call_end::kUnreachable);
+  }
+};
+
+// Guards against part of an answer that passes for a whole one because the peer
+// closed in order. Where an answer has no length, the end is all that HTTP
+// says.
+TEST_P(CutAnswerTest, ByACloseIsBroken) {
+  const std::string_view whole = GetParam().bytes;
+  for (size_t size = 0; size < whole.size(); ++size) {
+    EXPECT_EQ(
+        AnswerWith(whole.substr(0, size), false),
+        size < GetParam().open_from ? call_end::kBroken : call_end::kAnswered)
+        << whole.substr(0, size);
+  }
+  EXPECT_EQ(AnswerWith(whole, false), call_end::kAnswered);
+}
+
+// The same by a reset, which also cuts short what has no length.
+TEST_P(CutAnswerTest, ByAResetIsBroken) {
+  const std::string_view whole = GetParam().bytes;
+  for (size_t size = 0; size < whole.size(); ++size) {
+    EXPECT_EQ(AnswerWith(whole.substr(0, size), true), call_end::kBroken)
+        << whole.substr(0, size);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Forms, CutAnswerTest,
+    ::testing::Values(
+        whole_answer{"HTTP/1.1 200 OK\r\nEcho: a\r\n"
+                     "Content-Length: 12\r\n\r\nhi and again"},
+        whole_answer{"HTTP/1.1 200 OK\nEcho: a\nContent-Length: 2\n\nhi"},
+        whole_answer{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                     "Echo: a\r\nA: b \t\r\n\r\n"},
+        whole_answer{"HTTP/1.0 200 OK\r\nEcho: a\r\n"
+                     "Content-Length: 2\r\n\r\nhi"},
+        whole_answer{"HTTP/1.1 200 OK\r\nEcho: a\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n"
+                     "2;a=\"b\"\r\nhi\r\n3\r\nall\r\n0\r\nA: b\r\n\r\n"},
+        whole_answer{"HTTP/1.1 100 x\r\n\r\nHTTP/1.1 103 x\r\nA: b\r\n\r\n"
+                     "HTTP/1.1 200 OK\r\nEcho: a\r\n"
+                     "Content-Length: 2\r\n\r\nhi"},
+        whole_answer{"HTTP/1.1 204 x\r\nEcho: a\r\nA: b\r\n\r\n"},
+        whole_answer{"HTTP/1.1 304 x\r\nEcho: a\r\n"
+                     "Content-Length: 9\r\n\r\n"},
+        whole_answer{.bytes = "HTTP/1.1 200 OK\r\nEcho: a\r\n"
+                              "Content-Length: 9\r\n\r\n",
+                     .head = true},
+        whole_answer{.bytes = "HTTP/1.1 200 OK\r\nEcho: a\r\n\r\nopen",
+                     .open_from = 28},
+        whole_answer{.bytes = "HTTP/1.0 200 OK\r\nEcho: a\r\n\r\nopen",
+                     .open_from = 28}),
+    [](const auto& info) { return "Number" + std::to_string(info.index); });
+
 TEST_F(ConnectionPoolTest, AnswerThatIsNoHttpIsBroken) {
   peer_.scripts = {{.replies = {"@@@@\r\n\r\n"}}};
   EXPECT_EQ(Call("a").end, call_end::kBroken);
--- a/tests/http_head_test.cc
+++ b/tests/http_head_test.cc
@@ -355,6 +355,48 @@
                            return "Number" + std::to_string(info.index);
                          });
 
+std::vector<message_form> SoundForms() {
+  std::vector<message_form> forms = AllForms();
+  std::erase_if(forms, [](const message_form& form) {
+    return form.problem != message_problem::kNone;
+  });
+  return forms;
+}
+
+class CutMessageTest : public ::testing::TestWithParam<message_form> {
+ protected:
+  /// Ends the message behind each of its bytes but the last, fed in pieces of
+  /// this size at most.
+  static void ExpectNone(size_t most) {
+    const std::string_view whole = GetParam().bytes;
+    for (size_t size = 0; size < whole.size(); ++size) {
+      const std::string_view cut = whole.substr(0, size);
+      http_reader reader{GetParam().type, {}};
+      for (size_t at = 0; at < size; at += most) {
+        ASSERT_TRUE(reader.Feed(cut.substr(at, most)));
+      }
+      const bool began = reader.in_message();
+      EXPECT_EQ(reader.FeedEnd(), !began) << cut;
+      EXPECT_FALSE(reader.Take()) << cut;
+    }
+  }
+};
+
+// Guards against part of a message that passes for a whole one because its
+// connection ended in order.
+TEST_P(CutMessageTest, ReadAtOnceIsNone) {
+  ExpectNone(GetParam().bytes.size());
+}
+
+// Guards against the same where the network cuts the bytes before.
+TEST_P(CutMessageTest, ReadByteByByteIsNone) { ExpectNone(1); }
+
+INSTANTIATE_TEST_SUITE_P(Forms, CutMessageTest,
+                         ::testing::ValuesIn(SoundForms()),
+                         [](const auto& info) {
+                           return "Number" + std::to_string(info.index);
+                         });
+
 class HttpReaderTest : public ::testing::Test {
  protected:
   http_reader answers_{HTTP_RESPONSE, {}};
--- a/tests/malformed_answer_test.cc
+++ b/tests/malformed_answer_test.cc
@@ -6,6 +6,7 @@
 #include <ostream>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "net/http_message.h"
 #include "net/tcp_stream.h"
@@ -16,12 +17,16 @@
 namespace foxtailspread {
 namespace {
 
-/// An answer that ends where it should.
+/// How the connection goes on behind an answer.
+enum class behind_answer { kStays, kCloses, kResets };
+
+/// An answer that is none, by its form or its end.
 struct malformed_form {
   std::string name;
   std::string status_line;
-  std::string fields;  ///< Besides those that each answer has.
+  std::string fields{};  ///< Besides those that each answer has.
   std::string rest = "Content-Length: 2\r\n\r\nhi";
+  behind_answer behind = behind_answer::kStays;
 };
 
 void PrintTo(const malformed_form& form, std::ostream* out) {
@@ -60,6 +65,15 @@
       }
       while (const auto request = reader.Take()) {
         stream.Write(target.AnswerTo(*request));
+        End();
+      }
+    }
+
+    void End() {
+      if (target.form_.behind == behind_answer::kCloses) {
+        stream.Close();
+      } else if (target.form_.behind == behind_answer::kResets) {
+        stream.Abort();
       }
     }
 
@@ -147,5 +161,46 @@
                        "2 junk\r\nhi\r\n0\r\n\r\n"}),
     [](const auto& info) { return "Number" + std::to_string(info.index); });
 
+/// Answers of which the target sends only the beginning.
+std::vector<malformed_form> CutForms() {
+  const std::string ok = "HTTP/1.1 200 OK";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const auto cut = [](std::string name, std::string status_line,
+                      std::string rest) {
+    return malformed_form{.name = std::move(name),
+                          .status_line = std::move(status_line),
+                          .rest = std::move(rest),
+                          .behind = behind_answer::kCloses};
+  };
+  std::vector<malformed_form> forms = {
+      cut("ahead-of-length", ok, ""),
+      cut("in-name", ok, "Content-Le"),
+      cut("in-length", ok, "Content-Length: 1"),
+      cut("behind-length", ok, "Content-Length: 0\r\n"),
+      cut("in-blank-line", ok, "Content-Length: 0\r\n\r"),
+      cut("ahead-of-body", ok, "Content-Length: 2\r\n\r\n"),
+      cut("in-body", ok, "Content-Length: 2\r\n\r\nh"),
+      cut("in-size", ok, chunked + "2"),
+      cut("in-data", ok, chunked + "2\r\nh"),
+      cut("behind-data", ok, chunked + "2\r\nhi"),
+      cut("ahead-of-last-chunk", ok, chunked + "2\r\nhi\r\n"),
+      cut("in-last-chunk", ok, chunked + "2\r\nhi\r\n0\r\n"),
+      cut("in-trailer", ok, chunked + "2\r\nhi\r\n0\r\nA: b\r\n"),
+      cut("of-version-1.0", "HTTP/1.0 200 OK", "Content-Le"),
+      cut("behind-interim", "HTTP/1.1 103 x", "\r\n"),
+      cut("of-no-content", "HTTP/1.1 204 x", "A: b\r\n"),
+  };
+  forms.push_back({.name = "reset-in-body-without-length",
+                   .status_line = ok,
+                   .rest = "\r\nhi",
+                   .behind = behind_answer::kResets});
+  return forms;
+}
+
+INSTANTIATE_TEST_SUITE_P(Cuts, MalformedAnswerTest,
+                         ::testing::ValuesIn(CutForms()), [](const auto& info) {
+                           return "Number" + std::to_string(info.index);
+                         });
+
 }  // namespace
 }  // namespace foxtailspread
