Keep a listener without descriptors from turning the loop

Callers that keep their connections open use up the descriptors of a host. accept4 then fails with EMFILE, the listener stays readable, and the loop is woken at once without end: the process takes all of its core, and neither new callers nor the balancer get an answer.

A failed accept now has a stated step for each error. For EMFILE the connection that has been idle longest is closed for the caller that waits; what lasts stops accepting for 100 ms or until a connection ends. A server can be given a bound on its connections: beyond it a new one takes the place of an idle one, and if none is idle its first request is refused as not run, so that its caller can go elsewhere at once.

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -237,6 +237,10 @@
 }
 
 void caller_connection::AddRequest(http_message request) {
+  if (refuses_) {
+    RefuseForRoom(request);
+    return;
+  }
   if (!std::exchange(has_room_, false) && IsTooMuch(request)) {
     RefuseForMemory(request);
     return;
@@ -318,6 +322,15 @@
   }
 }
 
+void caller_connection::RefuseForRoom(const http_message& request) {
+  LogEvent(event_id::kRequestNotRead,
+           {{"status", int64_t{HTTP_STATUS_SERVICE_UNAVAILABLE}},
+            {"bytes", static_cast<int64_t>(request.body.size())},
+            {"connections", static_cast<int64_t>(server_.connections())}});
+  AddRefusal(HTTP_STATUS_SERVICE_UNAVAILABLE);
+  CloseAfterLast();
+}
+
 void caller_connection::CountBytes() {
   size_t requests = reader_.announced();
   size_t answers = stream_.bytes_waiting();
@@ -410,6 +423,30 @@
   }
 }
 
+duration caller_connection::IdleFor(time_point now) const {
+  const bool is_idle = !lingering_ && exchanges_.empty() &&
+                       !reader_.in_message() && stream_.bytes_waiting() == 0 &&
+                       !progress_.is_waiting();
+  return is_idle ? now - last_byte_ : duration{0};
+}
+
+bool caller_connection::CloseForRoom(time_point now) {
+  const time_point last_byte = last_byte_;
+  if (!ReadAll()) {
+    End();
+    return true;
+  }
+  if (last_byte_ != last_byte || lingering_) {
+    return false;
+  }
+  if (UnreceivedBytes() > 0) {
+    BeginLingering(now);
+    return false;
+  }
+  End();
+  return true;
+}
+
 /// Whether the caller has taken too long to send its request, or to begin one.
 bool caller_connection::IsOverdue(time_point now) const {
   const caller_limits& limits = server_.limits_;
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -54,6 +54,14 @@
   void Answer(exchange_id id, http_message answer);
   /// Closes when nothing is in work; else after the last answer.
   void CloseWhenIdle(time_point now);
+  /// How long no request has been read or answered; 0 while one is on its way
+  /// or in work, an answer is, or the connection is being closed.
+  duration IdleFor(time_point now) const;
+  /// Ends a connection that is idle, which destroys it. False if a request has
+  /// come, or its last answer has not arrived yet; then it is not idle.
+  bool CloseForRoom(time_point now);
+  /// There is no room for this connection: its requests are refused.
+  void RefuseRequests() { refuses_ = true; }
   /// Ends a connection whose time is over, which may destroy it.
   void CheckTimes(time_point now);
 
@@ -106,6 +114,7 @@
   /// The same for a request that is here whole.
   bool IsTooMuch(const http_message& request);
   void RefuseForMemory(const http_message& request);
+  void RefuseForRoom(const http_message& request);
   void CountBytes();
   /// Reads no further while the caller takes no answers.
   void UpdateReading();
@@ -128,6 +137,7 @@
   /// There is room for the request that is arriving, whose length is known.
   bool has_room_ = false;
   bool handing_on_ = false;  ///< Answers wait for the end of the batch.
+  bool refuses_ = false;     ///< There was no room for the connection.
   bool closes_after_last_ = false;
   bool lingering_ = false;
   bool discards_rest_ = false;  ///< The rest of a refused request may come.
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -17,7 +17,9 @@
     : events_(events),
       owner_(std::move(owner)),
       listener_(events, [this](int fd) { OnAccepted(fd); }),
-      memory_(memory != nullptr ? *memory : own_memory_) {}
+      memory_(memory != nullptr ? *memory : own_memory_) {
+  listener_.OnShortage([this] { return CloseLongestIdle(); });
+}
 
 caller_server::~caller_server() {
   connections_.clear_and_dispose(std::default_delete<caller_connection>());
@@ -29,10 +31,45 @@
 
 void caller_server::OnAccepted(int fd) {
   auto connection = std::make_unique<caller_connection>(*this, fd, Now());
+  if (connections_.size() >= most_connections_ && !CloseLongestIdle()) {
+    ++refused_for_room_;
+    connection->RefuseRequests();
+    if (connections_.size() + 1 >= most_connections_ + most_refused_) {
+      listener_.AwaitRoom();
+    }
+  }
   connections_.push_back(*connection.release());
   ArmSweep();
 }
 
+caller_connection* caller_server::LongestIdle(time_point now) {
+  caller_connection* longest = nullptr;
+  duration longest_time = std::max(limits_.room_timeout, duration{1});
+  for (caller_connection& each : connections_) {
+    if (const duration time = each.IdleFor(now); time >= longest_time) {
+      longest = &each;
+      longest_time = time;
+    }
+  }
+  return longest;
+}
+
+bool caller_server::CloseLongestIdle() {
+  const time_point now = Now();
+  bool has_closed = false;
+  walking_ = true;
+  while (caller_connection* longest = LongestIdle(now)) {
+    if (longest->CloseForRoom(now)) {
+      ++closed_for_room_;
+      has_closed = true;
+      break;
+    }
+  }
+  walking_ = false;
+  CloseIdle();
+  return has_closed;
+}
+
 exchange_id caller_server::Register(caller_connection* from) {
   exchanges_.emplace(++last_id_, from);
   return last_id_;
@@ -41,6 +78,7 @@
 void caller_server::Remove(caller_connection* connection) {
   connections_.erase_and_dispose(connections_.iterator_to(*connection),
                                  std::default_delete<caller_connection>());
+  listener_.OnRoom();
 }
 
 void caller_server::Answer(exchange_id id, http_message answer) {
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -36,6 +36,17 @@
   duration idle_timeout{std::chrono::seconds{15}};
   /// Time without progress of a caller that lives and does not take its answer.
   duration untaken_timeout{std::chrono::seconds{15}};
+  /// A connection without a request for this time is closed if another caller
+  /// has no room. Sooner, its next request could be on its way.
+  duration room_timeout{std::chrono::seconds{1}};
+};
+
+/// What the server did for want of room for connections.
+struct room_counts {
+  uint64_t closed = 0;   ///< Idle connections closed for others.
+  uint64_t refused = 0;  ///< Connections whose requests are refused.
+  uint64_t waits = 0;    ///< Times that accepting stopped.
+  uint64_t total() const { return closed + refused + waits; }
 };
 
 /// What the server tells its owner.
@@ -85,6 +96,19 @@
   /// its body is read if its length is stated.
   void SetMostBuffered(size_t bytes) { most_buffered_ = bytes; }
 
+  /// Bounds the connections. Beyond `most` a new one takes the place of the one
+  /// that has been idle longest; if none is, its requests are refused as not
+  /// run. Beyond `refused` of these, connections wait in the backlog.
+  void SetMostConnections(size_t most, size_t refused) {
+    most_connections_ = most;
+    most_refused_ = refused;
+  }
+  room_counts room() const {
+    return {.closed = closed_for_room_,
+            .refused = refused_for_room_,
+            .waits = listener_.waits()};
+  }
+
   /// Stops or resumes accepting connections, which wait in the backlog
   /// meanwhile with what was sent on them.
   void PauseAccepting(bool paused) { listener_.PauseAccepting(paused); }
@@ -129,6 +153,10 @@
                              boost::intrusive::constant_time_size<true>>;
 
   void OnAccepted(int fd);
+  /// Ends the connection that has been idle longest. False if none has been for
+  /// long enough.
+  bool CloseLongestIdle();
+  caller_connection* LongestIdle(time_point now);
   exchange_id Register(caller_connection* from);
   void Forget(exchange_id id) { exchanges_.erase(id); }
   void Remove(caller_connection* connection);
@@ -160,6 +188,10 @@
   held_memory& memory_;
   size_t buffered_ = 0;
   size_t most_buffered_ = kDefaultMostBuffered;
+  size_t most_connections_ = std::numeric_limits<size_t>::max() / 2;
+  size_t most_refused_ = std::numeric_limits<size_t>::max() / 2;
+  uint64_t closed_for_room_ = 0;
+  uint64_t refused_for_room_ = 0;
   dropped_input dropped_;
   std::array<uint64_t, kUntakenReasons> untaken_{};
   bool has_refused_for_memory_ = false;  ///< Since the last sweep.
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -3,6 +3,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -14,6 +15,7 @@
 #include <cstring>
 #include <utility>
 
+#include "foxtailspread/load/descriptor_budget.h"
 #include "net/socket_address.h"
 
 namespace foxtailspread {
@@ -29,6 +31,9 @@
 /// Reads that DiscardUnread() makes at most: a peer may go on sending.
 constexpr int kMaxDiscards = 256;
 
+/// How long accepting stops when it fails for a cause that lasts.
+constexpr duration kRoomPause{std::chrono::milliseconds{100}};
+
 /// A buffer that has been sent is kept for the next message up to this size; a
 /// kept connection would hold the largest one that it ever carried.
 constexpr size_t kKeptBuffer = 16384;
@@ -85,6 +90,7 @@
   const sockaddr_in& native = converted.value();
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd_ < 0) {
+    short_ = IsShortage(errno);
     return false;
   }
   SetOptions();
@@ -92,6 +98,7 @@
       connect(fd_, reinterpret_cast<const sockaddr*>(&native), sizeof(native));
   if (done != 0 && errno != EINPROGRESS) {
     refused_ = errno == ECONNREFUSED;
+    short_ = IsShortage(errno);
     close(std::exchange(fd_, -1));
     return false;
   }
@@ -356,13 +363,36 @@
 }
 
 void tcp_listener::PauseAccepting(bool paused) {
+  paused_ = paused && fd_ >= 0;
+  Watch();
+}
+
+void tcp_listener::Watch() {
   if (fd_ >= 0) {
-    events_.Change(fd_, paused ? 0U : static_cast<uint32_t>(EPOLLIN),
+    const bool accepts = !paused_ && !awaits_room_;
+    events_.Change(fd_, accepts ? static_cast<uint32_t>(EPOLLIN) : 0U,
                    &handler_);
   }
 }
 
+void tcp_listener::AwaitRoom() {
+  awaits_room_ = true;
+  ++waits_;
+  Watch();
+  room_ = RunAfter(kRoomPause, [this] { OnRoom(); });
+}
+
+void tcp_listener::OnRoom() {
+  if (std::exchange(awaits_room_, false)) {
+    room_.Cancel();
+    Watch();
+  }
+}
+
 void tcp_listener::Close() {
+  paused_ = false;
+  awaits_room_ = false;
+  room_.Cancel();
   if (fd_ >= 0) {
     events_.Remove(fd_, &handler_);
     close(std::exchange(fd_, -1));
@@ -370,13 +400,47 @@
 }
 
 void tcp_listener::OnReady(uint32_t /*events*/) {
-  while (fd_ >= 0) {
+  bool has_made_room = false;
+  int failures = 0;
+  while (fd_ >= 0 && !awaits_room_) {
     const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0) {
+    if (fd >= 0) {
+      has_made_room = false;
+      on_accepted_(fd);
+      continue;
+    }
+    const int problem = errno;
+    if (++failures > kBacklog) {
+      AwaitRoom();
       return;
     }
-    on_accepted_(fd);
+    if (!CanGoOn(problem, has_made_room)) {
+      return;
+    }
+    has_made_room = has_made_room || problem == EMFILE;
   }
 }
 
+bool tcp_listener::CanGoOn(int problem, bool has_made_room) {
+  const accept_step step = StepAfterFailedAccept(problem);
+  if (step == accept_step::kNext) {
+    return true;
+  }
+  // The system asks for a descriptor before it looks whether one waits.
+  if (step == accept_step::kDone || !HasWaiting()) {
+    return false;
+  }
+  if (step == accept_step::kMakeRoom && !has_made_room && make_room_ &&
+      make_room_()) {
+    return true;
+  }
+  AwaitRoom();
+  return false;
+}
+
+bool tcp_listener::HasWaiting() const {
+  pollfd asked{.fd = fd_, .events = POLLIN, .revents = 0};
+  return poll(&asked, 1, 0) > 0;
+}
+
 }  // namespace foxtailspread
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -74,7 +74,8 @@
   /// Takes an accepted descriptor over.
   void Adopt(int fd);
 
-  /// Begins to connect. False when the address cannot be reached at once.
+  /// Begins to connect. False when the address cannot be reached at once, or
+  /// this host has nothing left to connect with.
   bool Connect(const socket_address& address);
 
   /// Sends what the socket takes now and keeps the rest.
@@ -108,6 +109,8 @@
   bool is_connected() const { return fd_ >= 0 && !connecting_; }
   /// The peer's machine answered that no process listens there.
   bool was_refused() const { return refused_; }
+  /// This host had no descriptor, port or memory for the connection.
+  bool was_short() const { return short_; }
   /// Bytes that the kernel has taken. 0 proves that the peer saw none.
   uint64_t bytes_sent() const { return bytes_sent_; }
   size_t bytes_waiting() const { return copied_waiting() + body_waiting(); }
@@ -144,6 +147,7 @@
   bool paused_ = false;
   bool failed_ = false;
   bool refused_ = false;
+  bool short_ = false;
   bool shut_down_ = false;
   uint32_t watched_ = 0;
   std::string out_;
@@ -160,6 +164,8 @@
 class tcp_listener {
  public:
   using receiver = std::function<void(int fd)>;
+  /// Frees a descriptor. False if it cannot.
+  using room_maker = std::function<bool()>;
 
   tcp_listener(poller& events, receiver on_accepted);
   ~tcp_listener() { Close(); }
@@ -171,17 +177,37 @@
   /// Stops or resumes accepting. Peers connect and send meanwhile; their
   /// connections wait in the backlog.
   void PauseAccepting(bool paused);
+
+  /// `make_room` runs when a connection waits and no descriptor is left.
+  void OnShortage(room_maker make_room) { make_room_ = std::move(make_room); }
+  /// Stops accepting for a moment, or until OnRoom(). At once it would fail
+  /// again, and the loop turn without end.
+  void AwaitRoom();
+  /// A descriptor may have become free.
+  void OnRoom();
+  /// Times that accepting stopped so.
+  uint64_t waits() const { return waits_; }
+
   /// The port in use, also when the settings asked for any.
   uint16_t port() const { return port_; }
 
  private:
   void OnReady(uint32_t events);
+  /// Whether another try may succeed at once.
+  bool CanGoOn(int problem, bool has_made_room);
+  bool HasWaiting() const;
+  void Watch();
 
   poller& events_;
   poll_handler handler_;
   receiver on_accepted_;
+  room_maker make_room_;
   int fd_ = -1;
   uint16_t port_ = 0;
+  bool paused_ = false;  ///< By the owner.
+  bool awaits_room_ = false;
+  uint64_t waits_ = 0;
+  timer room_;
 };
 
 }  // namespace foxtailspread
