Hold a shortage of descriptors against no target

A connection to a target that failed because this host had no descriptor, port or memory for it was told as unreachable: the target was put aside, the host counted it as a path that does not work, and the request tried the next target in the same way.

The pool first closes the idle connection whose time ends first, also one to another address; it can be given a bound of its own. If there is none the call ends as kNoDescriptor. The router refuses the request as not run, with the reason no-descriptor, and changes neither the target's health nor the paths nor the retry budget.

Without the change CallWithoutADescriptorSaysNothingOfThePeer ends with kUnreachable, IdleConnectionMakesRoomForACallToAnotherAddress too, and ShortageOfDescriptorsIsNotHeldAgainstTheTarget sees the request sent on instead of refused ("refused.size() Which is: 0").

--- a/include/foxtailspread/request_router.h
+++ b/include/foxtailspread/request_router.h
@@ -107,6 +107,7 @@
   kTargetsUnreachable,
   kOwnerBusy,     ///< The key's owner would answer too late.
   kKeyThrottled,  ///< The key gets more requests than its share.
+  kNoDescriptor,  ///< This host had none left to reach a target with.
 };
 
 /// Returns the name of `reason` in log and metrics. Names are stable.
--- a/include/foxtailspread/target_health.h
+++ b/include/foxtailspread/target_health.h
@@ -32,6 +32,7 @@
   kBroken,       ///< No complete response.
   kTimedOut,     ///< The request's deadline passed.
   kAbandoned,    ///< The caller disconnected.
+  kNotSent,      ///< This host had no descriptor to connect with.
 };
 
 /// Load and health of one target, and the limit that this host puts on its
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -69,6 +69,8 @@
       return "owner-busy";
     case refusal_reason::kKeyThrottled:
       return "key-throttled";
+    case refusal_reason::kNoDescriptor:
+      return "no-descriptor";
   }
   return "unknown";
 }
@@ -406,6 +408,10 @@
         StartWaiting(pending_request, now);
       }
       break;
+    case attempt_verdict::kNotSent:
+      --pending_request.attempt_count;
+      Refuse(pending_request, refusal_reason::kNoDescriptor, now, out);
+      break;
     case attempt_verdict::kBroken:
       crashes_.OnBrokenResponse(pending_request.content_hash,
                                 attempted_target->entry.life, now);
--- a/src/core/request_router_reach.cc
+++ b/src/core/request_router_reach.cc
@@ -31,6 +31,9 @@
     case attempt_verdict::kBroken:
       reach_.OnFailed(attempted.entry.life.id, now);
       break;
+    case attempt_verdict::kNotSent:
+      reach_.OnAbandoned(attempted.entry.life.id, now);
+      break;
     case attempt_verdict::kTimedOut:
     case attempt_verdict::kAbandoned:
       break;
--- a/src/core/target_health.cc
+++ b/src/core/target_health.cc
@@ -204,6 +204,7 @@
       ReduceLimit(kLateDecreaseFactor);
       return;
     case attempt_verdict::kAbandoned:
+    case attempt_verdict::kNotSent:
       return;
   }
 }
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -57,11 +57,40 @@
   const auto parsed = ParseAddress(address);
   // One that fails at once ends from the loop: the caller is inside Send.
   if (parsed && may_connect) {
-    connection.Connect(parsed.value(), Now() + connect_timeout);
+    Connect(connection, parsed.value(), Now() + connect_timeout);
   }
   return connection;
 }
 
+void connection_pool::Connect(pooled_connection& connection,
+                              const socket_address& to, time_point give_up) {
+  const bool fits =
+      all_.size() <= settings_.max_connections || CloseIdleForRoom();
+  if (fits && (connection.Connect(to, give_up) ||
+               (CloseIdleForRoom() && connection.Connect(to, give_up)))) {
+    return;
+  }
+  connection.LackDescriptor();
+  ++not_made_;
+}
+
+bool connection_pool::CloseIdleForRoom() {
+  pooled_connection* first = nullptr;
+  for (const auto& [address, idle] : idle_) {
+    for (pooled_connection* each : idle) {
+      if (first == nullptr || each->idle_until() < first->idle_until()) {
+        first = each;
+      }
+    }
+  }
+  if (first == nullptr) {
+    return false;
+  }
+  ++closed_for_room_;
+  Drop(first);
+  return true;
+}
+
 void connection_pool::Wait(call_id id, pool_call call, receiver on_ended) {
   const std::string address{call.address};
   waiting_.Add({.id = id,
@@ -111,8 +140,9 @@
   connection->Abort();
   Drop(connection);
   // Nothing was written of the calls, however the opening ended.
-  const call_end failure =
-      end == call_end::kRefused ? end : call_end::kUnreachable;
+  const bool is_told =
+      end == call_end::kRefused || end == call_end::kNoDescriptor;
+  const call_end failure = is_told ? end : call_end::kUnreachable;
   while (auto waiting = waiting_.TakeFirst(address)) {
     waiting->on_ended({.end = failure});
   }
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -67,13 +67,26 @@
   void SetAnswerLimits(size_t one, size_t all);
 
   uint64_t connections_made() const { return connections_made_; }
+  size_t connections() const { return all_.size(); }
+  void SetMostConnections(size_t most) { settings_.max_connections = most; }
+  /// Idle connections that were closed for others.
+  uint64_t closed_for_room() const { return closed_for_room_; }
+  /// Connections that were not made for want of a descriptor.
+  uint64_t not_made() const { return not_made_; }
 
  private:
   friend class pooled_connection;
-  using connection_list = boost::intrusive::list<pooled_connection>;
+  using connection_list =
+      boost::intrusive::list<pooled_connection,
+                             boost::intrusive::constant_time_size<true>>;
 
   pooled_connection& MakeConnection(const std::string& address,
                                     duration connect_timeout, bool may_connect);
+  /// Connects, if need be in place of an idle connection.
+  void Connect(pooled_connection& connection, const socket_address& to,
+               time_point give_up);
+  /// Closes the idle connection whose time ends first. False if none is idle.
+  bool CloseIdleForRoom();
   void Wait(call_id id, pool_call call, receiver on_ended);
   /// Gives calls that wait the idle connections to `address`, and opens one
   /// more if that is not enough.
@@ -114,6 +127,8 @@
   std::unordered_set<std::string> opening_;  ///< Addresses with an opening.
   call_id last_call_ = 0;
   uint64_t connections_made_ = 0;
+  uint64_t closed_for_room_ = 0;
+  uint64_t not_made_ = 0;
   bool sweep_armed_ = false;
   timer sweep_;
   bool write_timer_armed_ = false;
--- a/src/net/pooled_connection.cc
+++ b/src/net/pooled_connection.cc
@@ -77,12 +77,13 @@
   skipped_answers_ = 0;
 }
 
-void pooled_connection::Connect(const socket_address& to, time_point give_up) {
+bool pooled_connection::Connect(const socket_address& to, time_point give_up) {
   connect_until_ = give_up;
-  stream_.Connect(to);
+  lacks_descriptor_ = !stream_.Connect(to) && stream_.was_short();
   if (pool_.settings_.reset_on_close) {
     stream_.ResetOnClose();
   }
+  return !lacks_descriptor_;
 }
 
 call_receiver pooled_connection::TakeReceiver() {
@@ -312,6 +313,10 @@
     pool_.Drop(this);
     return;
   }
+  if (lacks_descriptor_) {
+    Fail(call_end::kNoDescriptor);
+    return;
+  }
   if (!was_connected) {
     Fail(stream_.was_refused() ? call_end::kRefused : call_end::kUnreachable);
     return;
--- a/src/net/pooled_connection.h
+++ b/src/net/pooled_connection.h
@@ -24,10 +24,11 @@
 /// How a call ended.
 enum class call_end {
   kAnswered,
-  kRefused,      ///< Nobody listens there: the process is gone. Not sent.
-  kUnreachable,  ///< No connection was made. Nothing was sent.
-  kNotWritten,   ///< A kept connection had ended; no byte was written.
-  kBroken,       ///< Written in part at least; no whole answer came.
+  kRefused,       ///< Nobody listens there: the process is gone. Not sent.
+  kUnreachable,   ///< No connection was made. Nothing was sent.
+  kNoDescriptor,  ///< This host had none left to connect with. Not sent.
+  kNotWritten,    ///< A kept connection had ended; no byte was written.
+  kBroken,        ///< Written in part at least; no whole answer came.
 };
 
 /// The end of one call.
@@ -116,6 +117,9 @@
   size_t max_arriving_bytes = std::numeric_limits<size_t>::max();
   /// Counts the bytes that the connections hold; null for none.
   held_memory* memory = nullptr;
+  /// Connections at most. Beyond, and where the process has no descriptor left,
+  /// the one that has been idle longest makes room for a new one.
+  size_t max_connections = std::numeric_limits<size_t>::max();
   /// Runs for each surplus answer, which is then dropped. It must not use the
   /// pool.
   std::function<void(const surplus_answer&)> on_surplus{};
@@ -135,8 +139,11 @@
   pooled_connection(connection_pool& pool, std::string address,
                     uint64_t number);
 
-  /// Starts to connect. One that fails at once counts as late.
-  void Connect(const socket_address& to, time_point give_up);
+  /// Starts to connect. One that fails at once counts as late. False if this
+  /// host has no descriptor for it.
+  bool Connect(const socket_address& to, time_point give_up);
+  /// Counts as one that had no descriptor.
+  void LackDescriptor() { lacks_descriptor_ = true; }
 
   void Begin(call_id id, pool_call call, call_receiver on_ended, bool fresh);
 
@@ -157,6 +164,7 @@
   bool IsOpeningLate(time_point now) const {
     return opening_ && (now >= opening_until_ || IsConnectLate(now));
   }
+  time_point idle_until() const { return idle_until_; }
   bool IsIdleOver(time_point now) const {
     return id_ == 0 && !opening_ && now >= idle_until_;
   }
@@ -232,6 +240,7 @@
   bool fresh_ = true;
   bool spoiled_ = false;
   bool closed_ = false;
+  bool lacks_descriptor_ = false;
   bool opening_ = false;  ///< The opening request is not answered yet.
   time_point opening_until_{};
   uint64_t sent_before_ = 0;
--- a/tests/connection_pool_test.cc
+++ b/tests/connection_pool_test.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "run_until.h"
+#include "support/descriptor_limit.h"
 #include "support/endless_peer.h"
 #include "support/lost_power.h"
 
@@ -510,6 +511,41 @@
   EXPECT_EQ(Call("a", address).end, call_end::kRefused);
 }
 
+// Guards against a shortage of descriptors that is held against the peer.
+TEST_F(ConnectionPoolTest, CallWithoutADescriptorSaysNothingOfThePeer) {
+  {
+    const testing::descriptor_limit none_left;
+    EXPECT_EQ(Call("a").end, call_end::kNoDescriptor);
+  }
+  EXPECT_EQ(pool_.not_made(), 1U);
+  EXPECT_EQ(peer_.connections(), 0);
+  peer_.scripts = {{.replies = {Ok("b")}}};
+  EXPECT_EQ(Call("b").end, call_end::kAnswered);
+}
+
+// Guards against calls that find no descriptor while idle connections to other
+// addresses keep theirs.
+TEST_F(ConnectionPoolTest, IdleConnectionMakesRoomForACallToAnotherAddress) {
+  scripted_peer other{events_};
+  peer_.scripts = {{.replies = {Ok("a")}}};
+  other.scripts = {{.replies = {Ok("b")}}};
+  ASSERT_EQ(Call("a").end, call_end::kAnswered);
+  const testing::descriptor_limit none_left;
+  EXPECT_EQ(Call("b", other.address()).end, call_end::kAnswered);
+  EXPECT_EQ(pool_.closed_for_room(), 1U);
+}
+
+// Guards against targets that take the descriptors of all others.
+TEST_F(ConnectionPoolTest, CallBeyondTheBoundIsNotSent) {
+  pool_.SetMostConnections(1);
+  const std::string to = peer_.address();
+  bool has_ended = false;
+  pool_.Send({.address = to, .request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"},
+             [&](const call_result&) { has_ended = true; });
+  EXPECT_EQ(Call("a").end, call_end::kNoDescriptor);
+  EXPECT_FALSE(has_ended);
+}
+
 TEST_F(ConnectionPoolTest, AddressThatIsNoneIsUnreachable) {
   EXPECT_EQ(Call("a", "nowhere:1").end, call_end::kUnreachable);
 }
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -287,6 +287,26 @@
   EXPECT_EQ(router_.counts().retries, 0U);
 }
 
+// Guards against targets that count as unreachable because this host has no
+// descriptor to connect with, and against a request that uses the retry budget
+// for it.
+TEST_F(RequestRouterTest, ShortageOfDescriptorsIsNotHeldAgainstTheTarget) {
+  constexpr request_id kRequests = 30;
+  for (request_id id = 1; id <= kRequests; ++id) {
+    ASSERT_EQ(ActionsOf<send_action>(SendRequest(id, "/reports/7")).size(), 1U);
+    const auto refused = ActionsOf<local_reply_action>(
+        EndAttempt(id, attempt_verdict::kNotSent));
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].reply, local_reply::kNotRun);
+    EXPECT_EQ(refused[0].reason, refusal_reason::kNoDescriptor);
+    EXPECT_TRUE(refused[0].retry_after);
+    EXPECT_EQ(refused[0].summary.attempts, 0);
+    now_ += milliseconds{200};
+  }
+  EXPECT_EQ(router_.counts().retries, 0U);
+  EXPECT_EQ(router_.paths(), target_paths::kAll);
+}
+
 // All targets of a service break every attempt. Retries only add to the load,
 // so that their total must stay within the retry budget.
 TEST_F(RequestRouterTest, RetriesStayWithinTheBudget) {
