Share a host's descriptors out by its limit

The platform's max_fds was not in the template, so that callers could take all descriptors, and the balancer's question, the store and targets found none. The setting max_descriptors, or the limit of the process if that is less, is now shared out between callers, hosts and targets; some are kept for the rest. Events 375 and 376 and metrics tell of a shortage and what was closed and refused for it.

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -87,6 +87,8 @@
   kMemoryShort = 366,
   kMemoryFree = 367,
   kRequestUnanswered = 368,
+  kDescriptorsShort = 375,
+  kDescriptorsFree = 376,
   kFaultsChanged = 800,
   kPoisonedRequest = 801,
   kWorkCancelled = 802,
@@ -343,6 +345,16 @@
      "tells what it waited for: a target, another host, its turn, or, with its "
      "answer held, requests ahead of it on its connection.",
      "Look at the target of the first request without an answer."},
+    {event_id::kDescriptorsShort, event_level::kWarning, "descriptors-short",
+     "The host has no room for more connections of callers, hosts or to "
+     "targets: idle ones are closed for others, and what finds no room is "
+     "refused; how many there are is given, and the bound of callers'.",
+     "Raise the limit of descriptors, or add hosts; look for callers that keep "
+     "many connections."},
+    {event_id::kDescriptorsFree, event_level::kInfo, "descriptors-free",
+     "There is room for connections again; what was closed, refused and not "
+     "connected since the start is given.",
+     "Nothing to do."},
     {event_id::kFaultsChanged, event_level::kInfo, "faults-changed",
      "A test has set the faults of a stand-in.", "Nothing to do."},
     {event_id::kPoisonedRequest, event_level::kError, "poisoned-request",
--- a/src/edge/edge_daemon.cc
+++ b/src/edge/edge_daemon.cc
@@ -186,6 +186,7 @@
            .seed = HashText(settings_.name)}),
       stop_(settings_.stop_grace) {
   LimitMemory();
+  LimitDescriptors();
 }
 
 pool_settings edge_daemon::WithSurplusEvents(pool_settings settings) {
@@ -246,7 +247,9 @@
 void edge_daemon::Reload(const platform::edge_settings& settings) {
   // Addresses, names and bounds belong to a process's life.
   settings_.memory_mb = settings.memory_mb;
+  settings_.max_descriptors = settings.max_descriptors;
   LimitMemory();
+  LimitDescriptors();
   LogEvent(event_id::kSettingsReloaded, {{"host", settings.name}});
 }
 
@@ -575,6 +578,7 @@
     }
   }
   armed_for_ = time_point::max();
+  LogDescriptors(now);
   config_.Step(now);
   if (ReadsTargets()) {
     targets_.Step(now);
@@ -669,6 +673,7 @@
   line("callers_buffered_bytes", static_cast<double>(callers_.buffered()));
   AppendUnansweredMetrics(text);
   AppendMemoryMetrics(text);
+  AppendDescriptorMetrics(text);
   line("hosts_telling_loads", static_cast<double>(loads_.reporting_hosts()));
   line("hosts_known", static_cast<double>(assigner_.HostCount()));
   line("assigner_lease_held", assigner_.IsHolder(now) ? 1.0 : 0.0);
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -210,6 +210,13 @@
   /// Adds what this host does about surplus answers of targets.
   pool_settings WithSurplusEvents(pool_settings settings);
 
+  void LimitDescriptors();
+  void LogDescriptors(time_point now);
+  void AppendDescriptorMetrics(std::string& text) const;
+  /// Connections that were not made for want of a descriptor.
+  uint64_t NotConnected() const;
+  /// Times that something had to make room, or found none.
+  uint64_t Shortages() const;
   void LimitMemory();
   void LogMemory();
   void AppendMemoryMetrics(std::string& text) const;
@@ -249,6 +256,10 @@
   poller events_;
   held_memory memory_;  ///< What requests and answers on their way hold.
   bool memory_is_short_ = false;  ///< As last logged.
+  size_t most_callers_ = 0;
+  bool descriptors_are_short_ = false;  ///< As last logged.
+  uint64_t shortages_ = 0;              ///< As last looked at.
+  time_point descriptors_short_until_{};
   caller_server callers_;
   caller_server readiness_;
   caller_server relayed_;  ///< Requests that other hosts hand over.
