Log requests that end before they are whole

A caller whose connection broke off within a request left no word in the log, so that an operator could not tell it from a caller that sent nothing. Event 385 tells of it, with the bytes that had come and the requests in front that were unanswered.

CallerServerTest.RequestCutShortIsLogged fails without the line ("Expected: (log.find("\"name\":\"request-cut-short\"")) != npos").

--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -87,6 +87,7 @@
   kMemoryShort = 366,
   kMemoryFree = 367,
   kRequestUnanswered = 368,
+  kRequestCutShort = 385,
   kFaultsChanged = 800,
   kPoisonedRequest = 801,
   kWorkCancelled = 802,
@@ -343,6 +344,10 @@
      "tells what it waited for: a target, another host, its turn, or, with its "
      "answer held, requests ahead of it on its connection.",
      "Look at the target of the first request without an answer."},
+    {event_id::kRequestCutShort, event_level::kInfo, "request-cut-short",
+     "A caller's connection ended within a request, of which the bytes given "
+     "had come; nothing of it was handed on.",
+     "Nothing to do if the caller gave up; else look at its network."},
     {event_id::kFaultsChanged, event_level::kInfo, "faults-changed",
      "A test has set the faults of a stand-in.", "Nothing to do."},
     {event_id::kPoisonedRequest, event_level::kError, "poisoned-request",
--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -191,6 +191,7 @@
     return true;
   }
   if (read.end != read_end::kData) {
+    LogCutRequest();
     return false;
   }
   if (lingering_ || closes_after_last_) {
@@ -216,6 +217,14 @@
   return true;
 }
 
+void caller_connection::LogCutRequest() const {
+  if (reader_.in_message()) {
+    LogEvent(event_id::kRequestCutShort,
+             {{"bytes", static_cast<int64_t>(reader_.buffered())},
+              {"unanswered", static_cast<int64_t>(exchanges_.size())}});
+  }
+}
+
 void caller_connection::TakeRequests() {
   // Requests that came together are handed on together: an answer given at once
   // must not close the connection before those behind it.
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -95,6 +95,7 @@
   bool CheckReading(time_point now);
   bool ReadAll();
   bool IsOverdue(time_point now) const;
+  void LogCutRequest() const;
   void TakeRequests();
   void AddRequest(http_message request);
   /// Hands nothing more on and closes after the answer to the last request that
--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -670,6 +670,19 @@
   }
 }
 
+// Guards against callers whose requests break off without a word in the log.
+TEST_F(CallerServerTest, RequestCutShortIsLogged) {
+  blocking_caller caller(server_.port());
+  ASSERT_TRUE(RunUntil([&] { return server_.connections() == 2; }));
+  ::testing::internal::CaptureStderr();
+  caller.Send("GET /a/ HTTP/1.1\r\nHost: h");
+  caller.Leave();
+  EXPECT_TRUE(RunUntil([&] { return server_.connections() == 1; }));
+  const std::string log = ::testing::internal::GetCapturedStderr();
+  EXPECT_NE(log.find("\"name\":\"request-cut-short\""), std::string::npos)
+      << log;
+}
+
 // Guards against a request that is handed on though its caller left within it,
 // and against what is held for it.
 TEST_F(CallerServerTest, RequestCutShortAnywhereIsNotHandedOn) {
