--- a/include/foxtailspread/events.h
+++ b/include/foxtailspread/events.h
@@ -89,6 +89,7 @@
   kRequestUnanswered = 368,
   kDescriptorsShort = 375,
   kDescriptorsFree = 376,
+  kRequestCutShort = 385,
   kFaultsChanged = 800,
   kPoisonedRequest = 801,
   kWorkCancelled = 802,
@@ -355,6 +356,10 @@
      "There is room for connections again; what was closed, refused and not "
      "connected since the start is given.",
      "Nothing to do."},
+    {event_id::kRequestCutShort, event_level::kInfo, "request-cut-short",
+     "A caller's connection ended within a request, of which the bytes given "
+     "had come; nothing of it was handed on.",
+     "Nothing to do if the caller gave up; else look at its network."},
     {event_id::kFaultsChanged, event_level::kInfo, "faults-changed",
      "A test has set the faults of a stand-in.", "Nothing to do."},
     {event_id::kPoisonedRequest, event_level::kError, "poisoned-request",
