Use numbers of others only in their range

The declarations and all messages between hosts were read the same way: converted first, compared later or never.

Each number is compared with its range first. NamesTarget() says in one place which values of an entry name a target, for entries that are read and entries that another host tells of.

--- a/src/core/host_messages.cc
+++ b/src/core/host_messages.cc
@@ -2,11 +2,14 @@
 
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <span>
 
 #include "core/load/key_throttle_message.h"
 #include "core/load/load_codec.h"
+#include "core/message_values.h"
 #include "foxtailspread/json_depth.h"
+#include "foxtailspread/target_entry_check.h"
 
 namespace foxtailspread {
 namespace {
@@ -64,6 +67,9 @@
 /// after the view was read is still known to all hosts in time.
 constexpr double kViewValidFraction = 0.8;
 
+/// More than a deployment has.
+constexpr size_t kMaxHosts = 1'000'000;
+
 int64_t InMs(duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
@@ -250,22 +256,27 @@
        json::binary(std::vector<uint8_t>(payload.begin(), payload.end()))});
 }
 
-// The Read functions use the checked accessors of the JSON library, which throw
-// on malformed input. ParseHostMessage turns the exception into an error.
+// The Read functions use checked accessors, which throw on malformed input.
+// ParseHostMessage turns the exception into an error.
 
 /// Reads a number that earlier releases do not send.
 uint64_t ReadNumber(const json& value, size_t position) {
-  return value.size() > position ? value.at(position).get<uint64_t>() : 0;
+  return value.size() > position ? ReadWhole<uint64_t>(value.at(position)) : 0;
 }
 
 store_revision ReadRevision(const json& value, size_t counter_position,
                             size_t era_position) {
   return {ReadNumber(value, era_position),
-          value.at(counter_position).get<uint64_t>()};
+          ReadWhole<uint64_t>(value.at(counter_position))};
+}
+
+std::set<std::string> ReadZones(const json& value) {
+  const std::vector<std::string> zones = ReadTexts(value);
+  return {zones.begin(), zones.end()};
 }
 
 duration ReadMs(const json& value) {
-  return std::chrono::milliseconds{value.get<uint32_t>()};
+  return std::chrono::milliseconds{ReadWhole<uint32_t>(value)};
 }
 
 crash_evidence ReadCrashes(const json& value) {
@@ -273,9 +284,9 @@
   const json& marks = value.at(0);
   for (size_t i = 0; i + kMarkFields <= marks.size(); i += kMarkFields) {
     evidence.marks.push_back(
-        {.content_hash = marks.at(i).get<uint64_t>(),
-         .target = {.id = marks.at(i + 1).get<std::string>(),
-                    .started = marks.at(i + 2).get<uint64_t>()},
+        {.content_hash = ReadWhole<uint64_t>(marks.at(i)),
+         .target = {.id = ReadText(marks.at(i + 1)),
+                    .started = ReadWhole<uint64_t>(marks.at(i + 2))},
          .age = ReadMs(marks.at(i + 3)),
          .is_confirmed = marks.at(i + 4).get<bool>()});
   }
@@ -283,14 +294,15 @@
   for (size_t i = 0; i + kSurvivorFields <= survivors.size();
        i += kSurvivorFields) {
     evidence.survivors.push_back(
-        {.target = {.id = survivors.at(i).get<std::string>(),
-                    .started = survivors.at(i + 1).get<uint64_t>()},
+        {.target = {.id = ReadText(survivors.at(i)),
+                    .started = ReadWhole<uint64_t>(survivors.at(i + 1))},
          .age = ReadMs(survivors.at(i + 2))});
   }
   const json& served = value.at(2);
   for (size_t i = 0; i + kServedFields <= served.size(); i += kServedFields) {
-    evidence.served.push_back({.content_hash = served.at(i).get<uint64_t>(),
-                               .age = ReadMs(served.at(i + 1))});
+    evidence.served.push_back(
+        {.content_hash = ReadWhole<uint64_t>(served.at(i)),
+         .age = ReadMs(served.at(i + 1))});
   }
   return evidence;
 }
@@ -299,13 +311,13 @@
   std::vector<limit_sample> limits;
   for (size_t i = 0; i + kLimitFields <= flat.size(); i += kLimitFields) {
     limit_sample& sample = limits.emplace_back();
-    sample.target = {.id = flat.at(i).get<std::string>(),
-                     .started = flat.at(i + 1).get<uint64_t>()};
+    sample.target = {.id = ReadText(flat.at(i)),
+                     .started = ReadWhole<uint64_t>(flat.at(i + 1))};
     if (!flat.at(i + 2).is_null()) {
-      sample.per_second = flat.at(i + 2).get<double>();
+      sample.per_second = ReadAmount(flat.at(i + 2));
     }
-    sample.sent_age_ms = flat.at(i + 3).get<uint32_t>();
-    sample.received_age_ms = flat.at(i + 4).get<uint32_t>();
+    sample.sent_age_ms = ReadWhole<uint32_t>(flat.at(i + 3));
+    sample.received_age_ms = ReadWhole<uint32_t>(flat.at(i + 4));
   }
   return limits;
 }
@@ -316,9 +328,9 @@
   for (size_t i = 0; i + kLeavingFields <= leaving.size();
        i += kLeavingFields) {
     statements.leaving.push_back(
-        {.target = {.id = leaving.at(i).get<std::string>(),
-                    .started = leaving.at(i + 1).get<uint64_t>()},
-         .age_ms = leaving.at(i + 2).get<uint32_t>()});
+        {.target = {.id = ReadText(leaving.at(i)),
+                    .started = ReadWhole<uint64_t>(leaving.at(i + 1))},
+         .age_ms = ReadWhole<uint32_t>(leaving.at(i + 2))});
   }
   return statements;
 }
@@ -329,15 +341,15 @@
 }
 
 permit_request ReadPermitRequest(const json& value) {
-  return {.address = value.at(1).get<std::string>(),
-          .sequence = value.at(2).get<uint64_t>(),
+  return {.address = ReadText(value.at(1)),
+          .sequence = ReadWhole<uint64_t>(value.at(2)),
           .limit = ReadLimit(value.at(3)),
-          .demand = {.count = value.at(4).get<uint32_t>(),
+          .demand = {.count = ReadWhole<uint32_t>(value.at(4)),
                      .max_delay = ReadMs(value.at(5))}};
 }
 
 permit_reply ReadPermitReply(const json& value) {
-  permit_reply reply{.sequence = value.at(1).get<uint64_t>(),
+  permit_reply reply{.sequence = ReadWhole<uint64_t>(value.at(1)),
                      .limit = ReadLimit(value.at(2))};
   for (const json& delay : value.at(3)) {
     reply.grant.delays.push_back(ReadMs(delay));
@@ -347,7 +359,7 @@
 }
 
 target_paths ReadPaths(const json& value) {
-  const int number = value.get<int>();
+  const int number = ReadWhole<int>(value);
   return number == static_cast<int>(target_paths::kNone)   ? target_paths::kNone
          : number == static_cast<int>(target_paths::kSome) ? target_paths::kSome
                                                            : target_paths::kAll;
@@ -355,30 +367,30 @@
 
 load_report ReadReport(const json& value) {
   load_report report;
-  report.host = value.at(1).get<std::string>();
-  report.zone = value.at(2).get<std::string>();
-  report.address = value.at(3).get<std::string>();
+  report.host = ReadText(value.at(1));
+  report.zone = ReadText(value.at(2));
+  report.address = ReadText(value.at(3));
   report.lease_revision = ReadRevision(value, 4, kReportEra);
   report.former_lease_count = ReadNumber(value, kReportFormerLease);
   report.config_version = ReadNumber(value, kReportConfig);
   if (value.size() > kReportFormerHost) {
-    report.former_lease_host = value.at(kReportFormerHost).get<std::string>();
+    report.former_lease_host = ReadText(value.at(kReportFormerHost));
   }
   for (const json& service : value.at(5)) {
     service_load& load = report.services.emplace_back();
-    load.service = service.at(0).get<std::string>();
+    load.service = ReadText(service.at(0));
     const json& flat = service.at(1);
     for (size_t i = 0; i + 1 < flat.size(); i += 2) {
-      load.keys.emplace_back(flat.at(i).get<uint32_t>(),
-                             flat.at(i + 1).get<uint32_t>());
+      load.keys.emplace_back(ReadWhole<uint32_t>(flat.at(i)),
+                             ReadWhole<uint32_t>(flat.at(i + 1)));
     }
   }
   for (const json& target : value.at(6)) {
-    report.targets.push_back({.target = target.at(0).get<std::string>(),
-                              .latency_us = target.at(1).get<uint32_t>(),
-                              .served = target.at(2).get<uint32_t>()});
+    report.targets.push_back({.target = ReadText(target.at(0)),
+                              .latency_us = ReadWhole<uint32_t>(target.at(1)),
+                              .served = ReadWhole<uint32_t>(target.at(2))});
   }
-  report.link_mbps = value.at(8).get<double>();
+  report.link_mbps = ReadAmount(value.at(8));
   if (value.size() > kReportCrashes) {
     report.crashes = ReadCrashes(value.at(kReportCrashes));
   }
@@ -390,24 +402,24 @@
 
 assigner_heartbeat ReadHeartbeat(const json& value) {
   assigner_heartbeat heartbeat;
-  heartbeat.host = value.at(1).get<std::string>();
+  heartbeat.host = ReadText(value.at(1));
   heartbeat.lease_revision = ReadRevision(value, 2, kHeartbeatEra);
-  heartbeat.successors = value.at(3).get<std::vector<std::string>>();
+  heartbeat.successors = ReadTexts(value.at(3));
   const json& view = value.at(4);
   if (!view.is_null()) {
     heartbeat.view =
         store_view{.config_revision = ReadRevision(view, 0, kViewEra),
                    .config_version = ReadNumber(view, kViewConfig),
-                   .targets_digest = view.at(1).get<uint64_t>(),
-                   .owners_digest = view.at(2).get<uint64_t>(),
-                   .age_ms = view.at(3).get<uint32_t>()};
+                   .targets_digest = ReadWhole<uint64_t>(view.at(1)),
+                   .owners_digest = ReadWhole<uint64_t>(view.at(2)),
+                   .age_ms = ReadWhole<uint32_t>(view.at(3))};
   }
-  heartbeat.host_count = value.at(6).get<size_t>();
+  heartbeat.host_count = ReadWhole(value.at(6), kMaxHosts);
   const json& evacuated = value.at(7);
   if (!evacuated.is_null()) {
     heartbeat.evacuated =
-        evacuation_view{.zones = evacuated.at(0).get<std::set<std::string>>(),
-                        .age_ms = evacuated.at(1).get<uint32_t>()};
+        evacuation_view{.zones = ReadZones(evacuated.at(0)),
+                        .age_ms = ReadWhole<uint32_t>(evacuated.at(1))};
   }
   if (value.size() > kHeartbeatStatements) {
     heartbeat.statements = ReadStatements(value.at(kHeartbeatStatements));
@@ -419,50 +431,55 @@
 }
 
 owners_record ReadOwners(const json& value) {
-  return {.service = value.at(1).get<std::string>(),
+  return {.service = ReadText(value.at(1)),
           .base_revision = ReadRevision(value, 2, kOwnersBaseEra),
           .revision = ReadRevision(value, 3, kOwnersEra),
           .content = value.at(4).dump()};
 }
 
 repeat_request ReadRepeatRequest(const json& value) {
-  repeat_request request{.address = value.at(1).get<std::string>(),
-                         .config_version = value.at(2).get<uint64_t>(),
-                         .lease_host = value.at(3).get<std::string>(),
+  repeat_request request{.address = ReadText(value.at(1)),
+                         .config_version = ReadWhole<uint64_t>(value.at(2)),
+                         .lease_host = ReadText(value.at(3)),
                          .owners = {}};
   const json& owners = value.at(4);
   for (size_t i = 0; i < owners.size(); i += kHeldFields) {
-    request.owners.push_back({.service = owners.at(i).get<std::string>(),
-                              .revision = {owners.at(i + 1).get<uint64_t>(),
-                                           owners.at(i + 2).get<uint64_t>()}});
+    request.owners.push_back(
+        {.service = ReadText(owners.at(i)),
+         .revision = {ReadWhole<uint64_t>(owners.at(i + 1)),
+                      ReadWhole<uint64_t>(owners.at(i + 2))}});
   }
   return request;
 }
 
 shared_entry ReadSharedEntry(const json& value, uint64_t era) {
   constexpr size_t kFieldsWithoutEntry = 3;
-  shared_entry shared{.name = value.at(0).get<std::string>(),
-                      .revision = {era, value.at(1).get<uint64_t>()},
+  shared_entry shared{.name = ReadText(value.at(0)),
+                      .revision = {era, ReadWhole<uint64_t>(value.at(1))},
                       .deleted = value.at(2).get<bool>()};
-  if (value.size() > kFieldsWithoutEntry) {
-    shared.entry =
-        target_entry{.life = {.id = value.at(3).get<std::string>(),
-                              .started = value.at(4).get<uint64_t>()},
-                     .service = value.at(5).get<std::string>(),
-                     .address = value.at(6).get<std::string>(),
-                     .zone = value.at(7).get<std::string>(),
-                     .slots = value.at(8).get<int>(),
+  if (value.size() <= kFieldsWithoutEntry) {
+    return shared;
+  }
+  constexpr int64_t kMostMs = kMaxStatedTime / std::chrono::milliseconds{1};
+  target_entry entry{.life = {.id = ReadText(value.at(3)),
+                              .started = ReadWhole<uint64_t>(value.at(4))},
+                     .service = ReadText(value.at(5)),
+                     .address = ReadText(value.at(6)),
+                     .zone = ReadText(value.at(7)),
+                     .slots = ReadWhole<int>(value.at(8)),
                      .draining = value.at(9).get<bool>(),
-                     .remaining_cold_time =
-                         std::chrono::milliseconds{value.at(10).get<int64_t>()},
-                     .sequence = value.at(11).get<uint64_t>()};
+                     .remaining_cold_time = std::chrono::milliseconds{ReadWhole(
+                         value.at(10), kMostMs)},
+                     .sequence = ReadWhole<uint64_t>(value.at(11))};
+  if (NamesTarget(entry)) {
+    shared.entry = std::move(entry);
   }
   return shared;
 }
 
 targets_record ReadTargets(const json& value) {
-  targets_record record{.base_digest = value.at(1).get<uint64_t>(),
-                        .age_ms = value.at(2).get<uint32_t>(),
+  targets_record record{.base_digest = ReadWhole<uint64_t>(value.at(1)),
+                        .age_ms = ReadWhole<uint32_t>(value.at(2)),
                         .era = ReadNumber(value, kTargetsEra),
                         .changes = {}};
   for (const json& change : value.at(3)) {
@@ -473,9 +490,9 @@
 
 shared_object ReadSharedObject(const json& value) {
   const bool own =
-      value.at(1).get<int>() == static_cast<int>(shared_kind::kSystem);
+      ReadWhole<int>(value.at(1)) == static_cast<int>(shared_kind::kSystem);
   return {.kind = own ? shared_kind::kSystem : shared_kind::kDeclarations,
-          .name = value.at(2).get<std::string>(),
+          .name = ReadText(value.at(2)),
           .revision = ReadRevision(value, 3, kObjectEra),
           .content = value.at(4).dump()};
 }
@@ -483,17 +500,17 @@
 hosts_record ReadHosts(const json& value) {
   hosts_record record;
   for (const json& host : value.at(1)) {
-    record.hosts.push_back({.name = host.at(0).get<std::string>(),
-                            .zone = host.at(1).get<std::string>(),
-                            .address = host.at(2).get<std::string>(),
-                            .link_mbps = host.at(3).get<double>()});
+    record.hosts.push_back({.name = ReadText(host.at(0)),
+                            .zone = ReadText(host.at(1)),
+                            .address = ReadText(host.at(2)),
+                            .link_mbps = ReadAmount(host.at(3))});
   }
   return record;
 }
 
 relayed_message ReadRelayed(const json& value) {
   const auto& payload = value.at(2).get_binary();
-  return {.forward_to = value.at(1).get<std::vector<std::string>>(),
+  return {.forward_to = ReadTexts(value.at(1)),
           .payload = std::string(payload.begin(), payload.end())};
 }
 
@@ -514,7 +531,7 @@
 result<host_message> ParseHostMessage(std::string_view bytes) {
   const json value = ReadMessagePack(bytes, kMaxMessageDepth);
   try {
-    const auto tag = value.at(0).get<std::string>();
+    const auto tag = ReadText(value.at(0));
     if (tag == kReportTag) {
       return host_message{ReadReport(value)};
     }
@@ -543,8 +560,7 @@
       return host_message{crashes_record{ReadCrashes(value.at(1))}};
     }
     if (tag == kRelaysTag) {
-      return host_message{
-          relays_record{value.at(1).get<std::vector<std::string>>()}};
+      return host_message{relays_record{ReadTexts(value.at(1))}};
     }
     if (tag == kPermitRequestTag) {
       return host_message{ReadPermitRequest(value)};
--- a/src/core/load/key_throttle_message.cc
+++ b/src/core/load/key_throttle_message.cc
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "core/message_values.h"
+
 namespace foxtailspread {
 namespace {
 
@@ -28,19 +30,20 @@
 }
 
 key_throttles ReadKeyThrottles(const json& value) {
-  key_throttles throttles{.service = value.at(1).get<std::string>(),
-                          .lease_revision = {value.at(2).get<uint64_t>(),
-                                             value.at(3).get<uint64_t>()},
-                          .sequence = value.at(4).get<uint64_t>(),
-                          .age_ms = value.at(kEntriesField - 1).get<uint32_t>(),
-                          .entries = {}};
+  key_throttles throttles{
+      .service = ReadText(value.at(1)),
+      .lease_revision = {ReadWhole<uint64_t>(value.at(2)),
+                         ReadWhole<uint64_t>(value.at(3))},
+      .sequence = ReadWhole<uint64_t>(value.at(4)),
+      .age_ms = ReadWhole<uint32_t>(value.at(kEntriesField - 1)),
+      .entries = {}};
   const json& flat = value.at(kEntriesField);
   for (size_t i = 0; i + kEntryFields <= flat.size(); i += kEntryFields) {
     throttles.entries.push_back(
-        {.first = flat.at(i).get<key_point>(),
-         .last = flat.at(i + 1).get<key_point>(),
-         .owner = flat.at(i + 2).get<uint32_t>(),
-         .admitted_permille = flat.at(i + 3).get<uint32_t>()});
+        {.first = ReadWhole<key_point>(flat.at(i)),
+         .last = ReadWhole<key_point>(flat.at(i + 1)),
+         .owner = ReadWhole<uint32_t>(flat.at(i + 2)),
+         .admitted_permille = ReadWhole<uint32_t>(flat.at(i + 3))});
   }
   return throttles;
 }
--- a/src/core/load/load_codec.cc
+++ b/src/core/load/load_codec.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "core/message_values.h"
+
 namespace foxtailspread::load_codec {
 namespace {
 
@@ -27,6 +29,7 @@
 /// millisecond.
 constexpr double kPercent = 100.0;
 constexpr uint32_t kLatencyStepUs = 100;
+constexpr uint32_t kMostLatencySteps = UINT32_MAX / kLatencyStepUs;
 
 /// Units of a load_sum: rates in halves, its age in 4 ms, its latency in 0.1 ms
 /// and below a bit that tells whether it was reported.
@@ -85,16 +88,29 @@
   return json::binary(std::move(bytes));
 }
 
+/// Requests that a target runs or queues; sums of two stay in range.
+constexpr int kMostRequests = 1'000'000;
+
+/// Reads percents; never none, as they divide.
+double ReadSlowness(const json& value) {
+  const int percents = ReadWhole<int>(value);
+  if (percents == 0) {
+    ThrowOutOfRange(value);
+  }
+  return percents / kPercent;
+}
+
 std::vector<load_sample> ReadLoads(const json& flat) {
   std::vector<load_sample> loads;
   for (size_t i = 0; i + kSampleFields <= flat.size(); i += kSampleFields) {
-    loads.push_back({.target = flat.at(i).get<uint32_t>(),
-                     .load = {.running = flat.at(i + 1).get<int>(),
-                              .waiting = flat.at(i + 2).get<int>(),
-                              .slowness = flat.at(i + 3).get<int>() / kPercent},
-                     .age_ms = flat.at(i + 4).get<uint32_t>(),
-                     .latency_us = flat.at(i + 5).get<uint32_t>(),
-                     .served = flat.at(i + 6).get<uint32_t>()});
+    loads.push_back(
+        {.target = ReadWhole<uint32_t>(flat.at(i)),
+         .load = {.running = ReadWhole(flat.at(i + 1), kMostRequests),
+                  .waiting = ReadWhole(flat.at(i + 2), kMostRequests),
+                  .slowness = ReadSlowness(flat.at(i + 3))},
+         .age_ms = ReadWhole<uint32_t>(flat.at(i + 4)),
+         .latency_us = ReadWhole<uint32_t>(flat.at(i + 5)),
+         .served = ReadWhole<uint32_t>(flat.at(i + 6))});
   }
   return loads;
 }
@@ -103,12 +119,13 @@
   std::vector<activity_sample> activity;
   for (size_t i = 0; i + kActivityFields <= flat.size(); i += kActivityFields) {
     activity.push_back(
-        {.target = flat.at(i).get<uint32_t>(),
-         .in_flight = flat.at(i + 1).get<uint32_t>(),
-         .served = flat.at(i + 2).get<uint32_t>(),
-         .rejected = flat.at(i + 3).get<uint32_t>(),
-         .latency_us = flat.at(i + 4).get<uint32_t>() * kLatencyStepUs,
-         .unqueued = flat.at(i + 5).get<uint32_t>()});
+        {.target = ReadWhole<uint32_t>(flat.at(i)),
+         .in_flight = ReadWhole<uint32_t>(flat.at(i + 1)),
+         .served = ReadWhole<uint32_t>(flat.at(i + 2)),
+         .rejected = ReadWhole<uint32_t>(flat.at(i + 3)),
+         .latency_us =
+             ReadWhole(flat.at(i + 4), kMostLatencySteps) * kLatencyStepUs,
+         .unqueued = ReadWhole<uint32_t>(flat.at(i + 5))});
   }
   return activity;
 }
@@ -147,8 +164,8 @@
 loads_record Read(const json& value) {
   loads_record record{.loads = ReadLoads(value.at(1))};
   if (value.size() > kSums) {
-    record.host = value.at(kHost).get<std::string>();
-    record.sequence = value.at(kSequence).get<uint64_t>();
+    record.host = ReadText(value.at(kHost));
+    record.sequence = ReadWhole<uint64_t>(value.at(kSequence));
     record.activity = ReadActivity(value.at(kActivity));
     record.sums = ReadSums(value.at(kSums).get_binary());
   }
--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "foxtailspread/graceful_stop.h"
@@ -308,6 +309,56 @@
   EXPECT_FALSE(parsed(kMaxContentDepth + 1));
 }
 
+std::string Packed(const nlohmann::json& value) {
+  const std::vector<uint8_t> bytes = nlohmann::json::to_msgpack(value);
+  return {bytes.begin(), bytes.end()};
+}
+
+// Guards against numbers of a message that are cut to size, or converted though
+// no number of that type is near.
+TEST_F(HostMessagesTest, NumberOutOfRangeIsRejected) {
+  const auto load = [](const nlohmann::json& running,
+                       const nlohmann::json& age) {
+    return ParseHostMessage(Packed({"loads", {1, running, 0, 100, age, 5, 6}}));
+  };
+  EXPECT_TRUE(load(1, 5));
+  EXPECT_FALSE(load(-1, 5));
+  EXPECT_FALSE(load(4294967297, 5));
+  EXPECT_FALSE(load(2147483647, 5)) << "with those that wait too many";
+  EXPECT_FALSE(load(1, -5));
+  EXPECT_FALSE(load(1, 4294967296));
+  EXPECT_FALSE(load(1, 1e300));
+  const auto host = [](const nlohmann::json& link_mbps) {
+    return ParseHostMessage(
+        Packed({"hosts", {{"a", "north", "10.0.0.1:1", link_mbps}}}));
+  };
+  EXPECT_TRUE(host(0.5));
+  EXPECT_FALSE(host(std::numeric_limits<double>::quiet_NaN()));
+  EXPECT_FALSE(host(std::numeric_limits<double>::infinity()));
+  EXPECT_FALSE(host(-1.0));
+}
+
+// Guards against hosts that use an entry because another told of it, though
+// none of them uses it when it reads it itself.
+TEST_F(HostMessagesTest, SharedEntryThatNamesNoTargetIsLeftOut) {
+  const auto shared = [](int slots, const char* address) {
+    const targets_record record{
+        .changes = {{.name = "i-1",
+                     .revision = {0, 7},
+                     .entry = target_entry{.life = {.id = "i-1", .started = 1},
+                                           .service = "s",
+                                           .address = address,
+                                           .zone = "z",
+                                           .slots = slots}}}};
+    const auto read = ParseHostMessage(FormatHostMessage(record));
+    return read && std::get<targets_record>(read.value()).changes.at(0).entry;
+  };
+  EXPECT_TRUE(shared(1, "10.0.0.1:80"));
+  EXPECT_FALSE(shared(0, "10.0.0.1:80"));
+  EXPECT_FALSE(shared(2'000'000'000, "10.0.0.1:80"));
+  EXPECT_FALSE(shared(1, "10.0.0.1:70000"));
+}
+
 class KindFollowerTest : public ::testing::Test {
  protected:
   using page = list_page<int>;
