Let no reader of outside bytes throw

Hosts ended by signal 6, since nothing around the loop catches: at a page of the store whose "more", "as_of" or "deleted" has another type; at a handover token that is no UTF-8, which ends the host that assigns keys when it writes the next grant; and at the name of another host that is no UTF-8, which ends a host that writes it into the lease.

HostMessagesTest.TextThatIsNoUtf8IsRejected fails without ReadText().

--- a/tests/edge_parts_test.cc
+++ b/tests/edge_parts_test.cc
@@ -359,6 +359,17 @@
   EXPECT_FALSE(shared(1, "10.0.0.1:70000"));
 }
 
+// Guards against a host that ends by an exception when it writes what another
+// told it, such as the former holders of a lease, as JSON.
+TEST_F(HostMessagesTest, TextThatIsNoUtf8IsRejected) {
+  load_report report;
+  EXPECT_TRUE(ParseHostMessage(FormatHostMessage(report)));
+  report.host = "\xff";
+  EXPECT_FALSE(ParseHostMessage(FormatHostMessage(report)));
+  const relays_record relays{{"10.0.0.1:1", "\xc3"}};
+  EXPECT_FALSE(ParseHostMessage(FormatHostMessage(relays)));
+}
+
 class KindFollowerTest : public ::testing::Test {
  protected:
   using page = list_page<int>;
