--- a/tools/test-sanitized.sh
+++ b/tools/test-sanitized.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 build="${SANITIZED_BUILD_DIR:-build-sanitized}"
 tests=(connection_pool_test caller_server_test http_head_test http_test
-       owed_answers_test platform_codec_test)
+       outside_bytes_test owed_answers_test platform_codec_test)
 flags="-fsanitize=address,undefined -fno-sanitize-recover=all"
 cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=Debug \
   -DCMAKE_CXX_FLAGS="$flags -O1 -fno-omit-frame-pointer" >/dev/null
