--- a/src/net/process_signals.cc
+++ b/src/net/process_signals.cc
@@ -71,13 +71,6 @@
   SetAction({SIGUSR1, SIGUSR2, SIGTTIN, SIGTTOU}, SIG_IGN);
 }
 
-void AddRecordedSignals(const signal_counts& early) {
-  hang_ups += early.hang_ups;
-  interrupts += early.interrupts;
-  terminations += early.terminations;
-  WakeLoop();
-}
-
 signal_counts TakeSignals() {
   return {.hang_ups = hang_ups.exchange(0),
           .interrupts = interrupts.exchange(0),
--- a/src/net/process_signals.h
+++ b/src/net/process_signals.h
@@ -25,9 +25,6 @@
 /// ignores SIGUSR1, SIGUSR2, SIGTTIN and SIGTTOU.
 void RecordDaemonSignals();
 
-/// Adds signals that a loader recorded before this code ran.
-void AddRecordedSignals(const signal_counts& early);
-
 /// Returns what was recorded since the last call.
 signal_counts TakeSignals();
 
