--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -14,7 +14,7 @@
 #include <optional>
 #include <utility>
 
-#include "net/unwaited_output.h"
+#include "net/non_blocking_output.h"
 
 namespace foxtailspread {
 namespace {
@@ -32,7 +32,7 @@
 /// must not hold up requests: log4cxx's own console appender waits for it.
 class output_appender : public log4cxx::AppenderSkeleton {
  public:
-  output_appender(log4cxx::LayoutPtr layout, unwaited_output& output)
+  output_appender(log4cxx::LayoutPtr layout, non_blocking_output& output)
       : layout_(std::move(layout)), output_(output) {}
 
   void append(const log4cxx::spi::LoggingEventPtr& event,
@@ -50,12 +50,12 @@
 
  private:
   log4cxx::LayoutPtr layout_;
-  unwaited_output& output_;
+  non_blocking_output& output_;
 };
 
 /// What OpenLog() writes to with `to_output`.
-unwaited_output& StandardOutput() {
-  static unwaited_output output(STDOUT_FILENO);
+non_blocking_output& StandardOutput() {
+  static non_blocking_output output(STDOUT_FILENO);
   return output;
 }
 
--- a/src/net/unwaited_output.cc
+++ b/src/net/non_blocking_output.cc
@@ -1,4 +1,4 @@
-#include "net/unwaited_output.h"
+#include "net/non_blocking_output.h"
 
 #include <fcntl.h>
 #include <poll.h>
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-unwaited_output::unwaited_output(int fd) : fd_(fd) {
+non_blocking_output::non_blocking_output(int fd) : fd_(fd) {
   struct stat about {};
   if (fstat(fd, &about) != 0) {
     return;
@@ -42,13 +42,13 @@
   }
 }
 
-unwaited_output::~unwaited_output() {
+non_blocking_output::~non_blocking_output() {
   if (method_ == method::kFlag) {
     close(fd_);
   }
 }
 
-void unwaited_output::WriteLine(std::string_view line) {
+void non_blocking_output::WriteLine(std::string_view line) {
   if (kept_.size() > kMaxKept) {
     // The reader may have caught up or left since.
     WriteKept();
@@ -64,7 +64,7 @@
   WriteKept();
 }
 
-void unwaited_output::PrepareNotice() {
+void non_blocking_output::PrepareNotice() {
   if (is_mid_line_) {
     notice_ += '\n';
   }
@@ -75,7 +75,7 @@
   told_lines_ = lost_lines_;
 }
 
-void unwaited_output::Flush(milliseconds timeout) {
+void non_blocking_output::Flush(milliseconds timeout) {
   const auto end = steady_clock::now() + timeout;
   milliseconds left = timeout;
   while (WriteKept() == progress::kFull && left.count() > 0) {
@@ -84,7 +84,7 @@
   }
 }
 
-unwaited_output::progress unwaited_output::WriteKept() {
+non_blocking_output::progress non_blocking_output::WriteKept() {
   progress done = progress::kWritten;
   while (!notice_.empty() && done == progress::kWritten) {
     done = WriteOnce(notice_);
@@ -99,7 +99,8 @@
   return done;
 }
 
-unwaited_output::progress unwaited_output::WriteOnce(std::string& from) {
+non_blocking_output::progress non_blocking_output::WriteOnce(
+    std::string& from) {
   ssize_t written = 0;
   if (method_ == method::kSend) {
     written = send(fd_, from.data(), from.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -120,13 +121,13 @@
   return progress::kFull;
 }
 
-bool unwaited_output::IsWritable(milliseconds timeout) const {
+bool non_blocking_output::IsWritable(milliseconds timeout) const {
   pollfd asked{.fd = fd_, .events = POLLOUT, .revents = 0};
   // A reader that has left counts as writable: the write then tells.
   return poll(&asked, 1, static_cast<int>(timeout.count())) > 0;
 }
 
-void unwaited_output::DropKept() {
+void non_blocking_output::DropKept() {
   const auto lines = std::ranges::count(kept_, '\n');
   lost_lines_ += static_cast<uint64_t>(lines);
   kept_.clear();
--- a/src/net/unwaited_output.h
+++ b/src/net/non_blocking_output.h
@@ -1,5 +1,5 @@
-#ifndef FOXTAILSPREAD_NET_UNWAITED_OUTPUT_H_
-#define FOXTAILSPREAD_NET_UNWAITED_OUTPUT_H_
+#ifndef FOXTAILSPREAD_NET_NON_BLOCKING_OUTPUT_H_
+#define FOXTAILSPREAD_NET_NON_BLOCKING_OUTPUT_H_
 
 /// @file
 /// Lines for a reader that may be slow, stand still or leave.
@@ -16,15 +16,15 @@
 /// the flags of what others may have open too. SIGPIPE must be ignored.
 ///
 /// @code
-/// unwaited_output output(STDOUT_FILENO);
+/// non_blocking_output output(STDOUT_FILENO);
 /// output.WriteLine("{}\n");
 /// @endcode
-class unwaited_output {
+class non_blocking_output {
  public:
-  explicit unwaited_output(int fd);
-  ~unwaited_output();
-  unwaited_output(const unwaited_output&) = delete;
-  unwaited_output& operator=(const unwaited_output&) = delete;
+  explicit non_blocking_output(int fd);
+  ~non_blocking_output();
+  non_blocking_output(const non_blocking_output&) = delete;
+  non_blocking_output& operator=(const non_blocking_output&) = delete;
 
   /// Writes `line`, with its line break, or keeps it for a reader that is
   /// behind. Drops and counts it if too much is kept, or if the reader has
@@ -71,4 +71,4 @@
 
 }  // namespace foxtailspread
 
-#endif  // FOXTAILSPREAD_NET_UNWAITED_OUTPUT_H_
+#endif  // FOXTAILSPREAD_NET_NON_BLOCKING_OUTPUT_H_
--- a/src/programs/foxtail-platform/main.cc
+++ b/src/programs/foxtail-platform/main.cc
@@ -3,9 +3,9 @@
 #include <string>
 
 #include "net/log.h"
+#include "net/non_blocking_output.h"
 #include "net/process_signals.h"
 #include "net/stand_in.h"
-#include "net/unwaited_output.h"
 #include "platform_service.h"
 
 // A stand-in for the platform: see docs/protocols/PLATFORM.md.
--- a/src/programs/foxtail-target/main.cc
+++ b/src/programs/foxtail-target/main.cc
@@ -3,9 +3,9 @@
 #include <string>
 
 #include "net/log.h"
+#include "net/non_blocking_output.h"
 #include "net/process_signals.h"
 #include "net/stand_in.h"
-#include "net/unwaited_output.h"
 #include "target_service.h"
 
 // A stand-in target for tests: see docs/protocols/TARGET.md.
--- a/src/programs/foxtailspreadd/main.cc
+++ b/src/programs/foxtailspreadd/main.cc
@@ -8,8 +8,8 @@
 #include "host_daemon.h"
 #include "net/log.h"
 #include "net/loop.h"
+#include "net/non_blocking_output.h"
 #include "net/process_signals.h"
-#include "net/unwaited_output.h"
 #include "net/whole_file.h"
 
 namespace {
--- a/tests/unwaited_output_test.cc
+++ b/tests/non_blocking_output_test.cc
@@ -1,6 +1,6 @@
 // What a log's reader gets after lines had to be dropped.
 
-#include "net/unwaited_output.h"
+#include "net/non_blocking_output.h"
 
 #include <fcntl.h>
 #include <gtest/gtest.h>
@@ -34,12 +34,12 @@
 
 // Guards against a line that is glued to half of a dropped one, and against
 // dropped lines that are not told.
-TEST(UnwaitedOutputTest, LinesDroppedWhileAFileCannotGrowAreTold) {
+TEST(NonBlockingOutputTest, LinesDroppedWhileAFileCannotGrowAreTold) {
   signal(SIGXFSZ, SIG_IGN);
   const settings_file log;
   log.Write("");
   const int file = open(log.path().c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-  unwaited_output output(file);
+  non_blocking_output output(file);
   {
     const file_size_limit limit(5);
     output.WriteLine("first\n");
